--- a/include/dahliascale/scheduler.hpp
+++ b/include/dahliascale/scheduler.hpp
@@ -45,6 +45,7 @@
     Micros repeat_window = 0; // Keyed: how long repeats are dropped, from the first send that may have run
     bool in_order = false;    // requests with one key run one at a time, in the order taken
     bool stream = false;
+    std::string name = {}; // as the settings call it
 };
 
 // A plan's figures hold for each volume on it, over all hosts and nodes together.
@@ -56,6 +57,7 @@
     double limit = 0;   // units a second; 0: no limit
     double limit_burst = 0;
     double limit_slack = 0;
+    std::string name = {};
 };
 
 struct Settings {
@@ -75,6 +77,8 @@
     bool retry_after = false;
     int max_attempts = 1;
     Micros max_retry_after = 0;
+    Micros connect_timeout = 0; // a connection not up by then has failed
+    Micros idle_close = 0;      // nodes close connections left idle for so long; 0: never
 
     // The figures of the rules. An absent rule has its figures at 0.
     Micros answer_slack = 0; // a final answer this long after the deadline still counts
--- /dev/null
+++ b/src/config/config.cpp
@@ -0,0 +1,44 @@
+#include "config/config.hpp"
+
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+namespace dahliascale::config {
+
+Config read_config(const Json::Value &root) {
+    Config c;
+    c.name = need_text(root, "name");
+    c.listen = need_text(root, "listen");
+    c.discovery = text_or(root, "discovery", "");
+    c.peer_listen = text_or(root, "peer_listen", "");
+    c.peers_all = text_or(root, "peers_all", "");
+    if (root.isMember("peers"))
+        for (const Json::Value &peer : root["peers"]) {
+            if (!peer.isString()) throw Error("field 'peers': is not a list of addresses");
+            c.peers.push_back(peer.asString());
+        }
+    std::uint64_t seed = 0;
+    if (const std::string text = text_or(root, "seed", "0");
+        std::from_chars(text.data(), text.data() + text.size(), seed, 16).ptr != text.data() + text.size())
+        throw Error("field 'seed': is not a hexadecimal number");
+    if (root.isMember("limits")) c.sockets = static_cast<int>(integer_or(root["limits"], "sockets", 1024));
+    if (c.sockets < 64) throw Error("field 'limits.sockets': fewer than 64 serve nobody");
+    if (root.isMember("known")) c.known = root["known"];
+    c.settings = read_settings(need(root, "settings"), seed);
+    try {
+        Scheduler probe(c.settings); // what contradicts itself is found now
+    } catch (const std::invalid_argument &error) {
+        throw Error(std::string("field 'settings': ") + error.what());
+    }
+    return c;
+}
+
+Config load(const std::string &path) {
+    std::ifstream file(path);
+    std::ostringstream text;
+    if (!file || !(text << file.rdbuf())) throw Error("cannot read " + path);
+    return read_config(parse(text.str()));
+}
+
+} // namespace dahliascale::config
--- /dev/null
+++ b/src/config/config.hpp
@@ -0,0 +1,19 @@
+// What a broker is told: $BALANCER_CONFIG, or a file named on the command line.
+#pragma once
+
+#include "config/decode.hpp"
+
+namespace dahliascale::config {
+
+struct Config {
+    std::string name, listen, discovery, peer_listen, peers_all;
+    std::vector<std::string> peers;
+    int sockets = 1024;
+    Json::Value known; // in discovery's form
+    Settings settings; // the module's own
+};
+
+Config read_config(const Json::Value &root); // throws Error naming the field
+Config load(const std::string &path);
+
+} // namespace dahliascale::config
--- /dev/null
+++ b/src/core/planner.cpp
@@ -0,0 +1,179 @@
+#include "core/planner.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace dahliascale::core {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t kMostHeld = 48u << 20; // bytes of bodies held at once, well within a small machine
+
+// What a coroutine of ours lets out is a fault of the program: it must be seen, not swallowed.
+void report(const std::exception_ptr &error) {
+    if (error) std::rethrow_exception(error);
+}
+
+} // namespace
+
+Planner::Planner(asio::any_io_executor executor, Deadlines &deadlines, const Settings &settings,
+                 NodePort &port, Surroundings surroundings, Observer *observer)
+    : executor_(std::move(executor)), deadlines_(deadlines), settings_(settings), port_(port),
+      surroundings_(std::move(surroundings)), observer_(observer), scheduler_(settings) {}
+
+RequestId Planner::submit(std::shared_ptr<const Request> request, Answer answer) {
+    const RequestId id{next_id_++};
+    auto life = std::make_shared<Life>(executor_, id, std::move(request), std::move(answer));
+    ++answers_;
+    held_bytes_ += life->request->body.size();
+    if (held_bytes_ > kMostHeld) { // no memory to hold it: nothing has run, and the client learns so at once
+        held_bytes_ -= life->request->body.size();
+        finish(*life, {Outcome::Kind::Refused, {}, settings_.max_retry_after, true});
+        return id;
+    }
+    lives_.emplace(static_cast<std::uint64_t>(id), life);
+    asio::co_spawn(executor_, live(std::move(life)), report);
+    return id;
+}
+
+// One request's life.
+asio::awaitable<void> Planner::live(std::shared_ptr<Life> life) {
+    // It arrives. What the network and this process have eaten of the client's time is gone.
+    RequestArrived arrived = life->request->facts;
+    arrived.id = life->id;
+    arrived.time_left = std::max<Micros>(life->request->sent + life->request->wait - deadlines_.clock.now(), 0);
+    tell(arrived);
+
+    // The module says what is done, and learns how it went, until it has no more interest in the request.
+    while (life->answer || life->out > 0 || scheduler_.knows(life->id)) {
+        Step step = co_await life->steps.take();
+        if (const auto *send = std::get_if<Send>(&step)) {
+            auto out = std::make_shared<Attempt>();
+            out->request = life->request;
+            out->node = send->node;
+            out->started = deadlines_.clock.now();
+            out->expires = send->expires > 0 ? send->expires : life->request->sent + life->request->wait;
+            out->may_write = [this, life = life.get(), node = out->node, until = out->expires] {
+                return may_write(*life, node, until);
+            };
+            life->attempts.push_back(std::move(out));
+            ++life->out;
+            asio::co_spawn(executor_, attempt(life, static_cast<int>(life->attempts.size()) - 1), report);
+        } else if (const auto *cancel = std::get_if<Cancel>(&step)) {
+            const auto number = static_cast<std::size_t>(cancel->attempt);
+            if (number < life->attempts.size()) life->attempts[number]->stop(Status::Cancelled);
+        } else if (auto *ended = std::get_if<Ended>(&step)) {
+            --life->out;
+            const AttemptResult &result = ended->result;
+            AttemptEnded event{life->id, ended->attempt,  result.status,    0, false,
+                               result.used, result.elsewhere, result.report};
+            event.latency = deadlines_.clock.now() - life->attempts[event.attempt]->started;
+            if (result.status == Status::Ok) // the first value served is the answer
+                finish(*life, {Outcome::Kind::Served, std::move(ended->result.value), 0, true});
+            event.closed = !life->answer;
+            tell(std::move(event));
+        } else if (const auto *refuse = std::get_if<Refuse>(&step)) {
+            finish(*life, {Outcome::Kind::Refused, {}, settings_.retry_after ? refuse->retry_after : 0, true});
+        } else if (std::holds_alternative<Fail>(step)) {
+            const Effect effect = settings_.classes[life->request->facts.cls].effect;
+            finish(*life, {Outcome::Kind::Failed, {}, 0, effect == Effect::Safe});
+        } else { // the client has left: nobody is there to be answered
+            life->answer = nullptr;
+            --answers_;
+            tell(ClientLeft{life->id});
+        }
+    }
+    held_bytes_ -= life->request->body.size();
+    lives_.erase(static_cast<std::uint64_t>(life->id));
+}
+
+// One attempt: run by the node port, until its time is up at the latest.
+asio::awaitable<void> Planner::attempt(std::shared_ptr<Life> life, int number) {
+    const std::shared_ptr<Attempt> out = life->attempts[number];
+    const auto expiry = deadlines_.at(out->expires, [&out = *out] { out.stop(Status::Timeout); });
+    AttemptResult result = co_await port_.run(out);
+    if (observer_)
+        observer_->attempt_ended(life->id, *out, number, result.status, out->started, deadlines_.clock.now());
+    life->steps.put(Ended{number, std::move(result)});
+}
+
+void Planner::finish(Life &life, Outcome outcome) {
+    if (!life.answer) return;
+    --answers_;
+    if (observer_) observer_->request_ended(life.id, *life.request, outcome, deadlines_.clock.now());
+    std::exchange(life.answer, nullptr)(std::move(outcome));
+}
+
+// Between a Send and its first byte a connection may have to come up. Meanwhile time may run out, the client
+// may leave, and the node may drain; work sent then would be wasted, or break the rule on drains.
+bool Planner::may_write(const Life &life, NodeId node, Micros expires) const {
+    const auto listed = nodes_.find(node);
+    return life.answer && deadlines_.clock.now() < expires && listed != nodes_.end() &&
+           listed->second == NodeState::Ready;
+}
+
+void Planner::client_left(RequestId id) { to_life(id, Left{}); }
+
+void Planner::list(const ListUpdate &update) {
+    if (update.kind != ListUpdate::Kind::Changes && update.kind != ListUpdate::Kind::Failed)
+        for (auto &[node, state] : nodes_) state = NodeState::Gone;
+    for (const NodeEntry &entry : update.entries) nodes_[entry.node] = entry.state;
+    tell(update);
+}
+
+asio::awaitable<void> Planner::probe(NodeId node) {
+    const Micros from = deadlines_.clock.now();
+    const ProbeResult result = co_await port_.probe(node);
+    tell(ProbeEnded{node, result.status, deadlines_.clock.now() - from, result.report});
+}
+
+// The module is not to be entered twice: what happens while it is being told waits its turn.
+void Planner::tell(Event event) {
+    events_.push_back(std::move(event));
+    if (telling_) return;
+    telling_ = true;
+    std::vector<Action> actions;
+    while (!events_.empty()) {
+        const Event next = std::move(events_.front());
+        events_.pop_front();
+        actions.clear();
+        scheduler_.handle(deadlines_.clock.now(), next, actions);
+        for (Action &action : actions) perform(std::move(action));
+    }
+    telling_ = false;
+}
+
+void Planner::perform(Action action) {
+    if (auto *send = std::get_if<Send>(&action)) return to_life(send->id, *send);
+    if (auto *refuse = std::get_if<Refuse>(&action)) return to_life(refuse->id, *refuse);
+    if (auto *fail = std::get_if<Fail>(&action)) return to_life(fail->id, *fail);
+    if (auto *cancel = std::get_if<Cancel>(&action)) return to_life(cancel->id, *cancel);
+    if (const auto *ask = std::get_if<Probe>(&action)) {
+        asio::co_spawn(executor_, probe(ask->node), report);
+    } else if (const auto *close = std::get_if<CloseIdle>(&action)) {
+        port_.close_idle(close->node);
+    } else if (const auto *timer = std::get_if<SetTimer>(&action)) {
+        const auto number = next_timer_++;
+        timers_[number] = deadlines_.in(timer->delay, [this, number, token = timer->token] {
+            timers_.erase(number);
+            tell(TimerDue{token});
+        });
+    } else if (const auto *watch = std::get_if<WatchList>(&action)) {
+        surroundings_.watch_list(watch->on);
+    } else if (std::holds_alternative<FetchList>(action)) {
+        surroundings_.fetch_list();
+    } else if (const auto *words = std::get_if<TellPeers>(&action)) {
+        surroundings_.tell_peers(words->peer, words->data);
+    } else {
+        log("{}", std::get<Log>(action).text);
+    }
+}
+
+void Planner::to_life(RequestId id, Step step) {
+    if (const auto life = lives_.find(static_cast<std::uint64_t>(id)); life != lives_.end())
+        life->second->steps.put(std::move(step));
+}
+
+} // namespace dahliascale::core
--- /dev/null
+++ b/src/core/planner.hpp
@@ -0,0 +1,90 @@
+// The planner: owns one Scheduler, its deadlines and its ledger. It tells the module what happens and does
+// what the module says; it decides nothing itself.
+#pragma once
+
+#include "core/deadlines.hpp"
+#include "core/log.hpp"
+#include "core/mailbox.hpp"
+#include "core/types.hpp"
+
+#include <map>
+#include <set>
+#include <unordered_map>
+
+namespace dahliascale::core {
+
+// What the module asks of the world beside requests; set by whoever wires the program.
+struct Surroundings {
+    std::function<void(bool)> watch_list;
+    std::function<void()> fetch_list;
+    std::function<void(std::optional<int>, const std::string &)> tell_peers;
+};
+
+// Follows requests and attempts from outside, for telemetry. Called on the loop; must not block.
+class Observer {
+public:
+    virtual ~Observer() = default;
+    virtual void attempt_ended(RequestId id, const Attempt &attempt, int number, Status status, Micros from,
+                               Micros to) = 0;
+    virtual void request_ended(RequestId id, const Request &request, const Outcome &outcome, Micros to) = 0;
+};
+
+class Planner {
+public:
+    using Answer = std::function<void(Outcome)>;
+
+    Planner(boost::asio::any_io_executor executor, Deadlines &deadlines, const Settings &settings,
+            NodePort &port, Surroundings surroundings, Observer *observer = nullptr);
+
+    // Takes a request; `answer` is called exactly once, unless the client leaves before.
+    RequestId submit(std::shared_ptr<const Request> request, Answer answer);
+    void client_left(RequestId id);
+    void list(const ListUpdate &update);
+    void peer_message(PeerMessage message) { tell(std::move(message)); }
+    std::size_t open() const { return answers_; } // requests that still owe an answer
+
+private:
+    struct Left {};
+    struct Ended {
+        int attempt;
+        AttemptResult result;
+    };
+    using Step = std::variant<Send, Refuse, Fail, Cancel, Left, Ended>;
+    struct Life {
+        Life(boost::asio::any_io_executor executor, RequestId number, std::shared_ptr<const Request> r, Answer a)
+            : id(number), request(std::move(r)), answer(std::move(a)), steps(std::move(executor)) {}
+        RequestId id;
+        std::shared_ptr<const Request> request;
+        Answer answer; // empty once given, or once the client has left
+        std::vector<std::shared_ptr<Attempt>> attempts;
+        std::size_t out = 0;
+        Mailbox<Step> steps;
+    };
+
+    boost::asio::awaitable<void> live(std::shared_ptr<Life> life);
+    boost::asio::awaitable<void> attempt(std::shared_ptr<Life> life, int number);
+    boost::asio::awaitable<void> probe(NodeId node);
+    void finish(Life &life, Outcome outcome);
+    bool may_write(const Life &life, NodeId node, Micros expires) const;
+
+    void tell(Event event);
+    void perform(Action action);
+    void to_life(RequestId id, Step step);
+
+    boost::asio::any_io_executor executor_;
+    Deadlines &deadlines_;
+    Settings settings_;
+    NodePort &port_;
+    Surroundings surroundings_;
+    Observer *observer_;
+    Scheduler scheduler_;
+    std::unordered_map<std::uint64_t, std::shared_ptr<Life>> lives_; // the ledger
+    std::map<NodeId, NodeState> nodes_;
+    std::map<std::uint64_t, Deadlines::Entry> timers_;
+    std::deque<Event> events_;
+    bool telling_ = false;
+    std::uint64_t next_id_ = 1, next_timer_ = 1;
+    std::size_t answers_ = 0, held_bytes_ = 0;
+};
+
+} // namespace dahliascale::core
--- /dev/null
+++ b/src/net/clients.cpp
@@ -0,0 +1,93 @@
+#include "net/clients.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace dahliascale::net {
+namespace {
+
+constexpr Micros kRest = 10'000;        // us before the next accept after a failed one
+constexpr Micros kStillComing = 250'000; // us without a new connection after which, at a drain, none is awaited
+constexpr Micros kLongest = 500'000;     // us for which a drain keeps accepting
+
+} // namespace
+
+Clients::Clients(asio::io_context &io, core::Deadlines &deadlines, SocketBudget &budget,
+                 const tcp::endpoint &at, Front front)
+    : io_(io), deadlines_(deadlines), budget_(budget), acceptor_(io), front_(std::move(front)) {
+    acceptor_.open(at.protocol());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.bind(at);
+    acceptor_.listen(1024);
+    asio::co_spawn(io_, accept(), asio::detached);
+}
+
+asio::awaitable<void> Clients::accept() {
+    asio::steady_timer rest(io_);
+    while (acceptor_.is_open()) {
+        // A request may be written to a connection that waits to be accepted, and counts as taken then. So
+        // room is made by closing the idle client that was unused the longest, never by not accepting.
+        if (budget_.clients_full())
+            for (Client &client : clients_)
+                if (client.idle() && !client.closing) {
+                    client.closing = true;
+                    client.close();
+                    break;
+                }
+        boost::system::error_code error;
+        tcp::socket socket = co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            if (error == asio::error::operation_aborted || !acceptor_.is_open()) break;
+            core::log("accept: {}", error.message()); // out of descriptors, say: it passes
+            if (budget_.clients_full() || error.value() == EMFILE || error.value() == ENFILE)
+                for (Client &client : clients_)
+                    if (client.idle() && !client.closing) {
+                        client.closing = true;
+                        client.close();
+                        break;
+                    }
+            rest.expires_after(std::chrono::microseconds(kRest));
+            co_await rest.async_wait(asio::redirect_error(asio::use_awaitable, error));
+            continue;
+        }
+        socket.set_option(tcp::no_delay(true), error);
+        last_new_ = deadlines_.clock.now();
+        const auto client = clients_.emplace(clients_.end(), std::move(socket));
+        client->lease = budget_.client();
+        asio::co_spawn(io_, serve(client), asio::detached);
+    }
+}
+
+asio::awaitable<void> Clients::serve(std::list<Client>::iterator client) {
+    try {
+        co_await front_(*client);
+    } catch (const std::exception &error) { // a client's trouble ends its connection, not the broker
+        core::log("client: {}", error.what());
+    }
+    client->close();
+    clients_.erase(client);
+    if (done_ && clients_.empty() && !acceptor_.is_open()) std::exchange(done_, nullptr)();
+}
+
+void Clients::drain(std::function<void()> done) {
+    done_ = std::move(done);
+    drain_from_ = last_new_ = deadlines_.clock.now();
+    drain_turn();
+}
+
+void Clients::drain_turn() {
+    const Micros now = deadlines_.clock.now();
+    if (now - last_new_ < kStillComing && now - drain_from_ < kLongest) {
+        look_ = deadlines_.in(kRest, [this] { drain_turn(); });
+        return;
+    }
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    for (Client &client : clients_) {
+        client.closing = true;
+        if (client.nudge) client.nudge();
+    }
+    if (clients_.empty() && done_) std::exchange(done_, nullptr)();
+}
+
+} // namespace dahliascale::net
--- /dev/null
+++ b/src/net/http.cpp
@@ -0,0 +1,127 @@
+#include "net/http.hpp"
+
+#include <boost/asio/write.hpp>
+#include <charconv>
+#include <stdexcept>
+
+namespace dahliascale::net::http {
+namespace {
+
+constexpr std::size_t kMostHead = 16 * 1024, kMostBody = 4 * 1024 * 1024;
+
+bool same(std::string_view a, std::string_view b) {
+    const auto lower = [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; };
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                      [&](char x, char y) { return lower(x) == lower(y); });
+}
+std::string_view trim(std::string_view text) {
+    while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) text.remove_prefix(1);
+    while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) text.remove_suffix(1);
+    return text;
+}
+std::size_t length(std::string_view digits, int base) {
+    std::size_t n = 0;
+    const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), n, base);
+    if (digits.empty() || error != std::errc() || end != digits.data() + digits.size() || n > kMostBody)
+        throw std::runtime_error("invalid length");
+    return n;
+}
+
+// The chunks of a body; false while they are not all there.
+bool chunks(std::string_view &rest, std::string &body) {
+    for (;;) {
+        const std::size_t end = rest.find("\r\n");
+        if (end == std::string_view::npos) return false;
+        const std::string_view head = rest.substr(0, end);
+        const std::size_t size = length(trim(head.substr(0, head.find(';'))), 16);
+        rest.remove_prefix(end + 2);
+        if (size == 0) break;
+        if (rest.size() < size + 2) return false;
+        body.append(rest.substr(0, size));
+        if (body.size() > kMostBody) throw std::runtime_error("body too large");
+        if (rest.substr(size, 2) != "\r\n") throw std::runtime_error("chunk runs on");
+        rest.remove_prefix(size + 2);
+    }
+    for (;;) { // trailers
+        const std::size_t end = rest.find("\r\n");
+        if (end == std::string_view::npos) return false;
+        rest.remove_prefix(end + 2);
+        if (end == 0) return true;
+    }
+}
+
+} // namespace
+
+std::optional<Response> take(std::string &in, bool ended) {
+    const std::size_t head_end = in.find("\r\n\r\n");
+    if (head_end == std::string::npos) {
+        if (in.size() > kMostHead) throw std::runtime_error("head too large");
+        return std::nullopt;
+    }
+    const std::string_view head = std::string_view(in).substr(0, head_end);
+    if (head.size() < 12 || !head.starts_with("HTTP/1.")) throw std::runtime_error("no status line");
+    Response response;
+    response.status = static_cast<int>(length(head.substr(9, 3), 10));
+    std::optional<std::size_t> size;
+    bool chunked = false;
+    for (std::size_t at = head.find("\r\n"); at != std::string_view::npos;) {
+        at += 2;
+        const std::size_t end = head.find("\r\n", at);
+        const std::string_view line =
+            head.substr(at, end == std::string_view::npos ? std::string_view::npos : end - at);
+        at = end;
+        const std::size_t colon = line.find(':');
+        if (colon == std::string_view::npos) throw std::runtime_error("malformed header");
+        const std::string_view name = line.substr(0, colon), value = trim(line.substr(colon + 1));
+        if (same(name, "content-length")) size = length(value, 10);
+        if (same(name, "transfer-encoding")) chunked = same(value, "chunked");
+        if (same(name, "connection") && same(value, "close")) response.keep = false;
+        if (same(name, "retry-after")) response.retry_after = value;
+    }
+    std::string_view rest = std::string_view(in).substr(head_end + 4);
+    if (chunked) {
+        if (!chunks(rest, response.body)) return std::nullopt;
+    } else if (size) {
+        if (rest.size() < *size) return std::nullopt;
+        response.body = rest.substr(0, *size);
+        rest.remove_prefix(*size);
+    } else if (response.status != 204 && response.status != 304) { // the body ends with the connection
+        if (rest.size() > kMostBody) throw std::runtime_error("body too large");
+        if (!ended) return std::nullopt;
+        response.body = rest;
+        rest = {};
+        response.keep = false;
+    }
+    in = std::string(rest);
+    return response;
+}
+
+asio::awaitable<std::optional<Response>> exchange(tcp::socket &socket, std::string request, Micros until,
+                                                  core::Deadlines &deadlines) {
+    std::optional<Response> response;
+    boost::system::error_code error;
+    {
+        const auto limit = deadlines.at(until, [&socket] {
+            boost::system::error_code ignored;
+            socket.close(ignored);
+        });
+        co_await asio::async_write(socket, asio::buffer(request),
+                                   asio::redirect_error(asio::use_awaitable, error));
+        std::string in;
+        char chunk[16384];
+        while (!error && !response) {
+            const std::size_t got = co_await socket.async_read_some(
+                asio::buffer(chunk), asio::redirect_error(asio::use_awaitable, error));
+            in.append(chunk, got);
+            try {
+                response = take(in, error == asio::error::eof);
+            } catch (const std::runtime_error &) {
+                break;
+            }
+        }
+    }
+    if (!response || !response->keep) socket.close(error);
+    co_return response;
+}
+
+} // namespace dahliascale::net::http
--- /dev/null
+++ b/src/net/resp/front.hpp
@@ -0,0 +1,23 @@
+// The platform's front: RESP2 to clients. A connection's commands are worked in parallel and answered in
+// their order.
+#pragma once
+
+#include "core/planner.hpp"
+#include "net/clients.hpp"
+#include "net/resp/parser.hpp"
+
+namespace dahliascale::net::resp {
+
+// Where a front hands its requests: which planner is the wiring's business.
+struct Desk {
+    std::function<core::Planner &(const core::Request &)> planner;
+    const Settings &settings;
+    core::Deadlines &deadlines;
+};
+
+asio::awaitable<void> serve(Client &client, Desk desk);
+
+// What a command asks. Throws Malformed, which says what is wrong.
+core::Request read_request(Value &&command, const Settings &settings);
+
+} // namespace dahliascale::net::resp
--- /dev/null
+++ b/src/net/resp/node_port.hpp
@@ -0,0 +1,34 @@
+// Runs attempts at nodes that speak RESP2.
+#pragma once
+
+#include "core/types.hpp"
+#include "net/pool.hpp"
+#include "net/resp/parser.hpp"
+
+namespace dahliascale::net::resp {
+
+class NodePort : public core::NodePort {
+public:
+    NodePort(asio::any_io_executor executor, core::Deadlines &deadlines, SocketBudget &budget,
+             const Settings &settings);
+    void place(NodeId node, const tcp::endpoint &address);
+
+    asio::awaitable<core::AttemptResult> run(std::shared_ptr<core::Attempt> attempt) override;
+    asio::awaitable<core::ProbeResult> probe(NodeId node) override;
+    void close_idle(NodeId node) override;
+
+private:
+    asio::awaitable<std::shared_ptr<Wire>> connect(tcp::endpoint to, core::Attempt &attempt);
+    std::string spell(const core::Attempt &attempt) const;
+
+    asio::any_io_executor executor_;
+    core::Deadlines &deadlines_;
+    Settings settings_;
+    Pool pool_;
+    std::map<NodeId, tcp::endpoint> addresses_;
+};
+
+// What a node's answer means. Exposed for the tests of odd answers.
+core::AttemptResult read_answer(Value &&answer);
+
+} // namespace dahliascale::net::resp
--- /dev/null
+++ b/src/net/sockets.hpp
@@ -0,0 +1,63 @@
+// The budget of descriptors: node connections get a bounded part, clients the rest, and a few stay spare.
+// Also the dial that all ports share.
+#pragma once
+
+#include "core/deadlines.hpp"
+
+#include <algorithm>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace dahliascale::net {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+class SocketBudget {
+public:
+    explicit SocketBudget(int limit)
+        : most_nodes_(std::max(4, limit / 4)), most_clients_(std::max(4, limit - most_nodes_ - kSpare)) {}
+
+    class Lease { // one descriptor's place in the budget
+    public:
+        Lease() = default;
+        explicit Lease(int &held) : held_(&held) { ++held; }
+        Lease(Lease &&other) noexcept : held_(std::exchange(other.held_, nullptr)) {}
+        Lease &operator=(Lease &&other) noexcept {
+            std::swap(held_, other.held_);
+            return *this;
+        }
+        ~Lease() {
+            if (held_) --*held_;
+        }
+
+    private:
+        int *held_ = nullptr;
+    };
+    bool nodes_full() const { return nodes_ >= most_nodes_; }
+    bool clients_full() const { return clients_ >= most_clients_; }
+    Lease node() { return Lease(nodes_); }
+    Lease client() { return Lease(clients_); }
+
+private:
+    static constexpr int kSpare = 32; // listener, discovery, peers, telemetry, timers, the log
+    int most_nodes_, most_clients_, nodes_ = 0, clients_ = 0;
+};
+
+// Connects within the time; an error otherwise. `on_stop` is where the caller may break it off.
+inline asio::awaitable<boost::system::error_code> dial(tcp::socket &socket, tcp::endpoint to, Micros until,
+                                                       core::Deadlines &deadlines) {
+    boost::system::error_code error;
+    const auto limit = deadlines.at(until, [&socket] {
+        boost::system::error_code ignored;
+        socket.close(ignored);
+    });
+    co_await socket.async_connect(to, asio::redirect_error(asio::use_awaitable, error));
+    if (!error && !socket.is_open()) error = asio::error::timed_out;
+    if (!error) socket.set_option(tcp::no_delay(true), error);
+    co_return error;
+}
+
+} // namespace dahliascale::net
