--- a/include/dahliascale/scheduler.hpp
+++ b/include/marblewood/scheduler.hpp
@@ -1,4 +1,4 @@
-// The interface of dahliascale: settings, events, actions and the class that decides. No decision and no
+// The interface of marblewood: settings, events, actions and the class that decides. No decision and no
 // tuned value stands here; those are in src/policy.cpp.
 //
 // Calling contract. One Scheduler belongs to one owner and is called from one thread. `now` never goes back.
@@ -20,7 +20,7 @@
 #include <variant>
 #include <vector>
 
-namespace dahliascale {
+namespace marblewood {
 
 using Micros = std::int64_t; // a point in time or a length of time, in microseconds
 
@@ -255,4 +255,4 @@
     std::unique_ptr<State> state_;
 };
 
-} // namespace dahliascale
+} // namespace marblewood
--- a/src/benchlink/link.cpp
+++ b/src/benchlink/link.cpp
@@ -11,7 +11,7 @@
 #include <stdexcept>
 #include <unordered_map>
 
-namespace dahliascale::benchlink {
+namespace marblewood::benchlink {
 namespace {
 
 using nlohmann::json;
@@ -453,4 +453,4 @@
     if (in_batch) throw std::runtime_error("the input ends inside a batch");
 }
 
-} // namespace dahliascale::benchlink
+} // namespace marblewood::benchlink
--- a/src/benchlink/link.hpp
+++ b/src/benchlink/link.hpp
@@ -4,10 +4,10 @@
 
 #include <iosfwd>
 
-namespace dahliascale::benchlink {
+namespace marblewood::benchlink {
 
 // Returns at the end of the input. Throws std::runtime_error with a plain message where the input is
 // malformed; what has been written by then is whole replies.
 void run(std::istream &in, std::ostream &out);
 
-} // namespace dahliascale::benchlink
+} // namespace marblewood::benchlink
--- a/src/benchlink/main.cpp
+++ b/src/benchlink/main.cpp
@@ -7,9 +7,9 @@
     std::ios::sync_with_stdio(false);
     std::cin.tie(nullptr);
     try {
-        dahliascale::benchlink::run(std::cin, std::cout);
+        marblewood::benchlink::run(std::cin, std::cout);
     } catch (const std::exception &error) {
-        std::cerr << "dahliascale_benchlink: " << error.what() << '\n';
+        std::cerr << "marblewood_benchlink: " << error.what() << '\n';
         return 1;
     }
     return 0;
--- a/src/benchlink/wire.hpp
+++ b/src/benchlink/wire.hpp
@@ -1,13 +1,13 @@
 // The vocabulary of the bench's wire, in one place.
 #pragma once
 
-#include "dahliascale/scheduler.hpp"
+#include "marblewood/scheduler.hpp"
 
 #include <array>
 #include <string_view>
 #include <utility>
 
-namespace dahliascale::benchlink::wire {
+namespace marblewood::benchlink::wire {
 
 inline constexpr auto kTag = "t", kInstance = "scheduler_id", kClock = "clock";
 inline constexpr auto kBatch = "Sync", kBatchEnd = "YourTurn", kReplyEnd = "Ready";
@@ -43,4 +43,4 @@
 inline constexpr Words<Group, 3> kGroup{{{"all", Group::All}, {"zone", Group::Zone}, {"cell", Group::Cell}}};
 inline constexpr Words<bool, 2> kMembership{{{"pushed", false}, {"on_request", true}}};
 
-} // namespace dahliascale::benchlink::wire
+} // namespace marblewood::benchlink::wire
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -4,7 +4,7 @@
 #include <fstream>
 #include <sstream>
 
-namespace dahliascale::config {
+namespace marblewood::config {
 
 Config read_config(const Json::Value &root) {
     Config c;
@@ -41,4 +41,4 @@
     return read_config(parse(text.str()));
 }
 
-} // namespace dahliascale::config
+} // namespace marblewood::config
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -3,7 +3,7 @@
 
 #include "config/decode.hpp"
 
-namespace dahliascale::config {
+namespace marblewood::config {
 
 struct Config {
     std::string name, listen, discovery, peer_listen, peers_all;
@@ -16,4 +16,4 @@
 Config read_config(const Json::Value &root); // throws Error naming the field
 Config load(const std::string &path);
 
-} // namespace dahliascale::config
+} // namespace marblewood::config
--- a/src/config/decode.cpp
+++ b/src/config/decode.cpp
@@ -4,7 +4,7 @@
 #include <cmath>
 #include <memory>
 
-namespace dahliascale::config {
+namespace marblewood::config {
 namespace {
 
 constexpr Words<Effect, 3> kEffects{
@@ -190,4 +190,4 @@
         load.service = micros(std::clamp(value, -1e12, 1e12));
 }
 
-} // namespace dahliascale::config
+} // namespace marblewood::config
--- a/src/config/decode.hpp
+++ b/src/config/decode.hpp
@@ -1,7 +1,7 @@
 // Decodes JSON straight into the module's Settings and NodeEntry, for the broker and the bench's adapter alike.
 #pragma once
 
-#include "dahliascale/scheduler.hpp"
+#include "marblewood/scheduler.hpp"
 
 #include <array>
 #include <json/json.h>
@@ -12,7 +12,7 @@
 #include <unordered_map>
 #include <utility>
 
-namespace dahliascale::config {
+namespace marblewood::config {
 
 // A field is missing or wrong; the text names it.
 struct Error : std::runtime_error {
@@ -83,4 +83,4 @@
 // Puts a figure of a load report where it belongs, under either of its names; others are disregarded.
 void set_figure(LoadReport &load, std::string_view name, double value);
 
-} // namespace dahliascale::config
+} // namespace marblewood::config
--- a/src/core/clock.hpp
+++ b/src/core/clock.hpp
@@ -2,11 +2,11 @@
 // that it never goes back.
 #pragma once
 
-#include "dahliascale/scheduler.hpp"
+#include "marblewood/scheduler.hpp"
 
 #include <chrono>
 
-namespace dahliascale::core {
+namespace marblewood::core {
 
 class Clock {
 public:
@@ -23,4 +23,4 @@
                         .count();
 };
 
-} // namespace dahliascale::core
+} // namespace marblewood::core
--- a/src/core/deadlines.hpp
+++ b/src/core/deadlines.hpp
@@ -8,7 +8,7 @@
 #include <functional>
 #include <map>
 
-namespace dahliascale::core {
+namespace marblewood::core {
 
 class Deadlines {
 public:
@@ -77,4 +77,4 @@
     bool sweeping_ = false;
 };
 
-} // namespace dahliascale::core
+} // namespace marblewood::core
--- a/src/core/log.hpp
+++ b/src/core/log.hpp
@@ -5,7 +5,7 @@
 #include <cstdio>
 #include <fmt/format.h>
 
-namespace dahliascale::core {
+namespace marblewood::core {
 
 inline double seconds_up() {
     static const auto start = std::chrono::steady_clock::now();
@@ -15,4 +15,4 @@
     fmt::print(stderr, "{:.3f} {}\n", seconds_up(), fmt::format(format, std::forward<Args>(args)...));
 }
 
-} // namespace dahliascale::core
+} // namespace marblewood::core
--- a/src/core/mailbox.hpp
+++ b/src/core/mailbox.hpp
@@ -10,7 +10,7 @@
 #include <functional>
 #include <memory>
 
-namespace dahliascale::core {
+namespace marblewood::core {
 
 template <typename T> class Mailbox {
 public:
@@ -39,4 +39,4 @@
     std::function<void()> waiter_;
 };
 
-} // namespace dahliascale::core
+} // namespace marblewood::core
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -3,7 +3,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-namespace dahliascale::core {
+namespace marblewood::core {
 
 namespace asio = boost::asio;
 
@@ -176,4 +176,4 @@
         life->second->steps.put(std::move(step));
 }
 
-} // namespace dahliascale::core
+} // namespace marblewood::core
--- a/src/core/planner.hpp
+++ b/src/core/planner.hpp
@@ -11,7 +11,7 @@
 #include <set>
 #include <unordered_map>
 
-namespace dahliascale::core {
+namespace marblewood::core {
 
 // What the module asks of the world beside requests; set by whoever wires the program.
 struct Surroundings {
@@ -87,4 +87,4 @@
     std::size_t answers_ = 0, held_bytes_ = 0;
 };
 
-} // namespace dahliascale::core
+} // namespace marblewood::core
--- a/src/core/types.hpp
+++ b/src/core/types.hpp
@@ -1,7 +1,7 @@
 // What the core deals in. It knows no wire: fronts make Requests and spell Outcomes, node ports run Attempts.
 #pragma once
 
-#include "dahliascale/scheduler.hpp"
+#include "marblewood/scheduler.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <functional>
@@ -10,7 +10,7 @@
 #include <utility>
 #include <vector>
 
-namespace dahliascale::core {
+namespace marblewood::core {
 
 struct Request {
     std::string id;    // the client's
@@ -73,4 +73,4 @@
     virtual void close_idle(NodeId node) = 0;
 };
 
-} // namespace dahliascale::core
+} // namespace marblewood::core
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -13,7 +13,7 @@
 #include <cstdlib>
 #include <sys/resource.h>
 
-using namespace dahliascale;
+using namespace marblewood;
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
--- a/src/net/address.hpp
+++ b/src/net/address.hpp
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <utility>
 
-namespace dahliascale::net {
+namespace marblewood::net {
 
 template <typename Endpoint> std::optional<Endpoint> endpoint(std::string_view text) {
     const std::size_t colon = text.rfind(':');
@@ -23,4 +23,4 @@
     return Endpoint(address, port);
 }
 
-} // namespace dahliascale::net
+} // namespace marblewood::net
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -3,7 +3,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-namespace dahliascale::net {
+namespace marblewood::net {
 namespace {
 
 constexpr Micros kRest = 10'000;        // us before the next accept after a failed one
@@ -90,4 +90,4 @@
     if (clients_.empty() && done_) std::exchange(done_, nullptr)();
 }
 
-} // namespace dahliascale::net
+} // namespace marblewood::net
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -8,7 +8,7 @@
 #include <functional>
 #include <list>
 
-namespace dahliascale::net {
+namespace marblewood::net {
 
 struct Client { // one connection, as its front sees it
     explicit Client(tcp::socket s) : socket(std::move(s)) {}
@@ -53,4 +53,4 @@
     core::Deadlines::Entry look_;
 };
 
-} // namespace dahliascale::net
+} // namespace marblewood::net
--- a/src/net/discovery/discovery.cpp
+++ b/src/net/discovery/discovery.cpp
@@ -5,7 +5,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-namespace dahliascale::net::discovery {
+namespace marblewood::net::discovery {
 namespace {
 
 constexpr Micros kWatch = 20'000'000; // us for which a watch may wait for news
@@ -100,4 +100,4 @@
     }
 }
 
-} // namespace dahliascale::net::discovery
+} // namespace marblewood::net::discovery
--- a/src/net/discovery/discovery.hpp
+++ b/src/net/discovery/discovery.hpp
@@ -6,7 +6,7 @@
 
 #include <functional>
 
-namespace dahliascale::net::discovery {
+namespace marblewood::net::discovery {
 
 // One answer of discovery, read but not yet taken in.
 struct Reading {
@@ -43,4 +43,4 @@
     bool wanted_ = false, watching_ = false;
 };
 
-} // namespace dahliascale::net::discovery
+} // namespace marblewood::net::discovery
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -4,7 +4,7 @@
 #include <charconv>
 #include <stdexcept>
 
-namespace dahliascale::net::http {
+namespace marblewood::net::http {
 namespace {
 
 constexpr std::size_t kMostHead = 16 * 1024, kMostBody = 4 * 1024 * 1024;
@@ -124,4 +124,4 @@
     co_return response;
 }
 
-} // namespace dahliascale::net::http
+} // namespace marblewood::net::http
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -7,7 +7,7 @@
 #include <optional>
 #include <string>
 
-namespace dahliascale::net::http {
+namespace marblewood::net::http {
 
 struct Response {
     int status = 0;
@@ -25,4 +25,4 @@
 asio::awaitable<std::optional<Response>> exchange(tcp::socket &socket, std::string request, Micros until,
                                                   core::Deadlines &deadlines);
 
-} // namespace dahliascale::net::http
+} // namespace marblewood::net::http
--- a/src/net/peers/peers.hpp
+++ b/src/net/peers/peers.hpp
@@ -10,7 +10,7 @@
 #include <functional>
 #include <vector>
 
-namespace dahliascale::net::peers {
+namespace marblewood::net::peers {
 
 using udp = asio::ip::udp;
 
@@ -54,4 +54,4 @@
     std::function<void(PeerMessage)> told_;
 };
 
-} // namespace dahliascale::net::peers
+} // namespace marblewood::net::peers
--- a/src/net/pool.hpp
+++ b/src/net/pool.hpp
@@ -7,7 +7,7 @@
 #include <map>
 #include <memory>
 
-namespace dahliascale::net {
+namespace marblewood::net {
 
 struct Wire { // one connection to a node
     explicit Wire(asio::any_io_executor executor) : socket(std::move(executor)) {}
@@ -75,4 +75,4 @@
     std::map<tcp::endpoint, std::list<std::shared_ptr<Wire>>> idle_;
 };
 
-} // namespace dahliascale::net
+} // namespace marblewood::net
--- a/src/net/resp/front.cpp
+++ b/src/net/resp/front.cpp
@@ -8,7 +8,7 @@
 #include <deque>
 #include <fmt/format.h>
 
-namespace dahliascale::net::resp {
+namespace marblewood::net::resp {
 namespace {
 
 constexpr std::size_t kMostPipelined = 256;  // commands of one connection worked at once
@@ -292,4 +292,4 @@
     return r;
 }
 
-} // namespace dahliascale::net::resp
+} // namespace marblewood::net::resp
--- a/src/net/resp/front.hpp
+++ b/src/net/resp/front.hpp
@@ -6,7 +6,7 @@
 #include "net/clients.hpp"
 #include "net/resp/parser.hpp"
 
-namespace dahliascale::net::resp {
+namespace marblewood::net::resp {
 
 // Where a front hands its requests: which planner is the wiring's business.
 struct Desk {
@@ -20,4 +20,4 @@
 // What a command asks. Throws Malformed, which says what is wrong.
 core::Request read_request(Value &&command, const Settings &settings);
 
-} // namespace dahliascale::net::resp
+} // namespace marblewood::net::resp
--- a/src/net/resp/node_port.cpp
+++ b/src/net/resp/node_port.cpp
@@ -7,7 +7,7 @@
 #include <charconv>
 #include <fmt/format.h>
 
-namespace dahliascale::net::resp {
+namespace marblewood::net::resp {
 namespace {
 
 constexpr Micros kDial = 250'000; // us for a connection to come up, where the settings do not say
@@ -202,4 +202,4 @@
     co_return result;
 }
 
-} // namespace dahliascale::net::resp
+} // namespace marblewood::net::resp
--- a/src/net/resp/node_port.hpp
+++ b/src/net/resp/node_port.hpp
@@ -5,7 +5,7 @@
 #include "net/pool.hpp"
 #include "net/resp/parser.hpp"
 
-namespace dahliascale::net::resp {
+namespace marblewood::net::resp {
 
 class NodePort : public core::NodePort {
 public:
@@ -31,4 +31,4 @@
 // What a node's answer means. Exposed for the tests of odd answers.
 core::AttemptResult read_answer(Value &&answer);
 
-} // namespace dahliascale::net::resp
+} // namespace marblewood::net::resp
--- a/src/net/resp/parser.cpp
+++ b/src/net/resp/parser.cpp
@@ -4,7 +4,7 @@
 #include <fmt/format.h>
 #include <iterator>
 
-namespace dahliascale::net::resp {
+namespace marblewood::net::resp {
 namespace {
 
 std::optional<std::string_view> line(std::string_view &bytes) {
@@ -80,4 +80,4 @@
     return out;
 }
 
-} // namespace dahliascale::net::resp
+} // namespace marblewood::net::resp
--- a/src/net/resp/parser.hpp
+++ b/src/net/resp/parser.hpp
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <vector>
 
-namespace dahliascale::net::resp {
+namespace marblewood::net::resp {
 
 struct Malformed : std::runtime_error {
     using std::runtime_error::runtime_error;
@@ -31,4 +31,4 @@
 void put_bulk(std::string &out, std::string_view text);
 std::string command(const std::vector<std::string_view> &words); // an array of bulk strings
 
-} // namespace dahliascale::net::resp
+} // namespace marblewood::net::resp
--- a/src/net/sockets.hpp
+++ b/src/net/sockets.hpp
@@ -10,7 +10,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-namespace dahliascale::net {
+namespace marblewood::net {
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
@@ -60,4 +60,4 @@
     co_return error;
 }
 
-} // namespace dahliascale::net
+} // namespace marblewood::net
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -1,6 +1,6 @@
-// dahliascale: every decision, in five parts: nodes, bound, queue, attempts, guards.
-// Interface (settings, events, actions): include/dahliascale/scheduler.hpp. Reasons: docs/design.md.
-#include "dahliascale/scheduler.hpp"
+// marblewood: every decision, in five parts: nodes, bound, queue, attempts, guards.
+// Interface (settings, events, actions): include/marblewood/scheduler.hpp. Reasons: docs/design.md.
+#include "marblewood/scheduler.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -10,7 +10,7 @@
 #include <stdexcept>
 #include <tuple>
 
-namespace dahliascale {
+namespace marblewood {
 namespace {
 
 // Bound (Malrait's AM-C, eq. 6.1). Ratios are latency/aim, without unit; the target L_max is 1.
@@ -913,4 +913,4 @@
     return it == state_->nodes.end() ? std::nullopt : std::optional(it->second.bound);
 }
 
-} // namespace dahliascale
+} // namespace marblewood
--- a/tests/consumer/main.cpp
+++ b/tests/consumer/main.cpp
@@ -1,10 +1,10 @@
 // Uses the installed package as an adopter would: settings, a list, a request; one Send is expected.
-#include <dahliascale/scheduler.hpp>
+#include <marblewood/scheduler.hpp>
 
 #include <algorithm>
 #include <cstdio>
 
-using namespace dahliascale;
+using namespace marblewood;
 
 int main() {
     Settings settings;
--- a/tests/link_test.cpp
+++ b/tests/link_test.cpp
@@ -41,7 +41,7 @@
 std::vector<json> play(const std::string &input) {
     std::istringstream in(input);
     std::ostringstream out;
-    dahliascale::benchlink::run(in, out);
+    marblewood::benchlink::run(in, out);
     std::vector<json> lines;
     std::istringstream text(out.str());
     for (std::string line; std::getline(text, line);) lines.push_back(json::parse(line));
@@ -57,7 +57,7 @@
     std::istringstream in(input);
     std::ostringstream out;
     try {
-        dahliascale::benchlink::run(in, out);
+        marblewood::benchlink::run(in, out);
         ADD_FAILURE() << "taken: " << input;
     } catch (const std::exception &error) {
         EXPECT_NE(std::string(error.what()).find(part), std::string::npos) << error.what();
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -1,5 +1,5 @@
 // The module by behaviour: each test is one host, a few nodes and a few events.
-#include "dahliascale/scheduler.hpp"
+#include "marblewood/scheduler.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -9,7 +9,7 @@
 #include <map>
 #include <set>
 
-using namespace dahliascale;
+using namespace marblewood;
 
 namespace {
 
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -1,7 +1,7 @@
 // Feeds random legal events to several hosts and checks the seven rules from outside. The checker knows the
 // rules and the events, nothing of the module. Nodes are no model of servers: any legal outcome may come at
 // any time.
-#include "dahliascale/scheduler.hpp"
+#include "marblewood/scheduler.hpp"
 
 #include <algorithm>
 #include <array>
@@ -12,7 +12,7 @@
 #include <random>
 #include <set>
 
-using namespace dahliascale;
+using namespace marblewood;
 
 namespace {
 
