--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -15,15 +15,15 @@
     c.peers_all = text_or(root, "peers_all", "");
     if (root.isMember("peers"))
         for (const Json::Value &peer : root["peers"]) {
-            if (!peer.isString()) throw Error("field 'peers': is not a list of addresses");
+            if (!peer.isString()) throw Error("field 'peers' is not a list of addresses");
             c.peers.push_back(peer.asString());
         }
     std::uint64_t seed = 0;
     if (const std::string text = text_or(root, "seed", "0");
         std::from_chars(text.data(), text.data() + text.size(), seed, 16).ptr != text.data() + text.size())
-        throw Error("field 'seed': is not a hexadecimal number");
+        throw Error("field 'seed' is not a hexadecimal number");
     if (root.isMember("limits")) c.sockets = static_cast<int>(integer_or(root["limits"], "sockets", 1024));
-    if (c.sockets < 64) throw Error("field 'limits.sockets': fewer than 64 serve nobody");
+    if (c.sockets < 64) throw Error("field 'limits.sockets' is under 64, too few to serve");
     if (root.isMember("known")) c.known = root["known"];
     c.settings = read_settings(need(root, "settings"), seed);
     try {
--- a/src/config/decode.cpp
+++ b/src/config/decode.cpp
@@ -13,7 +13,7 @@
 constexpr Words<bool, 2> kMembership{{{"pushed", false}, {"on_request", true}}};
 
 [[noreturn]] void wrong(const char *field, const char *what) {
-    throw Error(std::string("field '") + field + "': " + what);
+    throw Error(std::string("field '") + field + "' " + what);
 }
 bool given(const Json::Value &object, const char *field) {
     if (!object.isObject()) wrong(field, "stands in something that is no object");
@@ -44,7 +44,7 @@
 }
 
 const Json::Value &need(const Json::Value &object, const char *field) {
-    if (!given(object, field)) wrong(field, "missing field");
+    if (!given(object, field)) throw Error(std::string("missing field '") + field + "'");
     return object[field];
 }
 std::string need_text(const Json::Value &object, const char *field) {
@@ -103,7 +103,7 @@
         ClassSettings cls;
         cls.name = need_text(c, "name");
         for (const ClassSettings &other : s.classes)
-            if (other.name == cls.name) wrong("classes", "class named twice");
+            if (other.name == cls.name) wrong("classes", "names a class twice");
         cls.aim = need_time(c, "target");
         cls.deadline = need_time(c, "hard_limit");
         cls.worth = number_or(c, "importance", 1);
@@ -119,7 +119,7 @@
         PlanSettings plan;
         plan.name = need_text(p, "name");
         for (const PlanSettings &other : s.plans)
-            if (other.name == plan.name) wrong("policies", "plan named twice");
+            if (other.name == plan.name) wrong("policies", "names a plan twice");
         plan.rate = number_or(p, "nominal", 0);
         plan.reserve = number_or(p, "reserve", 0);
         plan.weight = number_or(p, "parts", 1);
--- a/src/net/discovery/discovery.cpp
+++ b/src/net/discovery/discovery.cpp
@@ -19,7 +19,7 @@
     reading.update.kind =
         config::flag_or(answer, "complete", false) ? ListUpdate::Kind::Full : ListUpdate::Kind::Changes;
     const Json::Value &members = config::need(answer, "members");
-    if (!members.isArray()) throw config::Error("field 'members': is not a list");
+    if (!members.isArray()) throw config::Error("field 'members' is not a list");
     for (const Json::Value &row : members) {
         const NodeEntry entry = config::read_entry(row, config::kDiscoveryEntry, nodes, zones);
         reading.addresses.emplace_back(entry.node, config::text_or(row, "host_port", ""));
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -44,6 +44,7 @@
 constexpr double kLateMean = 0.25; // and only while L is under this: the node is idle for other hosts too
 constexpr double kShareMean = 1.5; // work beyond its volume's reserve goes only while L is under this
 constexpr double kSpareMean = 0.4; // work beyond its volume's share goes only while L is under this
+constexpr double kHeld = 0.5;  // part of a client's time for which work is held unsent: then it may go elsewhere
 constexpr Micros kPatient = 2; // tightest aims left: work with more leaves one place of the bound to others
 constexpr double kStale = 0.4; // answers' weight under which L says nothing of now
 constexpr Micros kBlindGap = 1'000'000; // us between requests of less worth sent without evidence
@@ -472,8 +473,7 @@
         if (set.budget_window > 0) taken.push_back(now);
         probes = std::min(probes + kProbeShare, kProbesFree);
         r.gone = now + in.time_left;
-        r.end = r.gone - 2 * set.period;
-        r.due = std::min(first_due(r), r.end);
+        r.due = std::min(first_due(r), r.gone - 2 * set.period);
         r.ready = now;
         classify(r);
         if (!limit_allows(r)) {
@@ -483,14 +483,24 @@
         }
         if (ordered(r)) keys[*in.key].line.push_back(in.id);
         r.shard = in.shard ? *in.shard : roomiest();
-        agenda.emplace(r.end, Due::End, static_cast<std::uint64_t>(r.id));
+        end_at(r);
         enqueue(r);
         if (now >= r.end) give_up(r);
     }
 
-    // The end of a request: what waits is answered a little before the client leaves. What is out is left to
-    // its own time-out, which comes within the slack of the rule; the agenda sees to it if that fails.
+    // The end of a request. What was never sent is answered while the client has time to do something about
+    // it; what was, a little before the client leaves. What is out is left to its own time-out, which comes
+    // within the slack of the rule; the agenda sees to it if that fails.
+    Micros held_until(const Request &r) const {
+        const Micros held = static_cast<Micros>(kHeld * static_cast<double>(r.in.time_left));
+        return (r.first_ran() ? r.gone : r.gone - r.in.time_left + held) - 2 * set.period;
+    }
+    void end_at(Request &r) {
+        r.end = held_until(r);
+        agenda.emplace(r.end, Due::End, static_cast<std::uint64_t>(r.id));
+    }
     void end(Request &r) {
+        if (now < r.end) return; // it has been sent since this was put on the agenda
         const Micros last = r.gone + set.answer_slack / 2;
         if (!r.any_out() || now >= last) return give_up(r);
         agenda.emplace(last, Due::End, static_cast<std::uint64_t>(r.id));
@@ -672,6 +682,7 @@
         node.out.emplace(r.id, static_cast<int>(r.attempts.size()));
         watch(node, now + r.cls->aim + 1);
         r.attempts.push_back({node.id, now, true, true});
+        end_at(r);
         node.last_key = r.in.key;
         act(Send{r.id, node.id, expires});
     }
@@ -721,15 +732,30 @@
     void again(Request &r, Status status) {
         const bool spent = static_cast<int>(r.attempts.size()) >= set.max_attempts;
         if (r.any_out()) return;
+        end_at(r);
         if (spent || now >= r.end || (r.first_ran() && r.cls->effect == Effect::Unsafe)) return give_up(r);
         r.ready = now + (status == Status::ConnectFailed ? kTrialGap : kRetryPause);
         if (!r.in.shard && !r.first_ran()) r.shard = roomiest();
         enqueue(r);
     }
 
+    // When a refused client is worth its while again: once what this host holds for the shard is worked off,
+    // at the pace that its bounds and latencies allow now.
+    Micros come_back(const Request &r) {
+        if (!set.retry_after || set.max_retry_after <= 0) return 0;
+        const Shard &shard = shards[r.shard];
+        double pace = 0; // requests a second
+        for (const NodeId id : shard.nodes)
+            if (const Node &n = nodes.at(id); n.usable && n.trusted)
+                pace += n.bound / (std::max(n.mean(), 0.05) * static_cast<double>(tightest) / 1e6);
+        const double seconds = pace > 0 ? static_cast<double>(shard.waiting.size()) / pace : 1e6;
+        const auto wait = static_cast<Micros>(std::min(seconds, 1e6) * 1e6);
+        return std::min(std::max(wait, kRetryPause), set.max_retry_after);
+    }
+
     void give_up(Request &r) {
         if (may_refuse(r))
-            act(Refuse{r.id, 0});
+            act(Refuse{r.id, come_back(r)});
         else
             act(Fail{r.id});
         close(r);
