Add the NVMe/TCP front and node port on the same core, with the operator's mapping

Sessions of both fronts share one reader and writer (net/session). The core is unchanged but for the Desk, through which a front finds the planner of a request.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -34,11 +34,27 @@
     return c;
 }
 
-Config load(const std::string &path) {
+namespace {
+Json::Value read_file(const std::string &path) {
     std::ifstream file(path);
     std::ostringstream text;
     if (!file || !(text << file.rdbuf())) throw Error("cannot read " + path);
-    return read_config(parse(text.str()));
+    return parse(text.str());
+}
+} // namespace
+
+Config load(const std::string &path) { return read_config(read_file(path)); }
+
+Operator load_operator(const std::string &path) {
+    Operator op;
+    if (path.empty()) return op;
+    const Json::Value root = read_file(path);
+    const std::int64_t planners = integer_or(root, "planners", 1);
+    if (planners < 1 || planners > 64) throw Error("field 'planners' is not from 1 to 64");
+    op.planners = static_cast<int>(planners);
+    op.nvme = root["nvme"];
+    op.otlp = root["otlp"];
+    return op;
 }
 
 } // namespace marblewood::config
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -13,6 +13,14 @@
     Settings settings; // the module's own
 };
 
+// What an operator may add in a file of his own: more fronts, telemetry, more planners. Each part is decoded
+// by those who use it.
+struct Operator {
+    int planners = 1;
+    Json::Value nvme, otlp;
+};
+Operator load_operator(const std::string &path); // an empty path: nothing added
+
 Config read_config(const Json::Value &root); // throws Error naming the field
 Config load(const std::string &path);
 
--- a/src/core/planner.hpp
+++ b/src/core/planner.hpp
@@ -87,4 +87,12 @@
     std::size_t answers_ = 0, held_bytes_ = 0;
 };
 
+// Where a front hands its requests: which planner takes one is the wiring's business.
+struct Desk {
+    std::function<Planner &(const Request &)> planner;
+    std::function<std::uint64_t()> fresh; // a random number, for identifiers
+    const Settings &settings;
+    Deadlines &deadlines;
+};
+
 } // namespace marblewood::core
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -4,13 +4,17 @@
 #include "net/address.hpp"
 #include "net/clients.hpp"
 #include "net/discovery/discovery.hpp"
+#include "net/nvme/front.hpp"
+#include "net/nvme/node_port.hpp"
 #include "net/peers/peers.hpp"
+#include "net/ports.hpp"
 #include "net/resp/front.hpp"
 #include "net/resp/node_port.hpp"
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <cstdlib>
+#include <random>
 #include <sys/resource.h>
 
 using namespace marblewood;
@@ -24,7 +28,7 @@
     throw config::Error(fmt::format("field '{}': '{}' is not an address and port", field, text));
 }
 
-int serve(const config::Config &config) {
+int serve(const config::Config &config, const config::Operator &added) {
     rlimit files{};
     int sockets = config.sockets; // the lower of what we are told and what the system allows
     if (getrlimit(RLIMIT_NOFILE, &files) == 0)
@@ -35,7 +39,11 @@
     core::Deadlines deadlines(io, clock);
     net::SocketBudget budget(sockets);
     config::Names nodes, zones;
-    net::resp::NodePort port(io.get_executor(), deadlines, budget, config.settings);
+    const net::nvme::Mapping mapping = net::nvme::read_mapping(added.nvme, config.settings);
+    net::resp::NodePort resp_port(io.get_executor(), deadlines, budget, config.settings);
+    net::nvme::NodePort nvme_port(io.get_executor(), deadlines, budget, config.settings, mapping.block_bytes);
+    net::Ports ports(resp_port);
+    std::mt19937_64 random(std::random_device{}());
 
     std::optional<net::discovery::Discovery> discovery;
     std::optional<net::peers::Peers> peers;
@@ -45,12 +53,35 @@
     around.tell_peers = [&](std::optional<int> peer, const std::string &data) {
         if (peers) peers->tell(peer, data);
     };
-    core::Planner planner(io.get_executor(), deadlines, config.settings, port, around);
+    // Each planner is a host of its own to the module, so that what hosts share out is shared out once more.
+    std::vector<std::unique_ptr<core::Planner>> planners;
+    for (int n = 0; n < added.planners; ++n) {
+        Settings own = config.settings;
+        own.hosts = config.settings.hosts * added.planners;
+        own.position = config.settings.position * added.planners + n;
+        own.seed = config.settings.seed + static_cast<std::uint64_t>(n) * 0x9e3779b97f4a7c15;
+        planners.push_back(
+            std::make_unique<core::Planner>(io.get_executor(), deadlines, own, ports, around));
+    }
+    const core::Desk desk{
+        [&](const core::Request &r) -> core::Planner & { // a volume always goes through the same one
+            return *planners[static_cast<std::uint64_t>(r.facts.volume) % planners.size()];
+        },
+        [&] { return random(); }, config.settings, deadlines};
 
     const auto told = [&](const net::discovery::Reading &reading) {
-        for (const auto &[node, at] : reading.addresses)
-            if (const auto where = net::endpoint<tcp::endpoint>(at)) port.place(node, *where);
-        planner.list(reading.update);
+        for (const auto &[node, at] : reading.addresses) {
+            const auto where = net::endpoint<tcp::endpoint>(at);
+            if (!where) continue;
+            const auto special = mapping.nodes.find(nodes.text(static_cast<std::uint32_t>(node)));
+            if (special == mapping.nodes.end()) {
+                resp_port.place(node, *where);
+            } else {
+                nvme_port.place(node, *where, special->second);
+                ports.set(node, nvme_port);
+            }
+        }
+        for (const auto &planner : planners) planner->list(reading.update);
     };
     if (!config.discovery.empty())
         discovery.emplace(io, deadlines, address<tcp::endpoint>(config.discovery, "discovery"),
@@ -64,24 +95,35 @@
         std::optional<asio::ip::udp::endpoint> all;
         if (!config.peers_all.empty()) all = address<asio::ip::udp::endpoint>(config.peers_all, "peers_all");
         peers.emplace(io, address<asio::ip::udp::endpoint>(config.peer_listen, "peer_listen"), others, all,
-                      [&](PeerMessage message) { planner.peer_message(std::move(message)); });
+                      [&](const PeerMessage &message) {
+                          for (const auto &planner : planners) planner->peer_message(message);
+                      });
     }
     net::discovery::Reading saved;
     if (!config.known.isNull()) saved = net::discovery::read(config.known, nodes, zones);
     saved.update.kind = ListUpdate::Kind::Saved;
     told(saved);
 
-    const net::resp::Desk desk{[&](const core::Request &) -> core::Planner & { return planner; },
-                               config.settings, deadlines};
     net::Clients clients(io, deadlines, budget, address<tcp::endpoint>(config.listen, "listen"),
                          [desk](net::Client &client) { return net::resp::serve(client, desk); });
+    net::nvme::Controllers controllers;
+    std::optional<net::Clients> nvme_clients;
+    if (!mapping.listen.empty())
+        nvme_clients.emplace(io, deadlines, budget, address<tcp::endpoint>(mapping.listen, "nvme.listen"),
+                             [&](net::Client &client) {
+                                 return net::nvme::serve(client, desk, mapping, controllers);
+                             });
     core::log("{} serves at {}", config.name, config.listen);
 
     asio::signal_set signals(io, SIGTERM, SIGINT);
     signals.async_wait([&](const boost::system::error_code &error, int) {
         if (error) return;
-        core::log("draining, {} requests open", planner.open());
-        clients.drain([&] { io.stop(); });
+        core::log("draining");
+        const auto done = [&, left = std::make_shared<int>(nvme_clients ? 2 : 1)] {
+            if (--*left == 0) io.stop();
+        };
+        clients.drain(done);
+        if (nvme_clients) nvme_clients->drain(done);
     });
     io.run();
     core::log("ended");
@@ -96,6 +138,9 @@
     std::string path;
     app.add_option("--config", path, "configuration file; $BALANCER_CONFIG otherwise")
         ->envname("BALANCER_CONFIG");
+    std::string operators;
+    app.add_option("--operator", operators, "the operator's own file: NVMe/TCP, OTLP, planners")
+        ->envname("MARBLEWOOD_OPERATOR");
     app.fallthrough();
     auto *version = app.add_subcommand("version", "print the version");
     auto *check = app.add_subcommand("check-config", "read the configuration and say what is wrong with it");
@@ -109,11 +154,13 @@
         }
         if (path.empty()) throw config::Error("no configuration: give --config or set BALANCER_CONFIG");
         const config::Config config = config::load(path);
+        const config::Operator added = config::load_operator(operators);
+        net::nvme::read_mapping(added.nvme, config.settings);
         if (*check) {
             fmt::print("{}: in order\n", path);
             return 0;
         }
-        return serve(config);
+        return serve(config, added);
     } catch (const std::exception &error) {
         fmt::print(stderr, "marblewood: {}\n", error.what());
         return 1;
--- /dev/null
+++ b/src/net/nvme/front.cpp
@@ -0,0 +1,417 @@
+#include "net/nvme/front.hpp"
+
+#include "net/session.hpp"
+
+#include <bit>
+#include <fmt/format.h>
+
+namespace marblewood::net::nvme {
+namespace {
+
+constexpr std::uint16_t kQueueEntries = 128;
+constexpr std::uint64_t kCap = (kQueueEntries - 1) | 1ull << 16 /* contiguous queues */ |
+                               20ull << 24 /* ready within 10 s */ | 1ull << 37 /* the NVM command set */;
+constexpr std::uint32_t kVersion = 0x00010400;
+constexpr Micros kKeepAliveSlack = 1'000'000;
+constexpr std::size_t kConnectData = 1024, kIdentifyData = 4096;
+
+std::string_view text(std::string_view field) { return field.substr(0, field.find('\0')); }
+
+} // namespace
+
+Status16 spell(const core::Outcome &outcome) {
+    if (outcome.kind == core::Outcome::Kind::Served) return {};
+    if (outcome.kind == core::Outcome::Kind::Failed) return {status::kInternal, 0, !outcome.repeat_safe};
+    // Refused: nothing has run. The shortest delay that is no shorter than the advice; none without advice.
+    Status16 refused{status::kNotReady, 0, false};
+    if (outcome.retry_after > 0) {
+        refused.retry_delay = 3;
+        for (std::uint8_t n = 3; n > 0; --n)
+            if (kRetryDelays[n - 1] * 100'000 >= outcome.retry_after) refused.retry_delay = n;
+    }
+    return refused;
+}
+
+class FrontSession : public Session {
+public:
+    FrontSession(Client &client, core::Desk desk, const Mapping &mapping, Controllers &controllers)
+        : Session(client, desk.deadlines), desk_(std::move(desk)), mapping_(mapping), controllers_(controllers) {}
+    ~FrontSession() override { leave(); }
+
+    // Ends a command of this queue; false: there is none, or it has its answer.
+    bool abort(std::uint16_t cid) {
+        const auto it = commands_.find(cid);
+        if (it == commands_.end()) return false;
+        bool may_have_run = false;
+        if (it->second.planner) {
+            it->second.planner->client_left(it->second.id); // its outcome is of no use any more
+            may_have_run = it->second.write;
+        }
+        complete(cid, {status::kAborted, 0, may_have_run});
+        return true;
+    }
+    void close() { client_.close(); }
+
+private:
+    struct Working { // a command that owes its completion
+        bool write = false;
+        Micros sent = 0;
+        core::Planner *planner = nullptr; // once it is a request
+        RequestId id{};
+        std::optional<std::uint16_t> tag; // while its data is awaited
+        std::uint64_t serial = 0;
+    };
+    struct Transfer { // data asked for by R2T; outlives its command until all of it has come
+        std::uint16_t cid = 0;
+        std::uint32_t length = 0;
+        std::string data;
+        std::uint32_t got = 0;
+        bool wanted = true; // else discarded as it comes
+        Command command;
+        core::Deadlines::Entry end;
+    };
+
+    // ---- PDUs ----
+
+    void take_all() override {
+        try {
+            while (auto pdu = take(in_)) {
+                if (!started_)
+                    start(*pdu);
+                else if (pdu->type == Type::Command)
+                    command(*pdu);
+                else if (pdu->type == Type::H2CData)
+                    data_came(*pdu);
+                else if (pdu->type == Type::H2CTermReq)
+                    return end_now("the host ended the connection");
+                else
+                    throw Malformed(Fatal::Sequence, "unexpected PDU", pdu->head);
+                since_ = deadlines_.clock.now();
+                if (keep_alive_ > 0) expect_life();
+            }
+        } catch (const Malformed &error) { // what the host meant is not guessed: it is told, and let go
+            core::log("nvme client: {}", error.what());
+            send(term_req(Type::C2HTermReq, error), 0);
+            end_now("malformed");
+        }
+    }
+    void end_now(const char *) {
+        in_.clear();
+        over_ = true;
+        left();
+        client_.owed = 0;
+    }
+
+    void start(const Pdu &pdu) {
+        if (pdu.type != Type::ICReq) throw Malformed(Fatal::Sequence, "no ICReq first", pdu.head);
+        if (get<std::uint16_t>(pdu.head, 8) != 0) throw Malformed(Fatal::Unsupported, "PDU format", pdu.head);
+        if (24 % ((get<std::uint8_t>(pdu.head, 10) + 1) * 4) != 0)
+            throw Malformed(Fatal::Unsupported, "data alignment", pdu.head);
+        started_ = true;
+        send(ic_resp(kMostData), 0);
+    }
+
+    void command(const Pdu &pdu) {
+        Command c{pdu.head.substr(8, 64)};
+        if (commands_.count(c.cid())) { // two answers under one identifier: the host could not tell them apart
+            ++client_.owed;
+            return complete_bytes(c.cid(), {status::kIdConflict, 0, true});
+        }
+        ++client_.owed;
+        commands_[c.cid()] = {c.opcode() == op::kWrite, since_, nullptr, {}, {}, ++serial_};
+        const bool has_data = c.opcode() == op::kWrite || (c.opcode() == op::kFabrics && c.fabrics_type() == op::kConnect);
+        if (!has_data) return execute(c, {});
+        if (!pdu.data.empty() || c.sgl_type() == kSglInCapsule) {
+            if (pdu.data.size() != c.sgl_length()) return complete(c.cid(), {status::kInvalidField, 0, true});
+            return execute(c, pdu.data);
+        }
+        const std::uint32_t length = c.sgl_length();
+        if (c.opcode() != op::kWrite || length != mapping_.block_bytes)
+            return complete(c.cid(), {status::kInvalidField, 0, true});
+        if (const Status16 refused = check(c); !refused.ok()) return complete(c.cid(), refused);
+        ask_for_data(c, length);
+    }
+
+    void ask_for_data(const Command &c, std::uint32_t length) {
+        if (transfers_.size() >= 0xffff) return complete(c.cid(), {status::kNotReady, 1, false});
+        do ++last_tag_; // no tag again while late data may still bear it
+        while (transfers_.count(last_tag_));
+        Transfer &t = transfers_[last_tag_];
+        t.cid = c.cid();
+        t.length = length;
+        t.command = c;
+        commands_[c.cid()].tag = last_tag_;
+        t.end = deadlines_.at(since_ + mapping_.namespaces.at(c.nsid()).write_wait, [this, cid = c.cid()] {
+            complete(cid, {status::kTransferError, 0, false}); // its data never came: nothing has run
+        });
+        send(r2t(c.cid(), last_tag_, 0, length), 0);
+    }
+
+    void data_came(const Pdu &pdu) {
+        const auto cid = get<std::uint16_t>(pdu.head, 8), tag = get<std::uint16_t>(pdu.head, 10);
+        const auto offset = get<std::uint32_t>(pdu.head, 12), length = get<std::uint32_t>(pdu.head, 16);
+        const auto it = transfers_.find(tag);
+        if (it == transfers_.end() || it->second.cid != cid)
+            throw Malformed(Fatal::HeaderField, "data that was not asked for", pdu.head);
+        Transfer &t = it->second;
+        if (offset != t.got || length != pdu.data.size() || length == 0 || length > t.length - t.got)
+            throw Malformed(Fatal::OutOfRange, "data out of range", pdu.head);
+        t.got += length;
+        if (t.wanted) t.data += pdu.data;
+        if (t.got < t.length) return;
+        const Transfer whole = std::move(t);
+        transfers_.erase(it);
+        if (!whole.wanted) return;
+        commands_[cid].tag.reset();
+        execute(whole.command, whole.data);
+    }
+
+    // ---- Commands ----
+
+    void execute(const Command &c, const std::string &data) {
+        if (c.opcode() == op::kFabrics) return fabrics(c, data);
+        if (!controller_) return complete(c.cid(), {status::kSequence, 0, true});
+        if (queue_ > 0) {
+            if (c.opcode() != op::kRead && c.opcode() != op::kWrite)
+                return complete(c.cid(), {status::kInvalidOpcode, 0, true});
+            if (const Status16 refused = check(c); !refused.ok()) return complete(c.cid(), refused);
+            return ask(c, data);
+        }
+        if (c.opcode() == op::kIdentify) return identify(c);
+        if (c.opcode() == op::kKeepAlive) return complete(c.cid(), {});
+        if (c.opcode() != op::kAbort) return complete(c.cid(), {status::kInvalidOpcode, 0, true});
+        FrontSession *queue = controllers_.find(controller_, c.dword<std::uint16_t>(10));
+        const auto cid = static_cast<std::uint16_t>(c.dword<std::uint32_t>(10) >> 16);
+        const bool done = queue && queue != this && queue->abort(cid);
+        complete(c.cid(), {}, done ? 0 : 1);
+    }
+
+    Status16 check(const Command &c) const {
+        const auto ns = mapping_.namespaces.find(c.nsid());
+        if (!controller_ || queue_ == 0) return {status::kSequence, 0, true};
+        if (ns == mapping_.namespaces.end()) return {status::kInvalidNamespace, 0, true};
+        if (c.dword<std::uint64_t>(10) >= ns->second.blocks) return {status::kLbaRange, 0, true};
+        if (c.dword<std::uint16_t>(12) != 0 || c.sgl_length() != mapping_.block_bytes)
+            return {status::kInvalidField, 0, true}; // one block a command, as Identify says
+        return {};
+    }
+
+    void ask(const Command &c, const std::string &data) {
+        const Namespace &ns = mapping_.namespaces.at(c.nsid());
+        const std::uint64_t piece = ns.first_piece + c.dword<std::uint64_t>(10);
+        Working &working = commands_[c.cid()];
+        auto r = std::make_shared<core::Request>();
+        r->piece = fmt::format("{:016x}", piece);
+        r->id = fmt::format("{:016x}", desk_.fresh());
+        r->sent = working.sent;
+        r->body = data;
+        RequestArrived &f = r->facts;
+        f.write = c.opcode() == op::kWrite;
+        f.cls = f.write ? ns.write_class : ns.read_class;
+        f.plan = ns.plan;
+        f.volume = ns.volume;
+        f.key = DataKey{piece};
+        f.shard = ns.shard;
+        f.units = ns.units;
+        f.hosts = ns.hosts;
+        r->wait = f.write ? ns.write_wait : ns.read_wait;
+        // The broker's own repeats bear one key; a host's repeat is a new command with a key of its own.
+        if (desk_.settings.classes[f.cls].effect == Effect::Keyed)
+            r->repeat_key = fmt::format("{:016x}", desk_.fresh());
+        core::Planner &planner = desk_.planner(*r);
+        working.planner = &planner;
+        const std::uint64_t serial = working.serial;
+        const std::weak_ptr<Session> weak = weak_from_this();
+        const RequestId id = planner.submit(r, [this, weak, cid = c.cid(), serial](core::Outcome outcome) {
+            if (const auto self = weak.lock()) answer(cid, serial, outcome);
+        });
+        if (const auto it = commands_.find(c.cid()); it != commands_.end() && it->second.serial == serial)
+            it->second.id = id;
+    }
+
+    void answer(std::uint16_t cid, std::uint64_t serial, const core::Outcome &outcome) {
+        const auto it = commands_.find(cid);
+        if (gone() || it == commands_.end() || it->second.serial != serial) return; // aborted meanwhile
+        Status16 status = spell(outcome);
+        if (status.ok() && !it->second.write) {
+            if (outcome.value.size() > mapping_.block_bytes) {
+                status = {status::kTransferError, 0, true}; // longer than the host's block: no part is passed on
+            } else {
+                std::string block = outcome.value;
+                block.resize(mapping_.block_bytes, '\0');
+                send(data(Type::C2HData, cid, 0, 0, block, true), 0);
+            }
+        }
+        complete(cid, status);
+    }
+
+    void fabrics(const Command &c, const std::string &data) {
+        if (c.fabrics_type() == op::kConnect) return connect(c, data);
+        if (!controller_ || queue_ != 0) return complete(c.cid(), {status::kSequence, 0, true});
+        const auto offset = c.dword<std::uint32_t>(11);
+        if (c.fabrics_type() == op::kPropertyGet) {
+            if (offset == property::kCap) return complete(c.cid(), {}, kCap);
+            if (offset == property::kVersion) return complete(c.cid(), {}, kVersion);
+            if (offset == property::kConfig) return complete(c.cid(), {}, config_);
+            if (offset == property::kStatus) return complete(c.cid(), {}, config_ & 1); // ready once enabled
+        } else if (c.fabrics_type() == op::kPropertySet && offset == property::kConfig) {
+            config_ = c.dword<std::uint32_t>(12);
+            return complete(c.cid(), {});
+        }
+        complete(c.cid(), {status::kInvalidField, 0, true});
+    }
+
+    void connect(const Command &c, const std::string &data) {
+        const Status16 wrong{status::kConnectInvalid, 0, true};
+        if (controller_) return complete(c.cid(), {status::kSequence, 0, true});
+        if (data.size() != kConnectData || c.dword<std::uint16_t>(10) != 0) return complete(c.cid(), wrong);
+        if (text(std::string_view(data).substr(256, 256)) != mapping_.subsystem) return complete(c.cid(), wrong);
+        queue_ = static_cast<std::uint16_t>(c.dword<std::uint32_t>(10) >> 16);
+        if (queue_ == 0) {
+            controller_ = controllers_.make(*this);
+            const auto kato = c.dword<std::uint32_t>(12);
+            keep_alive_ = kato > 0 ? kato * Micros{1000} + kKeepAliveSlack : 0;
+        } else if (const auto asked = get<std::uint16_t>(data, 16); controllers_.join(asked, queue_, *this)) {
+            controller_ = asked;
+        }
+        if (!controller_) return complete(c.cid(), wrong);
+        complete(c.cid(), {}, controller_);
+    }
+
+    void identify(const Command &c) {
+        std::string page(kIdentifyData, '\0');
+        const auto which = c.dword<std::uint8_t>(10);
+        const auto put = [&](std::size_t at, std::size_t width, std::string_view words) {
+            std::string padded(words.substr(0, width));
+            padded.resize(width, ' ');
+            page.replace(at, width, padded);
+        };
+        if (which == 0x01) { // the controller
+            put(4, 20, "1");
+            put(24, 40, "marblewood");
+            put(64, 8, "0.1");
+            const auto pages = static_cast<std::uint8_t>(std::countr_zero(mapping_.block_bytes / 4096));
+            // MDTS: one block. It counts from 1 page up, so that a block of one page is told as none: 0 would
+            // mean no limit, and check() refuses what is longer.
+            set<std::uint8_t>(page, 77, pages);
+            set<std::uint16_t>(page, 78, controller_);
+            set<std::uint32_t>(page, 80, kVersion);
+            for (std::size_t n = 0; n < kRetryDelays.size(); ++n) set(page, 128 + 2 * n, kRetryDelays[n]);
+            set<std::uint8_t>(page, 258, 3);    // aborts at once, counted from 0
+            set<std::uint16_t>(page, 320, 10);  // keep-alive granularity, 100 ms units
+            set<std::uint8_t>(page, 512, 0x66); // sizes of queue entries
+            set<std::uint8_t>(page, 513, 0x44);
+            set<std::uint16_t>(page, 514, kQueueEntries);
+            set<std::uint32_t>(page, 516, mapping_.namespaces.empty() ? 0 : mapping_.namespaces.rbegin()->first);
+            set<std::uint32_t>(page, 536, 0x00100001); // scatter-gather lists, with offsets for in-capsule data
+            page.replace(768, mapping_.subsystem.size(), mapping_.subsystem);
+            set<std::uint32_t>(page, 1792, 4); // capsule of an I/O command: 64 bytes, no data in it
+            set<std::uint32_t>(page, 1796, 1);
+        } else if (which == 0x00) {
+            const auto ns = mapping_.namespaces.find(c.nsid());
+            if (ns == mapping_.namespaces.end())
+                return complete(c.cid(), {status::kInvalidNamespace, 0, true});
+            for (const std::size_t at : {0, 8, 16}) set(page, at, ns->second.blocks);
+            set<std::uint8_t>(page, 130, static_cast<std::uint8_t>(std::countr_zero(mapping_.block_bytes)));
+        } else if (which == 0x02) {
+            std::size_t at = 0;
+            for (const auto &[nsid, ns] : mapping_.namespaces)
+                if (nsid > c.nsid() && at < kIdentifyData) set(page, at, nsid), at += 4;
+        } else {
+            return complete(c.cid(), {status::kInvalidField, 0, true});
+        }
+        send(data(Type::C2HData, c.cid(), 0, 0, page, true), 0);
+        complete(c.cid(), {});
+    }
+
+    // ---- Answers ----
+
+    // The one completion of a command.
+    void complete(std::uint16_t cid, Status16 status, std::uint64_t result = 0) {
+        const auto it = commands_.find(cid);
+        if (it == commands_.end()) return;
+        if (it->second.tag) { // its data may be half here: the rest is discarded as it comes
+            Transfer &t = transfers_.at(*it->second.tag);
+            t.wanted = false;
+            t.data.clear();
+            t.end.reset();
+        }
+        commands_.erase(it);
+        complete_bytes(cid, status, result);
+    }
+    void complete_bytes(std::uint16_t cid, Status16 status, std::uint64_t result = 0) {
+        Completion done;
+        done.cid = cid;
+        done.queue = queue_;
+        done.result = result;
+        done.status = status;
+        done.sq_head = static_cast<std::uint16_t>(++answered_ % kQueueEntries);
+        send(done.capsule(), 1);
+    }
+
+    void left() override {
+        for (const auto &[cid, working] : commands_)
+            if (working.planner) working.planner->client_left(working.id);
+        commands_.clear();
+        transfers_.clear();
+        keep_alive_ = 0;
+        life_.reset();
+        leave();
+    }
+    void leave() {
+        if (controller_) controllers_.leave(std::exchange(controller_, 0), queue_, *this);
+    }
+    void expect_life() {
+        life_ = deadlines_.in(keep_alive_, [this] {
+            core::log("nvme client: no keep-alive in time");
+            client_.close();
+        });
+    }
+
+    core::Desk desk_;
+    const Mapping &mapping_;
+    Controllers &controllers_;
+    std::map<std::uint16_t, Working> commands_;
+    std::map<std::uint16_t, Transfer> transfers_;
+    std::uint16_t controller_ = 0, queue_ = 0, last_tag_ = 0;
+    std::uint32_t config_ = 0;
+    std::uint64_t serial_ = 0, answered_ = 0;
+    bool started_ = false;
+    Micros keep_alive_ = 0;
+    core::Deadlines::Entry life_;
+};
+
+std::uint16_t Controllers::make(FrontSession &admin) {
+    do ++last_;
+    while (last_ == 0 || last_ >= 0xfff0 || queues_.count(last_));
+    queues_[last_][0] = &admin;
+    return last_;
+}
+bool Controllers::join(std::uint16_t controller, std::uint16_t queue, FrontSession &session) {
+    const auto it = queues_.find(controller);
+    return it != queues_.end() && it->second.emplace(queue, &session).second;
+}
+void Controllers::leave(std::uint16_t controller, std::uint16_t queue, const FrontSession &session) {
+    const auto it = queues_.find(controller);
+    if (it == queues_.end()) return;
+    const auto at = it->second.find(queue);
+    if (at == it->second.end() || at->second != &session) return;
+    it->second.erase(at);
+    if (queue != 0) return;
+    const auto others = std::move(it->second); // the controller ends with its admin queue
+    queues_.erase(it);
+    for (const auto &[number, other] : others) other->close();
+}
+FrontSession *Controllers::find(std::uint16_t controller, std::uint16_t queue) const {
+    const auto it = queues_.find(controller);
+    if (it == queues_.end()) return nullptr;
+    const auto at = it->second.find(queue);
+    return at == it->second.end() ? nullptr : at->second;
+}
+
+asio::awaitable<void> serve(Client &client, core::Desk desk, const Mapping &mapping, Controllers &controllers) {
+    const auto session = std::make_shared<FrontSession>(client, std::move(desk), mapping, controllers);
+    co_await session->run();
+}
+
+} // namespace marblewood::net::nvme
--- a/src/net/resp/front.cpp
+++ b/src/net/resp/front.cpp
@@ -1,8 +1,7 @@
 #include "net/resp/front.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/write.hpp>
+#include "net/session.hpp"
+
 #include <charconv>
 #include <cmath>
 #include <deque>
@@ -11,11 +10,6 @@
 namespace marblewood::net::resp {
 namespace {
 
-constexpr std::size_t kMostPipelined = 256;  // commands of one connection worked at once
-constexpr Micros kWholeWithin = 10'000'000;  // us for a begun command to come whole
-constexpr Micros kReadWithin = 10'000'000;   // us for a client to read what it is sent
-constexpr Micros kLinger = 200'000;          // us for a client to see the end of a connection
-
 template <typename T> T number(std::string_view text, const char *name, int base = 10) {
     T value{};
     const char *const last = text.data() + text.size();
@@ -58,45 +52,10 @@
     return text;
 }
 
-// One connection. Answer callbacks may outlive it, so they hold it weakly.
-class Session : public std::enable_shared_from_this<Session> {
+// Answer callbacks may outlive the connection, so they hold it weakly.
+class RespSession : public Session {
 public:
-    Session(Client &client, Desk desk)
-        : client_(client), desk_(std::move(desk)), wake_(client.socket.get_executor()) {}
-
-    asio::awaitable<void> run() {
-        client_.nudge = [this] {
-            boost::system::error_code ignored;
-            if (client_.idle()) client_.socket.cancel(ignored);
-        };
-        while (!over_) {
-            boost::system::error_code error;
-            if (client_.closing) { // between requests: only what has come already is still taken
-                client_.socket.non_blocking(true, error);
-                std::size_t got;
-                while ((got = read_now(error)) > 0 && !over_) take_all();
-                if (over_ || client_.idle()) break;
-            }
-            std::size_t got = 0;
-            {
-                core::Deadlines::Entry whole;
-                if (client_.partial)
-                    whole = desk_.deadlines.at(since_ + kWholeWithin, [this] { client_.close(); });
-                got = co_await client_.socket.async_read_some(
-                    asio::buffer(chunk_), asio::redirect_error(asio::use_awaitable, error));
-            }
-            if (error == asio::error::operation_aborted && client_.closing && client_.socket.is_open()) continue;
-            if (error) {
-                leave();
-                break;
-            }
-            received(got);
-            take_all();
-            while (slots_.size() >= kMostPipelined && !over_) co_await wake_.take();
-        }
-        co_await end();
-        client_.nudge = nullptr;
-    }
+    RespSession(Client &client, core::Desk desk) : Session(client, desk.deadlines), desk_(std::move(desk)) {}
 
 private:
     struct Slot {
@@ -106,28 +65,16 @@
         RequestId id{};
     };
 
-    std::size_t read_now(boost::system::error_code &error) {
-        const std::size_t got = client_.socket.read_some(asio::buffer(chunk_), error);
-        if (got > 0) received(got);
-        return got;
-    }
-    void received(std::size_t got) {
-        if (in_.empty()) since_ = desk_.deadlines.clock.now();
-        in_.append(chunk_, got);
-    }
-
-    void take_all() {
+    void take_all() override {
         std::string_view bytes = in_;
         try {
             while (auto value = take(bytes)) {
                 command(std::move(*value));
-                since_ = std::max(since_, desk_.deadlines.clock.now());
+                since_ = deadlines_.clock.now(); // what stands behind has come by now at the latest
             }
             in_.erase(0, in_.size() - bytes.size());
-            client_.partial = !in_.empty();
         } catch (const Malformed &error) { // where the next command begins cannot be known any more
             in_.clear();
-            client_.partial = false;
             over_ = true;
             say(fmt::format("-ERR Protocol error: {}\r\n", error.what()));
         }
@@ -158,89 +105,51 @@
         read.sent = since_;
         auto request = std::make_shared<const core::Request>(std::move(read));
         core::Planner &planner = desk_.planner(*request);
-        const std::uint64_t number = first_ + slots_.size();
-        slots_.push_back({{}, false, &planner, {}});
-        ++client_.owed;
-        const RequestId id =
-            planner.submit(std::move(request), [weak = weak_from_this(), number](core::Outcome outcome) {
-                if (const auto self = weak.lock()) self->answer(number, spell(outcome));
-            });
+        const std::uint64_t number = slot();
+        slots_.back().planner = &planner;
+        const std::weak_ptr<Session> weak = weak_from_this();
+        const RequestId id = planner.submit(std::move(request), [this, weak, number](core::Outcome outcome) {
+            if (const auto self = weak.lock()) answer(number, spell(outcome));
+        });
         if (number >= first_) slots_[number - first_].id = id;
     }
 
-    void say(std::string bytes) {
+    std::uint64_t slot() {
         slots_.push_back({});
         ++client_.owed;
-        answer(first_ + slots_.size() - 1, std::move(bytes));
+        return first_ + slots_.size() - 1;
     }
+    void say(std::string bytes) { answer(slot(), std::move(bytes)); }
 
+    // Sends what is ready, in the order asked.
     void answer(std::uint64_t number, std::string bytes) {
-        if (number < first_ || gone_) return;
+        if (gone()) return;
         Slot &slot = slots_[number - first_];
         slot.bytes = std::move(bytes);
         slot.ready = true;
-        if (!slots_.front().ready || writing_) return;
-        writing_ = true;
-        asio::co_spawn(client_.socket.get_executor(), write(shared_from_this()), asio::detached);
-    }
-
-    // Sends what is ready, in the order asked.
-    static asio::awaitable<void> write(std::shared_ptr<Session> self) {
-        while (!self->gone_ && !self->slots_.empty() && self->slots_.front().ready) {
-            std::string out;
-            std::size_t answers = 0;
-            while (!self->slots_.empty() && self->slots_.front().ready) {
-                out += self->slots_.front().bytes;
-                self->slots_.pop_front();
-                ++self->first_;
-                ++answers;
-            }
-            boost::system::error_code error;
-            const auto limit = self->desk_.deadlines.in(kReadWithin, [&self] { self->client_.close(); });
-            co_await asio::async_write(self->client_.socket, asio::buffer(out),
-                                       asio::redirect_error(asio::use_awaitable, error));
-            self->client_.owed -= answers;
-            if (error) self->client_.close(); // the reader sees it and tells that the client has gone
+        std::string out;
+        std::size_t answers = 0;
+        for (; !slots_.empty() && slots_.front().ready; ++first_, ++answers) {
+            out += slots_.front().bytes;
+            slots_.pop_front();
         }
-        self->writing_ = false;
-        self->wake_.put(true);
-        if (self->client_.closing && self->client_.nudge) self->client_.nudge();
+        if (answers > 0) send(std::move(out), answers);
     }
 
-    void leave() {
-        if (std::exchange(gone_, true)) return;
+    void left() override {
         for (const Slot &slot : slots_)
             if (slot.planner && !slot.ready) slot.planner->client_left(slot.id);
     }
 
-    // Whatever was asked is answered, then the client sees the end; what it wrote meanwhile was not read.
-    asio::awaitable<void> end() {
-        while (!gone_ && (writing_ || !slots_.empty())) co_await wake_.take();
-        while (writing_) co_await wake_.take();
-        if (gone_) co_return;
-        boost::system::error_code error;
-        client_.socket.shutdown(tcp::socket::shutdown_send, error);
-        const auto limit = desk_.deadlines.in(kLinger, [this] { client_.close(); });
-        while (!error)
-            co_await client_.socket.async_read_some(asio::buffer(chunk_),
-                                                    asio::redirect_error(asio::use_awaitable, error));
-    }
-
-    Client &client_;
-    Desk desk_;
+    core::Desk desk_;
     std::deque<Slot> slots_;
     std::uint64_t first_ = 0; // the number of the first slot
-    std::string in_;
-    Micros since_ = 0; // when the first byte of `in_` came
-    core::Mailbox<bool> wake_;
-    bool writing_ = false, over_ = false, gone_ = false;
-    char chunk_[16384];
 };
 
 } // namespace
 
-asio::awaitable<void> serve(Client &client, Desk desk) {
-    const auto session = std::make_shared<Session>(client, std::move(desk));
+asio::awaitable<void> serve(Client &client, core::Desk desk) {
+    const auto session = std::make_shared<RespSession>(client, std::move(desk));
     co_await session->run();
 }
 
--- a/src/net/resp/front.hpp
+++ b/src/net/resp/front.hpp
@@ -8,14 +8,7 @@
 
 namespace marblewood::net::resp {
 
-// Where a front hands its requests: which planner is the wiring's business.
-struct Desk {
-    std::function<core::Planner &(const core::Request &)> planner;
-    const Settings &settings;
-    core::Deadlines &deadlines;
-};
-
-asio::awaitable<void> serve(Client &client, Desk desk);
+asio::awaitable<void> serve(Client &client, core::Desk desk);
 
 // What a command asks. Throws Malformed, which says what is wrong.
 core::Request read_request(Value &&command, const Settings &settings);
