--- a/src/benchlink/link.cpp
+++ b/src/benchlink/link.cpp
@@ -204,7 +204,10 @@
         if (!figures.isObject()) throw std::runtime_error("load report is not an object");
         LoadReport load;
         for (const std::string &name : figures.getMemberNames())
-            if (!figures[name].isNull()) set_figure(load, name, need_number(figures, name.c_str()));
+            if (const Value &v = figures[name]; !v.isNull() &&
+                                                set_figure(load, name, v.isNumeric() ? v.asDouble() : 0) &&
+                                                !v.isNumeric())
+                throw Error("load report: '" + name + "' is not a number");
         return load;
     }
 
--- a/src/config/decode.cpp
+++ b/src/config/decode.cpp
@@ -175,7 +175,7 @@
     return entry;
 }
 
-void set_figure(LoadReport &load, std::string_view name, double value) {
+bool set_figure(LoadReport &load, std::string_view name, double value) {
     if (name == "rif" || name == "inflight")
         load.inflight = value;
     else if (name == "q" || name == "queue")
@@ -188,6 +188,9 @@
         load.failures = value;
     else if (name == "lat_ms" || name == "latency_ms")
         load.service = micros(std::clamp(value, -1e12, 1e12));
+    else
+        return false;
+    return true;
 }
 
 } // namespace marblewood::config
--- a/src/config/decode.hpp
+++ b/src/config/decode.hpp
@@ -80,7 +80,7 @@
     {{{"up", NodeState::Ready}, {"draining", NodeState::Draining}, {"removed", NodeState::Gone}}}};
 NodeEntry read_entry(const Json::Value &row, const EntryWords &words, Names &nodes, Names &zones);
 
-// Puts a figure of a load report where it belongs, under either of its names; others are disregarded.
-void set_figure(LoadReport &load, std::string_view name, double value);
+// Puts a figure of a load report where it belongs, under either of its names; false: it is none we know.
+bool set_figure(LoadReport &load, std::string_view name, double value);
 
 } // namespace marblewood::config
--- a/src/net/resp/node_port.cpp
+++ b/src/net/resp/node_port.cpp
@@ -33,8 +33,8 @@
         else if (name == "cost" && number >= 0 && number < 1e9)
             result.elsewhere = number;
         else {
-            if (!result.report) result.report.emplace();
-            config::set_figure(*result.report, name, number);
+            LoadReport load = result.report.value_or(LoadReport{});
+            if (config::set_figure(load, name, number)) result.report = load;
         }
     });
 }
