Test NVMe/TCP over sockets: cancel half-way, mixed wires, drain, deadline, malformed PDUs

The same requests against nodes that misbehave alike give 12 served, 6 refused and 2 failed over all four pairs of RESP2 and NVMe. PDU bytes are checked against the specification's layout, as both sides share the code.

--- /dev/null
+++ b/tests/nvme_test.cpp
@@ -0,0 +1,365 @@
+// The program with its NVMe/TCP front and node port: hosts, targets and RESP2 parties as stand-ins.
+#include "helper.hpp"
+
+#include "net/nvme/pdu.hpp"
+
+using namespace test;
+namespace nvme = marblewood::net::nvme;
+using nvme::Command, nvme::Completion, nvme::Pdu, nvme::Type;
+namespace op = nvme::op;
+namespace status = nvme::status;
+
+namespace {
+
+constexpr std::uint32_t kBlock = 4096, kExtended = kBlock + 8;
+const std::string kSubsystem = "nqn.2026-12.net.hanbit:store";
+
+std::optional<Pdu> receive(Socket &s) {
+    for (;;) {
+        if (auto pdu = nvme::take(s.in)) return pdu;
+        if (!s.more()) return std::nullopt;
+    }
+}
+
+// A target: admin and I/O queues, a store of blocks, and a script of what goes wrong.
+enum class Act { Serve, Error, NotReady, Silent, Break, Hold };
+class Target {
+public:
+    using Script = std::function<Act(bool write, std::uint64_t block, int nth)>;
+    explicit Target(Script script) : script_(std::move(script)), server([this](Socket &s) { serve(s); }) {}
+    std::atomic<int> commands = 0, aborts = 0;
+
+private:
+    void serve(Socket &s) {
+        if (const auto hello = receive(s); !hello || hello->type != Type::ICReq) return;
+        s.send(nvme::ic_resp(65536));
+        std::map<std::uint16_t, std::pair<std::uint64_t, std::string>> writes; // by identifier, which is the tag too
+        while (const auto pdu = receive(s)) {
+            if (pdu->type == Type::H2CData) {
+                const auto cid = nvme::get<std::uint16_t>(pdu->head, 8);
+                auto &[block, data] = writes.at(cid);
+                data += pdu->data;
+                if (data.size() == kExtended) end(s, cid, true, block, data);
+                continue;
+            }
+            const Command c{pdu->head.substr(8, 64)};
+            Completion done;
+            done.cid = c.cid();
+            if (c.opcode() == op::kFabrics) {
+                if (c.fabrics_type() == op::kConnect) {
+                    assert(pdu->data.size() == 1024 && pdu->data.compare(256, kSubsystem.size(), kSubsystem) == 0);
+                    done.result = 7;
+                } else if (c.fabrics_type() == op::kPropertyGet) {
+                    done.result = 1;
+                }
+            } else if (c.opcode() == op::kIdentify) {
+                std::string page(4096, '\0');
+                nvme::set<std::uint8_t>(page, 26, 0x10);
+                nvme::set<std::uint16_t>(page, 128, 8);
+                nvme::set<std::uint8_t>(page, 130, 12);
+                s.send(nvme::data(Type::C2HData, c.cid(), 0, 0, page, true));
+            } else if (c.opcode() == op::kAbort) {
+                ++aborts;
+            } else if (c.opcode() == op::kWrite) {
+                writes[c.cid()] = {c.dword<std::uint64_t>(10), ""};
+                s.send(nvme::r2t(c.cid(), c.cid(), 0, kExtended));
+                continue;
+            } else if (c.opcode() == op::kRead) {
+                if (!end(s, c.cid(), false, c.dword<std::uint64_t>(10), "")) return;
+                continue;
+            }
+            s.send(done.capsule());
+        }
+    }
+    bool end(Socket &s, std::uint16_t cid, bool write, std::uint64_t block, const std::string &data) {
+        const std::lock_guard lock(mutex_);
+        const Act act = script_(write, block, ++nth_[block]);
+        ++commands;
+        Completion done;
+        done.cid = cid;
+        if (act == Act::Break) s.shut();
+        if (act == Act::Break || act == Act::Silent) return act == Act::Silent;
+        if (act == Act::Error) done.status.code = status::kInternal;
+        if (act == Act::NotReady) done.status.code = status::kNotReady;
+        if (act == Act::Serve && write) blocks_[block] = data;
+        if (act == Act::Serve && !write) {
+            std::string bytes = blocks_.count(block) ? blocks_[block] : std::string(kExtended, '\0');
+            s.send(nvme::data(Type::C2HData, cid, 0, 0, std::string_view(bytes).substr(0, 1000), false));
+            s.send(nvme::data(Type::C2HData, cid, 0, 1000, std::string_view(bytes).substr(1000), true));
+        }
+        s.send(done.capsule());
+        return true;
+    }
+    Script script_;
+    std::mutex mutex_;
+    std::map<std::uint64_t, int> nth_;
+    std::map<std::uint64_t, std::string> blocks_;
+
+public:
+    Server server;
+};
+
+// A host: an admin queue and one I/O queue at the program's front.
+class Host {
+public:
+    explicit Host(int port) : admin(Socket::to(port)), io(Socket::to(port)) {
+        const auto controller = connect(admin, 0, 0xffff);
+        assert(controller > 0);
+        assert(connect(io, 1, controller) == controller);
+    }
+    static std::uint16_t connect(Socket &s, std::uint32_t queue, std::uint16_t controller) {
+        s.send(nvme::ic_req());
+        assert(receive(s)->type == Type::ICResp);
+        Command c = Command::make(op::kFabrics, 1);
+        nvme::set(c.bytes, 4, op::kConnect);
+        c.describe_data(1024, true);
+        c.set_dword(10, queue << 16);
+        std::string data(1024, '\0');
+        nvme::set(data, 16, controller);
+        data.replace(256, kSubsystem.size(), kSubsystem);
+        s.send(c.capsule(data));
+        const Completion done = Completion::read(*receive(s));
+        assert(done.cid == 1 && done.status.ok());
+        return static_cast<std::uint16_t>(done.result);
+    }
+    static std::string command(std::uint8_t opcode, std::uint16_t cid, std::uint64_t block) {
+        Command c = Command::make(opcode, cid, 1);
+        c.describe_data(kBlock, false);
+        c.set_dword(10, block);
+        return c.capsule();
+    }
+    Completion completion(Socket &s, std::string *read = nullptr) const {
+        for (;;) {
+            const auto pdu = receive(s);
+            assert(pdu);
+            if (pdu->type == Type::Response) return Completion::read(*pdu);
+            assert(pdu->type == Type::C2HData && read);
+            *read += pdu->data;
+        }
+    }
+    Completion read(std::uint64_t block, std::string *value = nullptr) {
+        std::string ignored;
+        io.send(command(op::kRead, 9, block));
+        return completion(io, value ? value : &ignored);
+    }
+    std::uint16_t begin_write(std::uint16_t cid, std::uint64_t block) { // the transfer's tag
+        io.send(command(op::kWrite, cid, block));
+        const auto r2t = receive(io);
+        assert(r2t && r2t->type == Type::R2T && nvme::get<std::uint32_t>(r2t->head, 16) == kBlock);
+        return nvme::get<std::uint16_t>(r2t->head, 10);
+    }
+    Completion write(std::uint64_t block, const std::string &value) {
+        const auto tag = begin_write(8, block);
+        io.send(nvme::data(Type::H2CData, 8, tag, 0, value.substr(0, 1000), false));
+        io.send(nvme::data(Type::H2CData, 8, tag, 1000, value.substr(1000), true));
+        return completion(io);
+    }
+    Socket admin, io;
+};
+
+std::string operators(int port, bool nvme_node) {
+    return fmt::format(R"({{"nvme":{{"listen":"127.0.0.1:{}","subsystem":"{}","block_bytes":{},"namespaces":[{{"nsid":1,)"
+                       R"("volume":"00000003b4d60021","plan":"standard","read_class":"read","write_class":"new-write",)"
+                       R"("shard":0,"first_piece":"0000000000000100","blocks":256}}],"nodes":{{{}}}}}}})",
+                       port, kSubsystem, kBlock,
+                       nvme_node ? fmt::format(R"("s-1":{{"subsystem":"{}","nsid":1}})", kSubsystem) : "");
+}
+Act serve_all(bool, std::uint64_t, int) { return Act::Serve; }
+std::string block_of(char c) { return std::string(kBlock, c); }
+
+// ICReq and a response as the specification lays them out, byte for byte: both sides of these tests share the
+// code that is tested.
+void the_bytes_are_the_specifications() {
+    const std::string hello = nvme::ic_req();
+    assert(hello.size() == 128 && hello.substr(0, 8) == std::string("\0\0\x80\0\x80\0\0\0", 8));
+    Completion done;
+    done.cid = 0x1234;
+    done.status = {status::kNotReady, 2, true};
+    assert(done.capsule() == std::string("\x05\0\x18\0\x18\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\x34\x12\x04\xa1", 24));
+    assert(nvme::r2t(2, 3, 4, 5) == std::string("\x09\0\x18\0\x18\0\0\0\2\0\3\0\4\0\0\0\5\0\0\0\0\0\0\0", 24));
+}
+
+void hosts_and_resp_clients_share_an_nvme_node() {
+    Target target(serve_all);
+    const Discovery discovery(member("s-1", target.server.port, 0));
+    const int port = free_port();
+    const Program program(discovery, operators(port, true));
+    Socket client = program.client();
+    for (const std::string &value : {std::string(), std::string("photo"), std::string(kBlock, 'z')}) {
+        client.send(put("0000000000000105", value));
+        assert(client.value()->text == "OK");
+        client.send(get("0000000000000105"));
+        assert(client.value()->text == value); // as long as it was
+    }
+    Host host(port);
+    std::string read;
+    assert(host.read(5, &read).status.ok() && read == block_of('z'));
+    assert(host.write(6, block_of('w')).status.ok());
+    client.send(get("0000000000000106"));
+    assert(client.value()->text == block_of('w'));
+    assert(host.read(256).status.code == status::kLbaRange);
+    assert(target.server.accepted == 2); // one association
+}
+
+void hosts_are_served_by_resp_nodes() {
+    RespNode node([](const auto &words, int) {
+        if (words[1] == "0000000000000101") return std::string("-ERR failed\r\n");
+        if (words[1] == "0000000000000102") return std::string("-BUSY\r\n");
+        return RespNode::served(words[0] == "OBJ.PUT" ? "OK" : "short");
+    });
+    const Discovery discovery(member("s-1", node.server.port, 0));
+    const int port = free_port();
+    const Program program(discovery, operators(port, false));
+    Host host(port);
+    std::string read;
+    assert(host.read(0, &read).status.ok());
+    assert(read.size() == kBlock && read.starts_with(std::string("short\0", 6))); // filled up with zeros
+    assert(host.write(3, block_of('b')).status.ok());
+    const auto taken = node.taken();
+    assert(taken.back()[4] == block_of('b') && taken.back()[3].find(",k=") != std::string::npos);
+    const auto failed = host.write(1, block_of('b')).status; // may have run: a repeat is not safe
+    assert(failed.code == status::kInternal && failed.do_not_retry);
+    const auto refused = host.read(2).status;
+    assert(refused.code == status::kNotReady && !refused.do_not_retry && refused.retry_delay > 0);
+}
+
+// A command cancelled with its data half sent: one answer; the tag is not used again while late data may bear
+// it; late data harms nothing, and the identifier serves again.
+void a_command_cancelled_half_way() {
+    Target target(serve_all);
+    const Discovery discovery(member("s-1", target.server.port, 0));
+    const int port = free_port();
+    const Program program(discovery, operators(port, true));
+    Host host(port);
+    assert(host.write(4, block_of('o')).status.ok());
+    const auto tag = host.begin_write(8, 4);
+    host.io.send(nvme::data(Type::H2CData, 8, tag, 0, std::string(2000, 'n'), false));
+    Command abort = Command::make(op::kAbort, 2);
+    abort.set_dword(10, 8u << 16 | 1u);
+    host.admin.send(abort.capsule());
+    const Completion aborted = host.completion(host.admin);
+    assert(aborted.status.ok() && aborted.result == 0);
+    assert(host.completion(host.io).status.code == status::kAborted);
+    const auto next = host.begin_write(8, 5); // the same identifier, while the old data is still to come
+    assert(next != tag);
+    host.io.send(nvme::data(Type::H2CData, 8, tag, 2000, std::string(kBlock - 2000, 'n'), true));
+    host.io.send(nvme::data(Type::H2CData, 8, next, 0, block_of('p'), true));
+    assert(host.completion(host.io).status.ok());
+    std::string read;
+    assert(host.read(4, &read).status.ok() && read == block_of('o')); // the cancelled write left no trace
+    read.clear();
+    assert(host.read(5, &read).status.ok() && read == block_of('p'));
+    assert(host.io.silent_for(200)); // one answer each
+}
+
+// A node that goes silent: the deadline ends the command with one answer, and the node is told to abort.
+void a_deadline_ends_a_silent_command() {
+    Target target([](bool, std::uint64_t, int) { return Act::Silent; });
+    const Discovery discovery(member("s-1", target.server.port, 0));
+    const int port = free_port();
+    const Program program(discovery, operators(port, true));
+    Socket client = program.client();
+    client.send(get("0000000000000105", 0, 600));
+    assert(client.value()->kind == resp::Value::Kind::Error);
+    while (target.aborts == 0) std::this_thread::sleep_for(10ms);
+    assert(client.silent_for(200) && program.running());
+}
+
+void a_lost_connection_is_made_again() {
+    Target target([](bool, std::uint64_t, int nth) { return nth == 1 ? Act::Break : Act::Serve; });
+    const Discovery discovery(member("s-1", target.server.port, 0));
+    const int port = free_port();
+    const Program program(discovery, operators(port, true));
+    Host host(port);
+    assert(host.read(7).status.ok() && target.commands == 2);
+}
+
+void nothing_new_goes_to_a_draining_nvme_node() {
+    Target target(serve_all);
+    Discovery discovery(member("s-1", target.server.port, 0));
+    const int port = free_port();
+    const Program program(discovery, operators(port, true));
+    Host host(port);
+    assert(host.read(7).status.ok());
+    const int before = discovery.calls;
+    discovery.change(member("s-1", target.server.port, 0, "draining"));
+    while (discovery.calls == before) std::this_thread::sleep_for(10ms);
+    assert(host.read(7).status.code == status::kNotReady && target.commands == 1);
+}
+
+void malformed_pdus_end_one_connection_only() {
+    Target target(serve_all);
+    const Discovery discovery(member("s-1", target.server.port, 0));
+    const int port = free_port();
+    const Program program(discovery, operators(port, true));
+    std::string no_type = nvme::ic_req(), wrong_head = nvme::ic_req(), huge = nvme::ic_req();
+    no_type[0] = 0x55;
+    wrong_head[2] = 24;
+    huge[7] = 0x7f;
+    for (const std::string &bad : {no_type, wrong_head, huge, Host::command(op::kRead, 1, 0),
+                                   nvme::ic_req() + nvme::data(Type::H2CData, 1, 77, 0, "x", true)}) {
+        Socket s = Socket::to(port);
+        s.send(bad);
+        std::optional<Pdu> pdu = receive(s);
+        if (pdu && pdu->type == Type::ICResp) pdu = receive(s);
+        assert(pdu && pdu->type == Type::C2HTermReq && s.ended());
+    }
+    Host host(port);
+    assert(host.read(1).status.ok() && program.running());
+}
+
+// The same requests against nodes that misbehave alike: the same outcomes, whatever either side speaks.
+using Counts = std::map<std::string, int>;
+Act misbehave(std::uint64_t block, int nth) {
+    const Act acts[] = {Act::Serve, Act::Error, Act::NotReady, Act::Serve, nth == 1 ? Act::Error : Act::Serve};
+    return acts[block % 5];
+}
+Counts outcomes(bool nvme_host, bool nvme_node) {
+    Target target([](bool, std::uint64_t block, int nth) { return misbehave(block - 0x100, nth); });
+    std::map<std::string, int> nth;
+    std::mutex mutex;
+    RespNode node([&](const auto &words, int) -> std::string {
+        const std::lock_guard lock(mutex);
+        const Act act = misbehave(std::stoull(words[1], nullptr, 16) - 0x100, ++nth[words[1]]);
+        return act == Act::Serve ? RespNode::served("v") : act == Act::Error ? "-ERR failed\r\n" : "-BUSY\r\n";
+    });
+    const Discovery discovery(member("s-1", nvme_node ? target.server.port : node.server.port, 0));
+    const int port = free_port();
+    const Program program(discovery, operators(port, nvme_node));
+    std::optional<Host> host;
+    if (nvme_host) host.emplace(port);
+    Socket client = program.client();
+    Counts counts;
+    for (std::uint64_t block = 0; block < 20; ++block) {
+        const bool write = block >= 10;
+        if (host) {
+            const auto s = (write ? host->write(block, block_of('v')) : host->read(block)).status;
+            ++counts[s.ok() ? "served" : s.code == status::kNotReady ? "refused" : "failed"];
+            continue;
+        }
+        const std::string piece = fmt::format("{:016x}", 0x100 + block);
+        client.send(write ? put(piece, "v") : get(piece));
+        const auto v = client.value();
+        ++counts[v->kind == resp::Value::Kind::Bulk ? "served" : v->text.starts_with("BUSY") ? "refused" : "failed"];
+    }
+    return counts;
+}
+void outcomes_are_the_same_over_both_protocols() {
+    const Counts expected{{"served", 12}, {"refused", 6}, {"failed", 2}};
+    for (const bool nvme_host : {false, true})
+        for (const bool nvme_node : {false, true}) assert(outcomes(nvme_host, nvme_node) == expected);
+}
+
+} // namespace
+
+int main() {
+    the_bytes_are_the_specifications();
+    hosts_and_resp_clients_share_an_nvme_node();
+    hosts_are_served_by_resp_nodes();
+    a_command_cancelled_half_way();
+    a_deadline_ends_a_silent_command();
+    a_lost_connection_is_made_again();
+    nothing_new_goes_to_a_draining_nvme_node();
+    malformed_pdus_end_one_connection_only();
+    outcomes_are_the_same_over_both_protocols();
+}
