--- a/src/benchlink/link.cpp
+++ b/src/benchlink/link.cpp
@@ -84,8 +84,7 @@
             Instance fresh;
             try {
                 fresh.settings = read_settings(
-                    need(message, "params"),
-                    static_cast<std::uint64_t>(integer_or(message, "init_seed", 0)));
+                    need(message, "params"), static_cast<std::uint64_t>(integer_or(message, "init_seed", 0)));
                 fresh.scheduler.emplace(fresh.settings);
             } catch (const std::invalid_argument &error) {
                 give_in(inst, error.what());
@@ -113,8 +112,7 @@
             return;
         }
         for (const Action &action : actions_) std::visit([&](const auto &a) { write(inst, to, a); }, action);
-        if (kind == wire::kOutcome || kind == wire::kLeft)
-            forget(to, need_text(message, "handle"));
+        if (kind == wire::kOutcome || kind == wire::kLeft) forget(to, need_text(message, "handle"));
     }
 
     void reply() {
@@ -133,7 +131,8 @@
         if (kind == wire::kRequest) return request(to, m);
         if (kind == wire::kTimer) return TimerDue{std::stoull(need_text(m, "name"))};
         if (kind == wire::kPeer)
-            return PeerMessage{static_cast<int>(need_integer(m, "neighbour")), unbase64(need_text(m, "body"))};
+            return PeerMessage{static_cast<int>(need_integer(m, "neighbour")),
+                               unbase64(need_text(m, "body"))};
         if (kind == wire::kProbed) {
             const auto node = to.nodes.find(need_text(m, "server"));
             if (!node) return std::nullopt;
@@ -204,9 +203,8 @@
         if (!figures.isObject()) throw std::runtime_error("load report is not an object");
         LoadReport load;
         for (const std::string &name : figures.getMemberNames())
-            if (const Value &v = figures[name]; !v.isNull() &&
-                                                set_figure(load, name, v.isNumeric() ? v.asDouble() : 0) &&
-                                                !v.isNumeric())
+            if (const Value &v = figures[name];
+                !v.isNull() && set_figure(load, name, v.isNumeric() ? v.asDouble() : 0) && !v.isNumeric())
                 throw Error("load report: '" + name + "' is not a number");
         return load;
     }
--- a/src/config/decode.hpp
+++ b/src/config/decode.hpp
@@ -1,4 +1,5 @@
-// Decodes JSON straight into the module's Settings and NodeEntry, for the broker and the bench's adapter alike.
+// Decodes JSON straight into the module's Settings and NodeEntry, for the broker and the bench's adapter
+// alike.
 #pragma once
 
 #include "marblewood/scheduler.hpp"
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -43,7 +43,8 @@
     // It arrives. What the network and this process have eaten of the client's time is gone.
     RequestArrived arrived = life->request->facts;
     arrived.id = life->id;
-    arrived.time_left = std::max<Micros>(life->request->sent + life->request->wait - deadlines_.clock.now(), 0);
+    arrived.time_left =
+        std::max<Micros>(life->request->sent + life->request->wait - deadlines_.clock.now(), 0);
     tell(arrived);
 
     // The module says what is done, and learns how it went, until it has no more interest in the request.
@@ -67,15 +68,16 @@
         } else if (auto *ended = std::get_if<Ended>(&step)) {
             --life->out;
             const AttemptResult &result = ended->result;
-            AttemptEnded event{life->id, ended->attempt,  result.status,    0, false,
-                               result.used, result.elsewhere, result.report};
+            AttemptEnded event{life->id, ended->attempt, result.status,    0,
+                               false,    result.used,    result.elsewhere, result.report};
             event.latency = deadlines_.clock.now() - life->attempts[event.attempt]->started;
             if (result.status == Status::Ok) // the first value served is the answer
                 finish(*life, {Outcome::Kind::Served, std::move(ended->result.value), 0, true});
             event.closed = !life->answer;
             tell(std::move(event));
         } else if (const auto *refuse = std::get_if<Refuse>(&step)) {
-            finish(*life, {Outcome::Kind::Refused, {}, settings_.retry_after ? refuse->retry_after : 0, true});
+            finish(*life,
+                   {Outcome::Kind::Refused, {}, settings_.retry_after ? refuse->retry_after : 0, true});
         } else if (std::holds_alternative<Fail>(step)) {
             const Effect effect = settings_.classes[life->request->facts.cls].effect;
             finish(*life, {Outcome::Kind::Failed, {}, 0, effect == Effect::Safe});
--- a/src/core/planner.hpp
+++ b/src/core/planner.hpp
@@ -51,7 +51,8 @@
     };
     using Step = std::variant<Send, Refuse, Fail, Cancel, Left, Ended>;
     struct Life {
-        Life(boost::asio::any_io_executor executor, RequestId number, std::shared_ptr<const Request> r, Answer a)
+        Life(boost::asio::any_io_executor executor, RequestId number, std::shared_ptr<const Request> r,
+             Answer a)
             : id(number), request(std::move(r)), answer(std::move(a)), steps(std::move(executor)) {}
         RequestId id;
         std::shared_ptr<const Request> request;
--- a/src/core/types.hpp
+++ b/src/core/types.hpp
@@ -25,8 +25,8 @@
 
 struct Outcome {
     enum class Kind { Served, Refused, Failed } kind = Kind::Failed;
-    std::string value;      // of a node
-    Micros retry_after = 0; // refused: when to come back; 0: no advice
+    std::string value;       // of a node
+    Micros retry_after = 0;  // refused: when to come back; 0: no advice
     bool repeat_safe = true; // failed: whether a repeat does no harm
 };
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -62,8 +62,7 @@
         own.hosts = config.settings.hosts * added.planners;
         own.position = config.settings.position * added.planners + n;
         own.seed = config.settings.seed + static_cast<std::uint64_t>(n) * 0x9e3779b97f4a7c15;
-        planners.push_back(
-            std::make_unique<core::Planner>(io.get_executor(), deadlines, own, ports, around));
+        planners.push_back(std::make_unique<core::Planner>(io.get_executor(), deadlines, own, ports, around));
     }
     const core::Desk desk{
         [&](const core::Request &r) -> core::Planner & { // a volume always goes through the same one
@@ -86,10 +85,9 @@
         for (const auto &planner : planners) planner->list(reading.update);
     };
     if (!config.discovery.empty())
-        discovery.emplace(io, deadlines, address<tcp::endpoint>(config.discovery, "discovery"),
-                          config.discovery,
-                          config.known.isNull() ? 0 : config::need_integer(config.known, "revision"), nodes,
-                          zones, told);
+        discovery.emplace(
+            io, deadlines, address<tcp::endpoint>(config.discovery, "discovery"), config.discovery,
+            config.known.isNull() ? 0 : config::need_integer(config.known, "revision"), nodes, zones, told);
     if (!config.peer_listen.empty() && config.settings.peers) {
         std::vector<asio::ip::udp::endpoint> others;
         for (const std::string &peer : config.peers)
@@ -111,10 +109,9 @@
     net::nvme::Controllers controllers;
     std::optional<net::Clients> nvme_clients;
     if (!mapping.listen.empty())
-        nvme_clients.emplace(io, deadlines, budget, address<tcp::endpoint>(mapping.listen, "nvme.listen"),
-                             [&](net::Client &client) {
-                                 return net::nvme::serve(client, desk, mapping, controllers);
-                             });
+        nvme_clients.emplace(
+            io, deadlines, budget, address<tcp::endpoint>(mapping.listen, "nvme.listen"),
+            [&](net::Client &client) { return net::nvme::serve(client, desk, mapping, controllers); });
     core::log("{} serves at {}", config.name, config.listen);
 
     asio::signal_set signals(io, SIGTERM, SIGINT);
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -6,9 +6,10 @@
 namespace marblewood::net {
 namespace {
 
-constexpr Micros kRest = 10'000;        // us before the next accept after a failed one
-constexpr Micros kStillComing = 250'000; // us without a new connection after which, at a drain, none is awaited
-constexpr Micros kLongest = 500'000;     // us for which a drain keeps accepting
+constexpr Micros kRest = 10'000; // us before the next accept after a failed one
+constexpr Micros kStillComing =
+    250'000;                         // us without a new connection after which, at a drain, none is awaited
+constexpr Micros kLongest = 500'000; // us for which a drain keeps accepting
 
 } // namespace
 
@@ -35,7 +36,8 @@
                     break;
                 }
         boost::system::error_code error;
-        tcp::socket socket = co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, error));
+        tcp::socket socket =
+            co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, error));
         if (error) {
             if (error == asio::error::operation_aborted || !acceptor_.is_open()) break;
             core::log("accept: {}", error.message()); // out of descriptors, say: it passes
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -14,9 +14,9 @@
     explicit Client(tcp::socket s) : socket(std::move(s)) {}
     tcp::socket socket;
     SocketBudget::Lease lease;
-    std::size_t owed = 0; // requests taken on it and not yet answered whole
-    bool partial = false; // part of a request has come
-    bool closing = false; // takes no more
+    std::size_t owed = 0;        // requests taken on it and not yet answered whole
+    bool partial = false;        // part of a request has come
+    bool closing = false;        // takes no more
     std::function<void()> nudge; // set by the front: look at `closing`
 
     bool idle() const { return owed == 0 && !partial; }
--- a/src/net/discovery/discovery.cpp
+++ b/src/net/discovery/discovery.cpp
@@ -51,8 +51,7 @@
     watching_ = true;
     tcp::socket socket(io_);
     while (wanted_) {
-        const std::string path =
-            fmt::format("/v1/servers?since={}&timeout_ms={}", revision_, kWatch / 1000);
+        const std::string path = fmt::format("/v1/servers?since={}&timeout_ms={}", revision_, kWatch / 1000);
         const auto reading = co_await call(socket, path, deadlines_.clock.now() + kWatch + kAnswer);
         if (!reading) {
             watching_ = wanted_ = false;
@@ -80,7 +79,8 @@
     const std::string request =
         fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n", path, host_);
     if (!socket.is_open()) {
-        boost::system::error_code error = co_await dial(socket, at_, deadlines_.clock.now() + kAnswer, deadlines_);
+        boost::system::error_code error =
+            co_await dial(socket, at_, deadlines_.clock.now() + kAnswer, deadlines_);
         if (error) {
             core::log("discovery: {}", error.message());
             socket.close(error);
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -12,8 +12,8 @@
 struct Response {
     int status = 0;
     std::string body;
-    bool keep = true;                        // the connection may carry a further exchange
-    std::optional<std::string> retry_after;  // the header's text
+    bool keep = true;                       // the connection may carry a further exchange
+    std::optional<std::string> retry_after; // the header's text
 };
 
 // Reads one response off the front of `in`, taking it out. Empty while it is not whole. Throws
--- a/src/net/nvme/front.cpp
+++ b/src/net/nvme/front.cpp
@@ -35,7 +35,8 @@
 class FrontSession : public Session {
 public:
     FrontSession(Client &client, core::Desk desk, const Mapping &mapping, Controllers &controllers)
-        : Session(client, desk.deadlines), desk_(std::move(desk)), mapping_(mapping), controllers_(controllers) {}
+        : Session(client, desk.deadlines), desk_(std::move(desk)), mapping_(mapping),
+          controllers_(controllers) {}
     ~FrontSession() override { leave(); }
 
     // Ends a command of this queue; false: there is none, or it has its answer.
@@ -113,13 +114,15 @@
 
     void command(const Pdu &pdu) {
         Command c{pdu.head.substr(8, 64)};
-        if (commands_.count(c.cid())) { // two answers under one identifier: the host could not tell them apart
+        if (commands_.count(
+                c.cid())) { // two answers under one identifier: the host could not tell them apart
             ++client_.owed;
             return complete_bytes(c.cid(), {status::kIdConflict, 0, true});
         }
         ++client_.owed;
         commands_[c.cid()] = {c.opcode() == op::kWrite, since_, nullptr, {}, {}, ++serial_};
-        const bool has_data = c.opcode() == op::kWrite || (c.opcode() == op::kFabrics && c.fabrics_type() == op::kConnect);
+        const bool has_data =
+            c.opcode() == op::kWrite || (c.opcode() == op::kFabrics && c.fabrics_type() == op::kConnect);
         if (!has_data) return execute(c, {});
         if (!pdu.data.empty() || c.sgl_type() == kSglInCapsule) {
             if (pdu.data.size() != c.sgl_length()) return complete(c.cid(), {status::kInvalidField, 0, true});
@@ -235,7 +238,8 @@
         Status16 status = spell(outcome);
         if (status.ok() && !it->second.write) {
             if (outcome.value.size() > mapping_.block_bytes) {
-                status = {status::kTransferError, 0, true}; // longer than the host's block: no part is passed on
+                status = {status::kTransferError, 0,
+                          true}; // longer than the host's block: no part is passed on
             } else {
                 std::string block = outcome.value;
                 block.resize(mapping_.block_bytes, '\0');
@@ -265,7 +269,8 @@
         const Status16 wrong{status::kConnectInvalid, 0, true};
         if (controller_) return complete(c.cid(), {status::kSequence, 0, true});
         if (data.size() != kConnectData || c.dword<std::uint16_t>(10) != 0) return complete(c.cid(), wrong);
-        if (text(std::string_view(data).substr(256, 256)) != mapping_.subsystem) return complete(c.cid(), wrong);
+        if (text(std::string_view(data).substr(256, 256)) != mapping_.subsystem)
+            return complete(c.cid(), wrong);
         queue_ = static_cast<std::uint16_t>(c.dword<std::uint32_t>(10) >> 16);
         if (queue_ == 0) {
             controller_ = controllers_.make(*this);
@@ -302,8 +307,10 @@
             set<std::uint8_t>(page, 512, 0x66); // sizes of queue entries
             set<std::uint8_t>(page, 513, 0x44);
             set<std::uint16_t>(page, 514, kQueueEntries);
-            set<std::uint32_t>(page, 516, mapping_.namespaces.empty() ? 0 : mapping_.namespaces.rbegin()->first);
-            set<std::uint32_t>(page, 536, 0x00100001); // scatter-gather lists, with offsets for in-capsule data
+            set<std::uint32_t>(page, 516,
+                               mapping_.namespaces.empty() ? 0 : mapping_.namespaces.rbegin()->first);
+            set<std::uint32_t>(page, 536,
+                               0x00100001); // scatter-gather lists, with offsets for in-capsule data
             page.replace(768, mapping_.subsystem.size(), mapping_.subsystem);
             set<std::uint32_t>(page, 1792, 4); // capsule of an I/O command: 64 bytes, no data in it
             set<std::uint32_t>(page, 1796, 1);
@@ -409,7 +416,8 @@
     return at == it->second.end() ? nullptr : at->second;
 }
 
-asio::awaitable<void> serve(Client &client, core::Desk desk, const Mapping &mapping, Controllers &controllers) {
+asio::awaitable<void> serve(Client &client, core::Desk desk, const Mapping &mapping,
+                            Controllers &controllers) {
     const auto session = std::make_shared<FrontSession>(client, std::move(desk), mapping, controllers);
     co_await session->run();
 }
--- a/src/net/nvme/front.hpp
+++ b/src/net/nvme/front.hpp
@@ -27,6 +27,7 @@
 // Identify Controller's three delays, in units of 100 ms, shortest first.
 inline constexpr std::array<std::uint16_t, 3> kRetryDelays{1, 2, 5};
 
-asio::awaitable<void> serve(Client &client, core::Desk desk, const Mapping &mapping, Controllers &controllers);
+asio::awaitable<void> serve(Client &client, core::Desk desk, const Mapping &mapping,
+                            Controllers &controllers);
 
 } // namespace marblewood::net::nvme
--- a/src/net/nvme/mapping.cpp
+++ b/src/net/nvme/mapping.cpp
@@ -31,7 +31,8 @@
     ns.read_wait = config::time_or(row, "read_deadline_ms", settings.classes[ns.read_class].deadline);
     ns.write_wait = config::time_or(row, "write_deadline_ms", settings.classes[ns.write_class].deadline);
     if (ns.read_wait <= 0 || ns.write_wait <= 0) wrong("namespaces.read_deadline_ms' is not above 0");
-    const std::int64_t shard = config::need_integer(row, "shard"); // a later read must know where a write went
+    const std::int64_t shard =
+        config::need_integer(row, "shard"); // a later read must know where a write went
     if (shard < 0) wrong("namespaces.shard' is below 0");
     ns.shard = ShardId{shard};
     ns.hosts = static_cast<int>(config::integer_or(row, "hosts", 1));
--- a/src/net/nvme/node_port.cpp
+++ b/src/net/nvme/node_port.cpp
@@ -27,7 +27,8 @@
 
 Status read_status(const Status16 &s) {
     if (s.ok()) return Status::Ok;
-    if (s.code == status::kNotReady || s.code == status::kPathInaccessible || s.code == status::kPathTransition)
+    if (s.code == status::kNotReady || s.code == status::kPathInaccessible ||
+        s.code == status::kPathTransition)
         return Status::Full; // turned away before it ran
     return Status::Error;
 }
@@ -35,7 +36,7 @@
 // One queue's connection: PDUs out in order, PDUs in one at a time.
 class Queue {
 public:
-    struct Out { // a command that has no completion yet; its identifier is not used again before
+    struct Out {              // a command that has no completion yet; its identifier is not used again before
         Mail *mail = nullptr; // null: given up
         std::string body, read;
         bool begun = false, whole = false; // its first, its last byte is written
@@ -71,8 +72,8 @@
 
 class Association : public std::enable_shared_from_this<Association> {
 public:
-    Association(asio::any_io_executor executor, core::Deadlines &deadlines, SocketBudget &budget, tcp::endpoint at,
-                NodeMapping mapping, std::uint32_t block_bytes, Micros patience)
+    Association(asio::any_io_executor executor, core::Deadlines &deadlines, SocketBudget &budget,
+                tcp::endpoint at, NodeMapping mapping, std::uint32_t block_bytes, Micros patience)
         : address(at), mapping_(std::move(mapping)), executor_(std::move(executor)), deadlines_(deadlines),
           budget_(budget), block_bytes_(block_bytes), patience_(patience) {}
 
@@ -110,7 +111,8 @@
         }
         it->second.mail = nullptr;
         it->second.read.clear();
-        it->second.patience = deadlines_.in(kAbortWithin, [this] { drop("an aborted command is not completed"); });
+        it->second.patience =
+            deadlines_.in(kAbortWithin, [this] { drop("an aborted command is not completed"); });
         Command abort = Command::make(op::kAbort, 0);
         abort.set_dword(10, static_cast<std::uint32_t>(1 | cid << 16));
         admin_command(std::move(abort), nullptr);
@@ -199,7 +201,8 @@
             const std::size_t written = co_await asio::async_write(
                 queue->socket, asio::buffer(chunk.bytes), asio::redirect_error(asio::use_awaitable, error));
             out = queue->out.find(chunk.cid);
-            if (out != queue->out.end() && chunk.last && written == chunk.bytes.size()) out->second.whole = true;
+            if (out != queue->out.end() && chunk.last && written == chunk.bytes.size())
+                out->second.whole = true;
             if (error) {
                 if (queue == self->admin_ || queue == self->io_) self->drop(error.message().c_str());
                 break;
@@ -293,8 +296,9 @@
         const std::size_t at = 128 + 4 * (format & 0xf);
         if (get<std::uint16_t>(page, at) != kMetadata || !(format & 0x10) ||
             get<std::uint8_t>(page, at + 2) > 16 || 1u << get<std::uint8_t>(page, at + 2) != block_bytes_) {
-            core::log("nvme node {}: its namespace is not of {}-byte blocks with 8 bytes of extended metadata",
-                      address.address().to_string(), block_bytes_);
+            core::log(
+                "nvme node {}: its namespace is not of {}-byte blocks with 8 bytes of extended metadata",
+                address.address().to_string(), block_bytes_);
             co_return false;
         }
         const auto joined = co_await connect(io, 1, *controller, until);
@@ -395,15 +399,19 @@
         for (std::size_t at = offset; at < end; at += step) {
             const std::size_t size = std::min(step, end - at);
             const std::string_view bytes = std::string_view(out.body).substr(at, size);
-            put(queue, {data(Type::H2CData, it->first, tag, static_cast<std::uint32_t>(at), bytes, at + size == end),
-                        it->first, at + size == out.body.size(), {}});
+            put(queue,
+                {data(Type::H2CData, it->first, tag, static_cast<std::uint32_t>(at), bytes, at + size == end),
+                 it->first,
+                 at + size == out.body.size(),
+                 {}});
         }
     }
 
     void complete(const QueuePtr &queue, const Completion &done) {
         const auto it = queue->out.find(done.cid);
         if (it == queue->out.end()) throw Malformed(Fatal::HeaderField, "completion of no command");
-        if (it->second.mail && queue == io_) return it->second.mail->put(done); // run() takes its data and ends it
+        if (it->second.mail && queue == io_)
+            return it->second.mail->put(done); // run() takes its data and ends it
         if (it->second.mail) it->second.mail->put(done);
         queue->out.erase(it);
     }
@@ -422,7 +430,8 @@
 NodePort::NodePort(asio::any_io_executor executor, core::Deadlines &deadlines, SocketBudget &budget,
                    const Settings &settings, std::uint32_t block_bytes)
     : executor_(std::move(executor)), deadlines_(deadlines), budget_(budget),
-      connect_timeout_(settings.connect_timeout > 0 ? settings.connect_timeout : kDial), block_bytes_(block_bytes) {}
+      connect_timeout_(settings.connect_timeout > 0 ? settings.connect_timeout : kDial),
+      block_bytes_(block_bytes) {}
 
 void NodePort::place(NodeId node, const tcp::endpoint &address, const NodeMapping &mapping) {
     auto &at = associations_[node];
@@ -472,9 +481,8 @@
         body.resize(block_bytes_ + kMetadata, '\0');
         set<std::uint64_t>(body, block_bytes_, request.body.size());
     }
-    const auto cid = node->issue(mail, command, std::move(body), [attempt] {
-        return !attempt->stopped && attempt->may_write();
-    });
+    const auto cid = node->issue(mail, command, std::move(body),
+                                 [attempt] { return !attempt->stopped && attempt->may_write(); });
     if (!cid) {
         attempt->on_stop = nullptr;
         result.status = Status::Moot; // more out than the queue holds
--- a/src/net/nvme/pdu.cpp
+++ b/src/net/nvme/pdu.cpp
@@ -9,14 +9,17 @@
 std::size_t head_size(Type type) {
     switch (type) {
     case Type::ICReq:
-    case Type::ICResp: return 128;
-    case Type::Command: return 72;
+    case Type::ICResp:
+        return 128;
+    case Type::Command:
+        return 72;
     case Type::H2CTermReq:
     case Type::C2HTermReq:
     case Type::Response:
     case Type::H2CData:
     case Type::C2HData:
-    case Type::R2T: return 24;
+    case Type::R2T:
+        return 24;
     }
     return 0;
 }
@@ -33,7 +36,8 @@
     const std::size_t head = head_size(type), told_head = get<std::uint8_t>(in, 2),
                       offset = get<std::uint8_t>(in, 3), size = get<std::uint32_t>(in, 4);
     const auto wrong = [&](const char *what) {
-        return Malformed(Fatal::HeaderField, what, in.substr(0, std::min(in.size(), std::max(kCommon, head))));
+        return Malformed(Fatal::HeaderField, what,
+                         in.substr(0, std::min(in.size(), std::max(kCommon, head))));
     };
     if (head == 0) throw wrong("unknown type of PDU");
     if (told_head != head) throw wrong("header length");
@@ -77,8 +81,8 @@
     set(out, 16, length);
     return out;
 }
-std::string data(Type type, std::uint16_t cid, std::uint16_t tag, std::uint32_t offset, std::string_view bytes,
-                 bool last) {
+std::string data(Type type, std::uint16_t cid, std::uint16_t tag, std::uint32_t offset,
+                 std::string_view bytes, bool last) {
     std::string out = pdu(type, 24, bytes, last ? kLastPdu : 0);
     set(out, 8, cid);
     set(out, 10, tag);
@@ -110,8 +114,8 @@
     set(out, 16, sq_head);
     set(out, 18, queue);
     set(out, 20, cid);
-    const auto field = static_cast<std::uint16_t>((status.code & 0x7ff) << 1 | (status.retry_delay & 3) << 12 |
-                                                  (status.do_not_retry ? 0x8000 : 0));
+    const auto field = static_cast<std::uint16_t>(
+        (status.code & 0x7ff) << 1 | (status.retry_delay & 3) << 12 | (status.do_not_retry ? 0x8000 : 0));
     set(out, 22, field);
     return out;
 }
--- a/src/net/nvme/pdu.hpp
+++ b/src/net/nvme/pdu.hpp
@@ -32,7 +32,8 @@
     Unsupported = 6
 };
 struct Malformed : std::runtime_error {
-    Malformed(Fatal f, const char *what, std::string h = {}) : runtime_error(what), fatal(f), head(std::move(h)) {}
+    Malformed(Fatal f, const char *what, std::string h = {})
+        : runtime_error(what), fatal(f), head(std::move(h)) {}
     Fatal fatal;
     std::string head; // the offending PDU's header
 };
@@ -41,7 +42,8 @@
 template <typename T> T get(std::string_view bytes, std::size_t at) {
     T value = 0;
     for (std::size_t n = 0; n < sizeof(T); ++n)
-        value = static_cast<T>(value | static_cast<T>(static_cast<T>(static_cast<std::uint8_t>(bytes[at + n])) << (8 * n)));
+        value = static_cast<T>(
+            value | static_cast<T>(static_cast<T>(static_cast<std::uint8_t>(bytes[at + n])) << (8 * n)));
     return value;
 }
 template <typename T> void set(std::string &bytes, std::size_t at, T value) {
@@ -66,8 +68,8 @@
 std::string ic_resp(std::uint32_t most_h2c_data);
 std::string term_req(Type type, const Malformed &error);
 std::string r2t(std::uint16_t cid, std::uint16_t tag, std::uint32_t offset, std::uint32_t length);
-std::string data(Type type, std::uint16_t cid, std::uint16_t tag, std::uint32_t offset, std::string_view bytes,
-                 bool last);
+std::string data(Type type, std::uint16_t cid, std::uint16_t tag, std::uint32_t offset,
+                 std::string_view bytes, bool last);
 
 // Opcodes. Admin and I/O sets overlap.
 namespace op {
@@ -98,17 +100,17 @@
 
 // Status of a completion: code type and code, with the flags beside them.
 struct Status16 {
-    std::uint16_t code = 0; // type << 8 | code
+    std::uint16_t code = 0;       // type << 8 | code
     std::uint8_t retry_delay = 0; // CRD: which of the controller's three delays
     bool do_not_retry = false;
     bool ok() const { return code == 0; }
 };
 namespace status {
-inline constexpr std::uint16_t kOk = 0x000, kInvalidOpcode = 0x001, kInvalidField = 0x002, kIdConflict = 0x003,
-                               kTransferError = 0x004, kInternal = 0x006, kAborted = 0x007, kInvalidNamespace = 0x00b,
-                               kSequence = 0x00c, kInterrupted = 0x021, kTransport = 0x022, kLbaRange = 0x080,
-                               kNotReady = 0x082, kConnectInvalid = 0x182, kPathInaccessible = 0x302,
-                               kPathTransition = 0x303;
+inline constexpr std::uint16_t kOk = 0x000, kInvalidOpcode = 0x001, kInvalidField = 0x002,
+                               kIdConflict = 0x003, kTransferError = 0x004, kInternal = 0x006,
+                               kAborted = 0x007, kInvalidNamespace = 0x00b, kSequence = 0x00c,
+                               kInterrupted = 0x021, kTransport = 0x022, kLbaRange = 0x080, kNotReady = 0x082,
+                               kConnectInvalid = 0x182, kPathInaccessible = 0x302, kPathTransition = 0x303;
 }
 
 struct Completion {
--- a/src/net/resp/front.cpp
+++ b/src/net/resp/front.cpp
@@ -19,8 +19,7 @@
         else
             return std::from_chars(text.data(), last, value, base);
     }();
-    if (text.empty() || error != std::errc() || end != last)
-        throw Malformed(fmt::format("invalid {}", name));
+    if (text.empty() || error != std::errc() || end != last) throw Malformed(fmt::format("invalid {}", name));
     return value;
 }
 std::uint64_t hex16(std::string_view text, const char *name) {
--- a/src/net/resp/node_port.cpp
+++ b/src/net/resp/node_port.cpp
@@ -106,8 +106,8 @@
     attempt->on_stop = [wire = wire.get()] { wire->close(); };
     const std::string command = spell(*attempt);
     boost::system::error_code error;
-    const std::size_t written = co_await asio::async_write(
-        wire->socket, asio::buffer(command), asio::redirect_error(asio::use_awaitable, error));
+    const std::size_t written = co_await asio::async_write(wire->socket, asio::buffer(command),
+                                                           asio::redirect_error(asio::use_awaitable, error));
     const bool whole = written == command.size();
     std::optional<Value> answer;
     if (whole) try {
@@ -121,8 +121,7 @@
         co_return result;
     }
     result = read_answer(std::move(*answer));
-    if (wire->in.empty())
-        pool_.give_back(to, wire);
+    if (wire->in.empty()) pool_.give_back(to, wire);
     co_return result;
 }
 
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -32,8 +32,7 @@
         }
         {
             core::Deadlines::Entry whole; // a silent peer is not waited for
-            if (client_.partial)
-                whole = deadlines_.at(since_ + kWholeWithin, [this] { client_.close(); });
+            if (client_.partial) whole = deadlines_.at(since_ + kWholeWithin, [this] { client_.close(); });
             got = co_await client_.socket.async_read_some(asio::buffer(chunk_),
                                                           asio::redirect_error(asio::use_awaitable, error));
         }
--- a/src/net/session.hpp
+++ b/src/net/session.hpp
@@ -24,9 +24,9 @@
 
     Client &client_;
     core::Deadlines &deadlines_;
-    std::string in_;     // read, not yet taken
-    Micros since_ = 0;   // when its first byte came
-    bool over_ = false;  // nothing more is read: all that is owed is paid, then the connection ends
+    std::string in_;    // read, not yet taken
+    Micros since_ = 0;  // when its first byte came
+    bool over_ = false; // nothing more is read: all that is owed is paid, then the connection ends
 
 private:
     void received(std::size_t got);
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -37,14 +37,14 @@
 constexpr Micros kAskAgain = 1'000'000; // us, first wait after a failed call for the list; doubles to 8
 
 // Queue.
-constexpr double kReach = 0.7;     // part of the usual latency that an answer takes at the least
-constexpr double kBands = 4;       // worth bands to a factor of two; within one, earliest due first
+constexpr double kReach = 0.7;      // part of the usual latency that an answer takes at the least
+constexpr double kBands = 4;        // worth bands to a factor of two; within one, earliest due first
 constexpr double kRepeatGain = 1.5; // a repeat of the node's last key costs it 30 to 50% less
-constexpr double kAccount = 2e6;   // us over which a volume's use is averaged
-constexpr double kLateMean = 0.25; // and only while L is under this: the node is idle for other hosts too
-constexpr double kShareMean = 1.5; // work beyond its volume's reserve goes only while L is under this
-constexpr double kSpareMean = 0.4; // work beyond its volume's share goes only while L is under this
-constexpr double kHeld = 0.5; // part of a client's time for which work is held unsent: it may go elsewhere
+constexpr double kAccount = 2e6;    // us over which a volume's use is averaged
+constexpr double kLateMean = 0.25;  // and only while L is under this: the node is idle for other hosts too
+constexpr double kShareMean = 1.5;  // work beyond its volume's reserve goes only while L is under this
+constexpr double kSpareMean = 0.4;  // work beyond its volume's share goes only while L is under this
+constexpr double kHeld = 0.5;  // part of a client's time for which work is held unsent: it may go elsewhere
 constexpr Micros kPatient = 2; // tightest aims left: work with more leaves one place of the bound to others
 constexpr double kStale = 0.4; // answers' weight under which L says nothing of now
 constexpr Micros kBlindGap = 1'000'000; // us between requests of less worth sent without evidence
--- a/tests/helper.hpp
+++ b/tests/helper.hpp
@@ -271,10 +271,12 @@
     explicit Program(const Discovery &discovery, const std::string &operators = "",
                      const std::string &settings = kSettings) {
         port = free_port();
-        write("config.json",
-              fmt::format(R"({{"name":"n0","listen":"127.0.0.1:{}","discovery":"127.0.0.1:{}","seed":"8c1f30d27a5be964",)"
-                          R"("limits":{{"cores":1.0,"memory_mb":192,"sockets":256}},"known":{},"settings":{}}})",
-                          port, discovery.port(), discovery.known(), settings));
+        write(
+            "config.json",
+            fmt::format(
+                R"({{"name":"n0","listen":"127.0.0.1:{}","discovery":"127.0.0.1:{}","seed":"8c1f30d27a5be964",)"
+                R"("limits":{{"cores":1.0,"memory_mb":192,"sockets":256}},"known":{},"settings":{}}})",
+                port, discovery.port(), discovery.known(), settings));
         if (!operators.empty()) write("operator.json", operators);
         start(operators.empty() ? std::vector<std::string>{}
                                 : std::vector<std::string>{"--operator", folder_ / "operator.json"});
@@ -310,7 +312,9 @@
     int port = 0;
 
 private:
-    void write(const std::string &name, const std::string &text) const { std::ofstream(folder_ / name) << text; }
+    void write(const std::string &name, const std::string &text) const {
+        std::ofstream(folder_ / name) << text;
+    }
     void start(const std::vector<std::string> &more) {
         std::vector<std::string> words{MARBLEWOOD_PROGRAM, "--config", folder_ / "config.json"};
         words.insert(words.end(), more.begin(), more.end());
@@ -333,16 +337,18 @@
 };
 
 inline std::string get(const std::string &piece, int shard = 0, int wait = 1500) {
-    return resp::command({"OBJ.GET", piece, "9b1f03aa5c7e2d41",
-                          fmt::format("c=read,t=standard,d={},volume=00000003b4d60021,units=2,shard={},hosts=1",
-                                      wait, shard)});
+    return resp::command(
+        {"OBJ.GET", piece, "9b1f03aa5c7e2d41",
+         fmt::format("c=read,t=standard,d={},volume=00000003b4d60021,units=2,shard={},hosts=1", wait,
+                     shard)});
 }
 inline std::string put(const std::string &piece, const std::string &body, int shard = 0, int wait = 2500) {
-    return resp::command({"OBJ.PUT", piece, "9b1f03aa5c7e2d42",
-                          fmt::format("c=new-write,t=standard,d={},k=5c0f6e1a2b3d4c59,volume=00000003b4d60021,"
-                                      "units=2,shard={},hosts=1",
-                                      wait, shard),
-                          body});
+    return resp::command(
+        {"OBJ.PUT", piece, "9b1f03aa5c7e2d42",
+         fmt::format("c=new-write,t=standard,d={},k=5c0f6e1a2b3d4c59,volume=00000003b4d60021,"
+                     "units=2,shard={},hosts=1",
+                     wait, shard),
+         body});
 }
 
 } // namespace test
--- a/tests/nvme_test.cpp
+++ b/tests/nvme_test.cpp
@@ -33,7 +33,8 @@
     void serve(Socket &s) {
         if (const auto hello = receive(s); !hello || hello->type != Type::ICReq) return;
         s.send(nvme::ic_resp(65536));
-        std::map<std::uint16_t, std::pair<std::uint64_t, std::string>> writes; // by identifier, which is the tag too
+        std::map<std::uint16_t, std::pair<std::uint64_t, std::string>>
+            writes; // by identifier, which is the tag too
         while (const auto pdu = receive(s)) {
             if (pdu->type == Type::H2CData) {
                 const auto cid = nvme::get<std::uint16_t>(pdu->head, 8);
@@ -47,7 +48,8 @@
             done.cid = c.cid();
             if (c.opcode() == op::kFabrics) {
                 if (c.fabrics_type() == op::kConnect) {
-                    assert(pdu->data.size() == 1024 && pdu->data.compare(256, kSubsystem.size(), kSubsystem) == 0);
+                    assert(pdu->data.size() == 1024 &&
+                           pdu->data.compare(256, kSubsystem.size(), kSubsystem) == 0);
                     done.result = 7;
                 } else if (c.fabrics_type() == op::kPropertyGet) {
                     done.result = 1;
@@ -158,11 +160,12 @@
 };
 
 std::string operators(int port, bool nvme_node) {
-    return fmt::format(R"({{"nvme":{{"listen":"127.0.0.1:{}","subsystem":"{}","block_bytes":{},"namespaces":[{{"nsid":1,)"
-                       R"("volume":"00000003b4d60021","plan":"standard","read_class":"read","write_class":"new-write",)"
-                       R"("shard":0,"first_piece":"0000000000000100","blocks":256}}],"nodes":{{{}}}}}}})",
-                       port, kSubsystem, kBlock,
-                       nvme_node ? fmt::format(R"("s-1":{{"subsystem":"{}","nsid":1}})", kSubsystem) : "");
+    return fmt::format(
+        R"({{"nvme":{{"listen":"127.0.0.1:{}","subsystem":"{}","block_bytes":{},"namespaces":[{{"nsid":1,)"
+        R"("volume":"00000003b4d60021","plan":"standard","read_class":"read","write_class":"new-write",)"
+        R"("shard":0,"first_piece":"0000000000000100","blocks":256}}],"nodes":{{{}}}}}}})",
+        port, kSubsystem, kBlock,
+        nvme_node ? fmt::format(R"("s-1":{{"subsystem":"{}","nsid":1}})", kSubsystem) : "");
 }
 Act serve_all(bool, std::uint64_t, int) { return Act::Serve; }
 std::string block_of(char c) { return std::string(kBlock, c); }
@@ -175,8 +178,10 @@
     Completion done;
     done.cid = 0x1234;
     done.status = {status::kNotReady, 2, true};
-    assert(done.capsule() == std::string("\x05\0\x18\0\x18\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\x34\x12\x04\xa1", 24));
-    assert(nvme::r2t(2, 3, 4, 5) == std::string("\x09\0\x18\0\x18\0\0\0\2\0\3\0\4\0\0\0\5\0\0\0\0\0\0\0", 24));
+    assert(done.capsule() ==
+           std::string("\x05\0\x18\0\x18\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\x34\x12\x04\xa1", 24));
+    assert(nvme::r2t(2, 3, 4, 5) ==
+           std::string("\x09\0\x18\0\x18\0\0\0\2\0\3\0\4\0\0\0\5\0\0\0\0\0\0\0", 24));
 }
 
 void hosts_and_resp_clients_share_an_nvme_node() {
@@ -311,7 +316,8 @@
 // The same requests against nodes that misbehave alike: the same outcomes, whatever either side speaks.
 using Counts = std::map<std::string, int>;
 Act misbehave(std::uint64_t block, int nth) {
-    const Act acts[] = {Act::Serve, Act::Error, Act::NotReady, Act::Serve, nth == 1 ? Act::Error : Act::Serve};
+    const Act acts[] = {Act::Serve, Act::Error, Act::NotReady, Act::Serve,
+                        nth == 1 ? Act::Error : Act::Serve};
     return acts[block % 5];
 }
 Counts outcomes(bool nvme_host, bool nvme_node) {
@@ -321,7 +327,9 @@
     RespNode node([&](const auto &words, int) -> std::string {
         const std::lock_guard lock(mutex);
         const Act act = misbehave(std::stoull(words[1], nullptr, 16) - 0x100, ++nth[words[1]]);
-        return act == Act::Serve ? RespNode::served("v") : act == Act::Error ? "-ERR failed\r\n" : "-BUSY\r\n";
+        return act == Act::Serve   ? RespNode::served("v")
+               : act == Act::Error ? "-ERR failed\r\n"
+                                   : "-BUSY\r\n";
     });
     const Discovery discovery(member("s-1", nvme_node ? target.server.port : node.server.port, 0));
     const int port = free_port();
@@ -340,7 +348,9 @@
         const std::string piece = fmt::format("{:016x}", 0x100 + block);
         client.send(write ? put(piece, "v") : get(piece));
         const auto v = client.value();
-        ++counts[v->kind == resp::Value::Kind::Bulk ? "served" : v->text.starts_with("BUSY") ? "refused" : "failed"];
+        ++counts[v->kind == resp::Value::Kind::Bulk ? "served"
+                 : v->text.starts_with("BUSY")      ? "refused"
+                                                    : "failed"];
     }
     return counts;
 }
--- a/tests/resp_test.cpp
+++ b/tests/resp_test.cpp
@@ -132,8 +132,8 @@
 void malformed_input_ends_one_connection_only() {
     const Discovery discovery(member("s-1", free_port(), 0));
     const Program program(discovery);
-    for (const char *const bad : {"nonsense\r\n", "*-7\r\n", "*1\r\n$99999999\r\n", "$4\r\nPING\r\n", "*1\r\n:5\r\n",
-                                  "*1\r\n$4\r\nPINGxx", "*1\r\n*1\r\n*1\r\n$1\r\nx\r\n"}) {
+    for (const char *const bad : {"nonsense\r\n", "*-7\r\n", "*1\r\n$99999999\r\n", "$4\r\nPING\r\n",
+                                  "*1\r\n:5\r\n", "*1\r\n$4\r\nPINGxx", "*1\r\n*1\r\n*1\r\n$1\r\nx\r\n"}) {
         Socket client = program.client();
         client.send(bad);
         assert(client.value()->text.starts_with("ERR Protocol error"));
@@ -213,7 +213,8 @@
 }
 
 void a_bad_configuration_is_named() {
-    const std::string path = std::filesystem::temp_directory_path() / fmt::format("marblewood-bad-{}", ::getpid());
+    const std::string path =
+        std::filesystem::temp_directory_path() / fmt::format("marblewood-bad-{}", ::getpid());
     for (const auto &[text, field] : std::map<std::string, std::string>{
              {R"({"name":"n0"})", "listen"},
              {R"({"name":"n0","listen":"127.0.0.1:1","settings":{"instances":"many"}})", "instances"},
@@ -221,7 +222,8 @@
               "target"},
              {"{", "JSON"}}) {
         std::ofstream(path) << text;
-        FILE *run = ::popen((std::string(MARBLEWOOD_PROGRAM) + " check-config --config " + path + " 2>&1").c_str(), "r");
+        FILE *run = ::popen(
+            (std::string(MARBLEWOOD_PROGRAM) + " check-config --config " + path + " 2>&1").c_str(), "r");
         char line[512] = "";
         assert(std::fgets(line, sizeof line, run));
         assert(std::string(line).find(field) != std::string::npos);
