--- a/src/main.cpp
+++ b/src/main.cpp
@@ -6,6 +6,7 @@
 #include "net/discovery/discovery.hpp"
 #include "net/nvme/front.hpp"
 #include "net/nvme/node_port.hpp"
+#include "net/otlp/exporter.hpp"
 #include "net/peers/peers.hpp"
 #include "net/ports.hpp"
 #include "net/resp/front.hpp"
@@ -57,12 +58,17 @@
     };
     // Each planner is a host of its own to the module, so that what hosts share out is shared out once more.
     std::vector<std::unique_ptr<core::Planner>> planners;
+    std::optional<net::otlp::Exporter> exporter;
+    if (!added.otlp.isNull())
+        exporter.emplace(io, deadlines, net::otlp::read_endpoint(added.otlp), config.name, config.settings,
+                         random());
     for (int n = 0; n < added.planners; ++n) {
         Settings own = config.settings;
         own.hosts = config.settings.hosts * added.planners;
         own.position = config.settings.position * added.planners + n;
         own.seed = config.settings.seed + static_cast<std::uint64_t>(n) * 0x9e3779b97f4a7c15;
-        planners.push_back(std::make_unique<core::Planner>(io.get_executor(), deadlines, own, ports, around));
+        planners.push_back(std::make_unique<core::Planner>(io.get_executor(), deadlines, own, ports, around,
+                                                           exporter ? &exporter->observer() : nullptr));
     }
     const core::Desk desk{
         [&](const core::Request &r) -> core::Planner & { // a volume always goes through the same one
@@ -157,7 +163,8 @@
         if (path.empty()) throw config::Error("no configuration: give --config or set BALANCER_CONFIG");
         const config::Config config = config::load(path);
         const config::Operator added = config::load_operator(operators);
-        net::nvme::read_mapping(added.nvme, config.settings);
+        net::nvme::read_mapping(added.nvme, config.settings); // what is wrong there is said now
+        if (!added.otlp.isNull()) net::otlp::read_endpoint(added.otlp);
         if (*check) {
             fmt::print("{}: in order\n", path);
             return 0;
