End an NVMe connection after a malformed PDU even with answers under way

Seen by reading: FrontSession::end_now set owed to 0 while queued answers were still to be written, and the writer then took them off again, below zero; the session waited for ever. The new case in nvme_test (an answer under way, then a malformed PDU) failed with 'nothing came' before and passes now.

--- a/src/net/nvme/front.cpp
+++ b/src/net/nvme/front.cpp
@@ -99,8 +99,8 @@
     void end_now(const char *) {
         in_.clear();
         over_ = true;
+        client_.owed -= commands_.size(); // these get no answer; what is queued already is still sent
         left();
-        client_.owed = 0;
     }
 
     void start(const Pdu &pdu) {
--- a/tests/nvme_test.cpp
+++ b/tests/nvme_test.cpp
@@ -309,6 +309,14 @@
         if (pdu && pdu->type == Type::ICResp) pdu = receive(s);
         assert(pdu && pdu->type == Type::C2HTermReq && s.ended());
     }
+    // With answers under way: they are sent, then the connection ends; it must not wait for answers paid twice.
+    Host broken(port);
+    Command look = Command::make(op::kFabrics, 3);
+    nvme::set(look.bytes, 4, op::kPropertyGet);
+    broken.admin.send(look.capsule() + no_type);
+    assert(broken.completion(broken.admin).cid == 3);
+    assert(receive(broken.admin)->type == Type::C2HTermReq && broken.admin.ended());
+    assert(broken.io.ended()); // the controller ends with its admin queue
     Host host(port);
     assert(host.read(1).status.ok() && program.running());
 }
