Make room for new clients by closing the idle one unused the longest

Seen by reading: the list of clients stands in order of arrival and was never reordered, so a busy old client between two requests could be closed before one that has long been silent. The session now notes when something last came. more_clients_than_sockets_are_survived passes as before.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -28,26 +28,14 @@
     while (acceptor_.is_open()) {
         // A request may be written to a connection that waits to be accepted, and counts as taken then. So
         // room is made by closing the idle client that was unused the longest, never by not accepting.
-        if (budget_.clients_full())
-            for (Client &client : clients_)
-                if (client.idle() && !client.closing) {
-                    client.closing = true;
-                    client.close();
-                    break;
-                }
+        if (budget_.clients_full()) drop_idle();
         boost::system::error_code error;
         tcp::socket socket =
             co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, error));
         if (error) {
             if (error == asio::error::operation_aborted || !acceptor_.is_open()) break;
             core::log("accept: {}", error.message()); // out of descriptors, say: it passes
-            if (budget_.clients_full() || error.value() == EMFILE || error.value() == ENFILE)
-                for (Client &client : clients_)
-                    if (client.idle() && !client.closing) {
-                        client.closing = true;
-                        client.close();
-                        break;
-                    }
+            if (budget_.clients_full() || error.value() == EMFILE || error.value() == ENFILE) drop_idle();
             rest.expires_after(std::chrono::microseconds(kRest));
             co_await rest.async_wait(asio::redirect_error(asio::use_awaitable, error));
             continue;
@@ -56,10 +44,20 @@
         last_new_ = deadlines_.clock.now();
         const auto client = clients_.emplace(clients_.end(), std::move(socket));
         client->lease = budget_.client();
+        client->used = last_new_;
         asio::co_spawn(io_, serve(client), asio::detached);
     }
 }
 
+void Clients::drop_idle() {
+    Client *oldest = nullptr;
+    for (Client &client : clients_)
+        if (client.idle() && !client.closing && (!oldest || client.used < oldest->used)) oldest = &client;
+    if (!oldest) return;
+    oldest->closing = true;
+    oldest->close();
+}
+
 asio::awaitable<void> Clients::serve(std::list<Client>::iterator client) {
     try {
         co_await front_(*client);
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -14,6 +14,7 @@
     explicit Client(tcp::socket s) : socket(std::move(s)) {}
     tcp::socket socket;
     SocketBudget::Lease lease;
+    Micros used = 0;             // when something last came on it
     std::size_t owed = 0;        // requests taken on it and not yet answered whole
     bool partial = false;        // part of a request has come
     bool closing = false;        // takes no more
@@ -40,6 +41,7 @@
 private:
     asio::awaitable<void> accept();
     asio::awaitable<void> serve(std::list<Client>::iterator client);
+    void drop_idle(); // the one unused the longest
     void drain_turn();
 
     asio::io_context &io_;
@@ -47,7 +49,7 @@
     SocketBudget &budget_;
     tcp::acceptor acceptor_;
     Front front_;
-    std::list<Client> clients_; // the longest unused first
+    std::list<Client> clients_;
     std::function<void()> done_;
     Micros drain_from_ = 0, last_new_ = 0;
     core::Deadlines::Entry look_;
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -51,7 +51,8 @@
 }
 
 void Session::received(std::size_t got) {
-    if (in_.empty()) since_ = deadlines_.clock.now();
+    client_.used = deadlines_.clock.now();
+    if (in_.empty()) since_ = client_.used;
     in_.append(chunk_, got);
 }
 void Session::took() {
--- a/tests/nvme_test.cpp
+++ b/tests/nvme_test.cpp
@@ -309,7 +309,8 @@
         if (pdu && pdu->type == Type::ICResp) pdu = receive(s);
         assert(pdu && pdu->type == Type::C2HTermReq && s.ended());
     }
-    // With answers under way: they are sent, then the connection ends; it must not wait for answers paid twice.
+    // With answers under way: they are sent, then the connection ends; it must not wait for answers paid
+    // twice.
     Host broken(port);
     Command look = Command::make(op::kFabrics, 3);
     nvme::set(look.bytes, 4, op::kPropertyGet);
