--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -8,6 +8,7 @@
 
 Config read_config(const Json::Value &root) {
     Config c;
+    c.file = root;
     c.name = need_text(root, "name");
     c.listen = need_text(root, "listen");
     c.discovery = text_or(root, "discovery", "");
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -11,6 +11,7 @@
     int sockets = 1024;
     Json::Value known; // in discovery's form
     Settings settings; // the module's own
+    Json::Value file;  // as written, to tell at a reload what has changed
 };
 
 // What an operator may add in a file of his own: more fronts, telemetry, more planners. Each part is decoded
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -31,7 +31,31 @@
     throw config::Error(fmt::format("field '{}': '{}' is not an address and port", field, text));
 }
 
-int serve(const config::Config &config, const config::Operator &added) {
+// Reads the file again, whole: what is wrong with any of it leaves the broker as it is. Discovery moves; all
+// else is bound to what runs already and is taken up at the next start.
+void reload(const std::string &path, config::Config &config,
+            const std::function<void(const tcp::endpoint &, const std::string &)> &move) {
+    try {
+        config::Config fresh = config::load(path);
+        const auto discovery = address<tcp::endpoint>(fresh.discovery, "discovery");
+        address<tcp::endpoint>(fresh.listen, "listen");
+        if (!fresh.known.isNull()) { // must be readable, but is older than what discovery has told
+            config::Names nodes, zones;
+            net::discovery::read(fresh.known, nodes, zones);
+        }
+        for (const std::string &name : fresh.file.getMemberNames())
+            if (name != "discovery" && name != "known" && name != "seed" &&
+                fresh.file[name] != config.file[name])
+                core::log("configuration: field '{}' has changed, which counts from the next start", name);
+        core::log("configuration read again: discovery at {}", fresh.discovery);
+        if (fresh.discovery != config.discovery) move(discovery, fresh.discovery);
+        config.discovery = fresh.discovery;
+    } catch (const std::exception &error) {
+        core::log("configuration not taken: {}", error.what());
+    }
+}
+
+int serve(const std::string &path, config::Config config, const config::Operator &added) {
     rlimit files{};
     int sockets = config.sockets; // the lower of what we are told and what the system allows
     if (getrlimit(RLIMIT_NOFILE, &files) == 0)
@@ -120,6 +144,18 @@
             [&](net::Client &client) { return net::nvme::serve(client, desk, mapping, controllers); });
     core::log("{} serves at {}", config.name, config.listen);
 
+    asio::signal_set hangups(io, SIGHUP);
+    const std::function<void()> await_hangup = [&] {
+        hangups.async_wait([&](const boost::system::error_code &error, int) {
+            if (error) return;
+            reload(path, config, [&](const tcp::endpoint &at, const std::string &host) {
+                if (!discovery) discovery.emplace(io, deadlines, at, host, 0, nodes, zones, told);
+                discovery->move(at, host);
+            });
+            await_hangup();
+        });
+    };
+    await_hangup();
     asio::signal_set signals(io, SIGTERM, SIGINT);
     signals.async_wait([&](const boost::system::error_code &error, int) {
         if (error) return;
@@ -169,7 +205,7 @@
             fmt::print("{}: in order\n", path);
             return 0;
         }
-        return serve(config, added);
+        return serve(path, config, added);
     } catch (const std::exception &error) {
         fmt::print(stderr, "marblewood: {}\n", error.what());
         return 1;
--- a/src/net/discovery/discovery.cpp
+++ b/src/net/discovery/discovery.cpp
@@ -39,6 +39,16 @@
 }
 void Discovery::fetch() { asio::co_spawn(io_, fetching(), asio::detached); }
 
+void Discovery::move(tcp::endpoint at, std::string host) {
+    at_ = at;
+    host_ = std::move(host);
+    whole_ = true;
+    ++moves_;
+    boost::system::error_code ignored;
+    if (called_) called_->close(ignored);
+    watch(true);
+}
+
 void Discovery::failed() {
     Reading none;
     none.update.kind = ListUpdate::Kind::Failed;
@@ -46,27 +56,42 @@
 }
 
 // Renewed at once after each answer, on the same connection: a gap of over 200 ms would begin a new watch. A
-// failure ends it; when to ask again is the module's choice.
+// failure ends it; when to ask again is the module's choice. What the discovery of before a move still says
+// is not heard.
 asio::awaitable<void> Discovery::watching() {
     watching_ = true;
     tcp::socket socket(io_);
+    called_ = &socket;
     while (wanted_) {
-        const std::string path = fmt::format("/v1/servers?since={}&timeout_ms={}", revision_, kWatch / 1000);
-        const auto reading = co_await call(socket, path, deadlines_.clock.now() + kWatch + kAnswer);
+        const int moves = moves_;
+        std::string path = "/v1/servers";
+        if (!whole_) path += fmt::format("?since={}&timeout_ms={}", revision_, kWatch / 1000);
+        const Micros wait = whole_ ? kAnswer : kWatch + kAnswer;
+        const auto reading = co_await call(socket, path, deadlines_.clock.now() + wait);
+        boost::system::error_code ignored;
+        if (moves != moves_) {
+            socket.close(ignored);
+            continue;
+        }
         if (!reading) {
             watching_ = wanted_ = false;
+            called_ = nullptr;
             failed();
             co_return;
         }
         revision_ = reading->revision;
+        whole_ = false;
         told_(*reading);
     }
     watching_ = false;
+    called_ = nullptr;
 }
 
 asio::awaitable<void> Discovery::fetching() {
     tcp::socket socket(io_);
+    const int moves = moves_;
     const auto reading = co_await call(socket, "/v1/servers", deadlines_.clock.now() + 2 * kAnswer);
+    if (moves != moves_) co_return; // the watch asks for the whole list where discovery is now
     if (reading) {
         revision_ = std::max(revision_, reading->revision);
         told_(*reading);
--- a/src/net/discovery/discovery.hpp
+++ b/src/net/discovery/discovery.hpp
@@ -25,6 +25,8 @@
               std::int64_t revision, config::Names &nodes, config::Names &zones, Told told);
     void watch(bool on);
     void fetch();
+    // Asks at another address from now on. Its versions may be counted otherwise: its whole list comes first.
+    void move(tcp::endpoint at, std::string host);
 
 private:
     asio::awaitable<void> watching();
@@ -40,7 +42,9 @@
     std::int64_t revision_;
     config::Names &nodes_, &zones_;
     Told told_;
-    bool wanted_ = false, watching_ = false;
+    bool wanted_ = false, watching_ = false, whole_ = false; // whole_: the next call asks for the whole list
+    int moves_ = 0;
+    tcp::socket *called_ = nullptr; // the watch's connection
 };
 
 } // namespace marblewood::net::discovery
--- a/tests/helper.hpp
+++ b/tests/helper.hpp
@@ -271,12 +271,7 @@
     explicit Program(const Discovery &discovery, const std::string &operators = "",
                      const std::string &settings = kSettings) {
         port = free_port();
-        write(
-            "config.json",
-            fmt::format(
-                R"({{"name":"n0","listen":"127.0.0.1:{}","discovery":"127.0.0.1:{}","seed":"8c1f30d27a5be964",)"
-                R"("limits":{{"cores":1.0,"memory_mb":192,"sockets":256}},"known":{},"settings":{}}})",
-                port, discovery.port(), discovery.known(), settings));
+        configure(discovery, settings);
         if (!operators.empty()) write("operator.json", operators);
         start(operators.empty() ? std::vector<std::string>{}
                                 : std::vector<std::string>{"--operator", folder_ / "operator.json"});
@@ -301,6 +296,27 @@
         }
         std::filesystem::remove_all(folder_);
     }
+    void configure(const Discovery &discovery, const std::string &settings = kSettings) const {
+        write(
+            "config.json",
+            fmt::format(
+                R"({{"name":"n0","listen":"127.0.0.1:{}","discovery":"127.0.0.1:{}","seed":"8c1f30d27a5be964",)"
+                R"("limits":{{"cores":1.0,"memory_mb":192,"sockets":256}},"known":{},"settings":{}}})",
+                port, discovery.port(), discovery.known(), settings));
+    }
+    void write(const std::string &name, const std::string &text) const {
+        std::ofstream(folder_ / name) << text;
+    }
+    std::string log() const {
+        std::ostringstream text;
+        text << std::ifstream(folder_ / "log").rdbuf();
+        return text.str();
+    }
+    void await_log(const std::string &words) const {
+        for (int n = 0; n < 500 && log().find(words) == std::string::npos; ++n)
+            std::this_thread::sleep_for(10ms);
+        assert(log().find(words) != std::string::npos);
+    }
     void signal(int number) const { ::kill(pid_, number); }
     int exit_code() { // waits for its end
         int status = 0;
@@ -312,14 +328,12 @@
     int port = 0;
 
 private:
-    void write(const std::string &name, const std::string &text) const {
-        std::ofstream(folder_ / name) << text;
-    }
     void start(const std::vector<std::string> &more) {
         std::vector<std::string> words{MARBLEWOOD_PROGRAM, "--config", folder_ / "config.json"};
         words.insert(words.end(), more.begin(), more.end());
         pid_ = ::fork();
         if (pid_ != 0) return;
+        if (std::freopen((folder_ / "log").c_str(), "w", stderr) == nullptr) ::_exit(127);
         ::prctl(PR_SET_PDEATHSIG, SIGKILL); // a test that fails leaves no program behind
         std::vector<char *> argv;
         for (std::string &word : words) argv.push_back(word.data());
--- a/tests/resp_test.cpp
+++ b/tests/resp_test.cpp
@@ -212,6 +212,41 @@
     assert(client.value()->text == "v" && program.running());
 }
 
+// Guards against the end that SIGHUP means by default, against a broker that still hears the discovery it was
+// told to leave, and against a request or connection lost on the way.
+void a_reload_moves_to_another_discovery() {
+    RespNode node([](const auto &, int) {
+        std::this_thread::sleep_for(300ms);
+        return RespNode::served("first");
+    });
+    RespNode next([](const auto &, int) { return RespNode::served("second"); });
+    Discovery before(member("s-1", node.server.port, 0));
+    const Discovery after(member("s-2", next.server.port, 1));
+    const Program program(before);
+    Socket client = program.client();
+    client.send(get(kPiece));
+    std::this_thread::sleep_for(100ms);
+    program.configure(after);
+    program.signal(SIGHUP);
+    assert(client.value()->text == "first");
+    while (after.calls < 2) std::this_thread::sleep_for(10ms); // the whole list, then a watch
+    client.send(get(kPiece, 1));
+    assert(client.value()->text == "second");
+    before.change(member("s-2", next.server.port, 1, "draining")); // not heard any more
+    std::this_thread::sleep_for(100ms);
+    client.send(get(kPiece, 1));
+    assert(client.value()->text == "second" && node.taken().size() == 1);
+
+    // A file that is wrong in any part is not taken, and the log names the field.
+    const int calls = after.calls;
+    program.write("config.json", R"({"name":"n0","listen":"127.0.0.1:1","discovery":"127.0.0.1:1",)"
+                                 R"("settings":{"instances":"many"}})");
+    program.signal(SIGHUP);
+    program.await_log("configuration not taken: field 'instances'");
+    client.send(get(kPiece, 1));
+    assert(client.value()->text == "second" && after.calls == calls && program.running());
+}
+
 void a_bad_configuration_is_named() {
     const std::string path =
         std::filesystem::temp_directory_path() / fmt::format("marblewood-bad-{}", ::getpid());
@@ -248,5 +283,6 @@
     a_client_that_leaves_harms_nobody();
     a_planned_end_answers_all_it_took();
     more_clients_than_sockets_are_survived();
+    a_reload_moves_to_another_discovery();
     a_bad_configuration_is_named();
 }
