--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -23,7 +23,12 @@
     if (const std::string text = text_or(root, "seed", "0");
         std::from_chars(text.data(), text.data() + text.size(), seed, 16).ptr != text.data() + text.size())
         throw Error("field 'seed' is not a hexadecimal number");
-    if (root.isMember("limits")) c.sockets = static_cast<int>(integer_or(root["limits"], "sockets", 1024));
+    if (root.isMember("limits")) {
+        c.sockets = static_cast<int>(integer_or(root["limits"], "sockets", 1024));
+        c.memory_mb = static_cast<std::size_t>(integer_or(root["limits"], "memory_mb", 192));
+    }
+    if (c.memory_mb < 16 || c.memory_mb > 1 << 20)
+        throw Error("field 'limits.memory_mb' is not from 16 to 1048576");
     if (c.sockets < 64) throw Error("field 'limits.sockets' is under 64, too few to serve");
     if (root.isMember("known")) c.known = root["known"];
     c.settings = read_settings(need(root, "settings"), seed);
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -9,6 +9,7 @@
     std::string name, listen, discovery, peer_listen, peers_all;
     std::vector<std::string> peers;
     int sockets = 1024;
+    std::size_t memory_mb = 192;
     Json::Value known; // in discovery's form
     Settings settings; // the module's own
     Json::Value file;  // as written, to tell at a reload what has changed
--- a/src/config/decode.hpp
+++ b/src/config/decode.hpp
@@ -46,12 +46,12 @@
     return o.isMember(f) && !o[f].isNull() ? micros(need_number(o, f)) : otherwise;
 }
 
-// Gives each text a small number, in the order of first sight.
+// Gives each text a number, in the order of first sight. A number is never given again.
 class Names {
 public:
     std::uint32_t number(const std::string &text) {
-        const auto [it, fresh] = numbers_.try_emplace(text, static_cast<std::uint32_t>(texts_.size()));
-        if (fresh) texts_.push_back(text);
+        const auto [it, fresh] = numbers_.try_emplace(text, next_);
+        if (fresh) texts_[next_++] = text;
         return it->second;
     }
     std::optional<std::uint32_t> find(const std::string &text) const {
@@ -59,10 +59,18 @@
         return it == numbers_.end() ? std::nullopt : std::optional(it->second);
     }
     const std::string &text(std::uint32_t number) const { return texts_.at(number); }
+    template <typename F> void forget_if(F gone) { // names come without end where nodes are replaced
+        std::erase_if(texts_, [&](const auto &entry) {
+            if (!gone(entry.first)) return false;
+            numbers_.erase(entry.second);
+            return true;
+        });
+    }
 
 private:
+    std::uint32_t next_ = 0;
     std::unordered_map<std::string, std::uint32_t> numbers_;
-    std::vector<std::string> texts_;
+    std::unordered_map<std::uint32_t, std::string> texts_;
 };
 
 Settings read_settings(const Json::Value &params, std::uint64_t seed);
--- a/src/core/mailbox.hpp
+++ b/src/core/mailbox.hpp
@@ -20,6 +20,7 @@
         values_.push_back(std::move(value));
         if (auto waiter = std::exchange(waiter_, nullptr)) waiter();
     }
+    bool empty() const { return values_.empty(); }
     boost::asio::awaitable<T> take() {
         while (values_.empty())
             co_await boost::asio::async_initiate<const boost::asio::use_awaitable_t<>, void()>(
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-constexpr std::size_t kMostHeld = 48u << 20; // bytes of bodies held at once, well within a small machine
-
 // What a coroutine of ours lets out is a fault of the program: it must be seen, not swallowed.
 void report(const std::exception_ptr &error) {
     if (error) std::rethrow_exception(error);
@@ -18,18 +16,16 @@
 
 } // namespace
 
-Planner::Planner(asio::any_io_executor executor, Deadlines &deadlines, const Settings &settings,
-                 NodePort &port, Surroundings surroundings, Observer *observer)
-    : executor_(std::move(executor)), deadlines_(deadlines), settings_(settings), port_(port),
-      surroundings_(std::move(surroundings)), observer_(observer), scheduler_(settings) {}
+Planner::Planner(asio::any_io_executor executor, Deadlines &deadlines, Memory &memory,
+                 const Settings &settings, NodePort &port, Surroundings surroundings, Observer *observer)
+    : executor_(std::move(executor)), deadlines_(deadlines), memory_(memory), settings_(settings),
+      port_(port), surroundings_(std::move(surroundings)), observer_(observer), scheduler_(settings) {}
 
 RequestId Planner::submit(std::shared_ptr<const Request> request, Answer answer) {
     const RequestId id{next_id_++};
-    auto life = std::make_shared<Life>(executor_, id, std::move(request), std::move(answer));
+    auto life = std::make_shared<Life>(executor_, memory_, id, std::move(request), std::move(answer));
     ++answers_;
-    held_bytes_ += life->request->body.size();
-    if (held_bytes_ > kMostHeld) { // no memory to hold it: nothing has run, and the client learns so at once
-        held_bytes_ -= life->request->body.size();
+    if (memory_.full()) { // no room to hold it: nothing has run, and the client learns so at once
         finish(*life, {Outcome::Kind::Refused, {}, settings_.max_retry_after, true});
         return id;
     }
@@ -86,7 +82,6 @@
             tell(ClientLeft{life->id});
         }
     }
-    held_bytes_ -= life->request->body.size();
     lives_.erase(static_cast<std::uint64_t>(life->id));
 }
 
@@ -118,9 +113,12 @@
 void Planner::client_left(RequestId id) { to_life(id, Left{}); }
 
 void Planner::list(const ListUpdate &update) {
-    if (update.kind != ListUpdate::Kind::Changes && update.kind != ListUpdate::Kind::Failed)
-        for (auto &[node, state] : nodes_) state = NodeState::Gone;
-    for (const NodeEntry &entry : update.entries) nodes_[entry.node] = entry.state;
+    if (update.kind != ListUpdate::Kind::Changes && update.kind != ListUpdate::Kind::Failed) nodes_.clear();
+    for (const NodeEntry &entry : update.entries)
+        if (entry.state == NodeState::Gone)
+            nodes_.erase(entry.node);
+        else
+            nodes_[entry.node] = entry.state;
     tell(update);
 }
 
--- a/src/core/planner.hpp
+++ b/src/core/planner.hpp
@@ -5,6 +5,7 @@
 #include "core/deadlines.hpp"
 #include "core/log.hpp"
 #include "core/mailbox.hpp"
+#include "core/memory.hpp"
 #include "core/types.hpp"
 
 #include <map>
@@ -33,14 +34,17 @@
 public:
     using Answer = std::function<void(Outcome)>;
 
-    Planner(boost::asio::any_io_executor executor, Deadlines &deadlines, const Settings &settings,
-            NodePort &port, Surroundings surroundings, Observer *observer = nullptr);
+    Planner(boost::asio::any_io_executor executor, Deadlines &deadlines, Memory &memory,
+            const Settings &settings, NodePort &port, Surroundings surroundings,
+            Observer *observer = nullptr);
 
     // Takes a request; `answer` is called exactly once, unless the client leaves before.
     RequestId submit(std::shared_ptr<const Request> request, Answer answer);
     void client_left(RequestId id);
     void list(const ListUpdate &update);
     void peer_message(PeerMessage message) { tell(std::move(message)); }
+    // Whether the node is on the list, or anything is out there.
+    bool knows(NodeId node) const { return scheduler_.bound(node).has_value(); }
     std::size_t open() const { return answers_; } // requests that still owe an answer
 
 private:
@@ -51,15 +55,17 @@
     };
     using Step = std::variant<Send, Refuse, Fail, Cancel, Left, Ended>;
     struct Life {
-        Life(boost::asio::any_io_executor executor, RequestId number, std::shared_ptr<const Request> r,
-             Answer a)
-            : id(number), request(std::move(r)), answer(std::move(a)), steps(std::move(executor)) {}
+        Life(boost::asio::any_io_executor executor, Memory &memory, RequestId number,
+             std::shared_ptr<const Request> r, Answer a)
+            : id(number), request(std::move(r)), answer(std::move(a)), steps(std::move(executor)),
+              held(memory, request->body.size()) {}
         RequestId id;
         std::shared_ptr<const Request> request;
         Answer answer; // empty once given, or once the client has left
         std::vector<std::shared_ptr<Attempt>> attempts;
         std::size_t out = 0;
         Mailbox<Step> steps;
+        Memory::Share held;
     };
 
     boost::asio::awaitable<void> live(std::shared_ptr<Life> life);
@@ -74,18 +80,19 @@
 
     boost::asio::any_io_executor executor_;
     Deadlines &deadlines_;
+    Memory &memory_;
     Settings settings_;
     NodePort &port_;
     Surroundings surroundings_;
     Observer *observer_;
     Scheduler scheduler_;
     std::unordered_map<std::uint64_t, std::shared_ptr<Life>> lives_; // the ledger
-    std::map<NodeId, NodeState> nodes_;
+    std::map<NodeId, NodeState> nodes_;                              // all that are listed and not gone
     std::map<std::uint64_t, Deadlines::Entry> timers_;
     std::deque<Event> events_;
     bool telling_ = false;
     std::uint64_t next_id_ = 1, next_timer_ = 1;
-    std::size_t answers_ = 0, held_bytes_ = 0;
+    std::size_t answers_ = 0;
 };
 
 // Where a front hands its requests: which planner takes one is the wiring's business.
@@ -94,6 +101,7 @@
     std::function<std::uint64_t()> fresh; // a random number, for identifiers
     const Settings &settings;
     Deadlines &deadlines;
+    Memory &memory;
 };
 
 } // namespace marblewood::core
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -26,6 +26,8 @@
 
 namespace {
 
+constexpr std::size_t kHeldPart = 4; // a quarter of the memory is for what clients send and are owed
+
 template <typename Endpoint> Endpoint address(const std::string &text, const char *field) {
     if (const auto found = net::endpoint<Endpoint>(text)) return *found;
     throw config::Error(fmt::format("field '{}': '{}' is not an address and port", field, text));
@@ -65,6 +67,7 @@
     core::Clock clock;
     core::Deadlines deadlines(io, clock);
     net::SocketBudget budget(sockets);
+    core::Memory memory((config.memory_mb << 20) / kHeldPart);
     config::Names nodes, zones;
     const net::nvme::Mapping mapping = net::nvme::read_mapping(added.nvme, config.settings);
     net::resp::NodePort resp_port(io.get_executor(), deadlines, budget, config.settings);
@@ -91,14 +94,15 @@
         own.hosts = config.settings.hosts * added.planners;
         own.position = config.settings.position * added.planners + n;
         own.seed = config.settings.seed + static_cast<std::uint64_t>(n) * 0x9e3779b97f4a7c15;
-        planners.push_back(std::make_unique<core::Planner>(io.get_executor(), deadlines, own, ports, around,
+        planners.push_back(std::make_unique<core::Planner>(io.get_executor(), deadlines, memory, own, ports,
+                                                           around,
                                                            exporter ? &exporter->observer() : nullptr));
     }
     const core::Desk desk{
         [&](const core::Request &r) -> core::Planner & { // a volume always goes through the same one
             return *planners[static_cast<std::uint64_t>(r.facts.volume) % planners.size()];
         },
-        [&] { return random(); }, config.settings, deadlines};
+        [&] { return random(); }, config.settings, deadlines, memory};
 
     const auto told = [&](const net::discovery::Reading &reading) {
         for (const auto &[node, at] : reading.addresses) {
@@ -113,6 +117,17 @@
             }
         }
         for (const auto &planner : planners) planner->list(reading.update);
+        // Nodes are replaced for as long as this runs: those that are gone, with nothing out there, are
+        // forgotten.
+        nodes.forget_if([&](std::uint32_t number) {
+            const NodeId node{number};
+            for (const auto &planner : planners)
+                if (planner->knows(node)) return false;
+            resp_port.forget(node);
+            nvme_port.forget(node);
+            ports.forget(node);
+            return true;
+        });
     };
     if (!config.discovery.empty())
         discovery.emplace(
@@ -134,8 +149,9 @@
     saved.update.kind = ListUpdate::Kind::Saved;
     told(saved);
 
+    net::resp::OpenIds open;
     net::Clients clients(io, deadlines, budget, address<tcp::endpoint>(config.listen, "listen"),
-                         [desk](net::Client &client) { return net::resp::serve(client, desk); });
+                         [&](net::Client &client) { return net::resp::serve(client, desk, open); });
     net::nvme::Controllers controllers;
     std::optional<net::Clients> nvme_clients;
     if (!mapping.listen.empty())
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -27,7 +27,8 @@
     asio::steady_timer rest(io_);
     while (acceptor_.is_open()) {
         // A request may be written to a connection that waits to be accepted, and counts as taken then. So
-        // room is made by closing the idle client that was unused the longest, never by not accepting.
+        // room is made by closing an idle client, never by not accepting: one that holds a connection and
+        // says nothing before one that comes back to it.
         if (budget_.clients_full()) drop_idle();
         boost::system::error_code error;
         tcp::socket socket =
@@ -44,7 +45,7 @@
         last_new_ = deadlines_.clock.now();
         const auto client = clients_.emplace(clients_.end(), std::move(socket));
         client->lease = budget_.client();
-        client->used = last_new_;
+        client->accepted = client->used = last_new_;
         asio::co_spawn(io_, serve(client), asio::detached);
     }
 }
@@ -52,7 +53,9 @@
 void Clients::drop_idle() {
     Client *oldest = nullptr;
     for (Client &client : clients_)
-        if (client.idle() && !client.closing && (!oldest || client.used < oldest->used)) oldest = &client;
+        if (client.idle() && !client.closing &&
+            (!oldest || std::pair(client.asked, client.used) < std::pair(oldest->asked, oldest->used)))
+            oldest = &client;
     if (!oldest) return;
     oldest->closing = true;
     oldest->close();
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -14,7 +14,9 @@
     explicit Client(tcp::socket s) : socket(std::move(s)) {}
     tcp::socket socket;
     SocketBudget::Lease lease;
-    Micros used = 0;             // when something last came on it
+    Micros accepted = 0;
+    Micros used = 0;             // when something last came or went on it
+    bool asked = false;          // it has asked for something, or made itself known
     std::size_t owed = 0;        // requests taken on it and not yet answered whole
     bool partial = false;        // part of a request has come
     bool closing = false;        // takes no more
@@ -41,7 +43,7 @@
 private:
     asio::awaitable<void> accept();
     asio::awaitable<void> serve(std::list<Client>::iterator client);
-    void drop_idle(); // the one unused the longest
+    void drop_idle(); // one that never asked, else one unused the longest
     void drain_turn();
 
     asio::io_context &io_;
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -79,6 +79,10 @@
         if (same(name, "retry-after")) response.retry_after = value;
     }
     std::string_view rest = std::string_view(in).substr(head_end + 4);
+    if (response.status >= 100 && response.status < 200) { // an interim response: the final one follows
+        in.erase(0, head_end + 4);
+        return take(in, ended);
+    }
     if (chunked) {
         if (!chunks(rest, response.body)) return std::nullopt;
     } else if (size) {
--- a/src/net/nvme/front.cpp
+++ b/src/net/nvme/front.cpp
@@ -13,6 +13,7 @@
                                20ull << 24 /* ready within 10 s */ | 1ull << 37 /* the NVM command set */;
 constexpr std::uint32_t kVersion = 0x00010400;
 constexpr Micros kKeepAliveSlack = 1'000'000;
+constexpr std::size_t kMostHead = 24; // bytes told of a PDU that never came whole
 constexpr std::size_t kConnectData = 1024, kIdentifyData = 4096;
 
 std::string_view text(std::string_view field) { return field.substr(0, field.find('\0')); }
@@ -35,7 +36,7 @@
 class FrontSession : public Session {
 public:
     FrontSession(Client &client, core::Desk desk, const Mapping &mapping, Controllers &controllers)
-        : Session(client, desk.deadlines), desk_(std::move(desk)), mapping_(mapping),
+        : Session(client, desk.deadlines, desk.memory), desk_(std::move(desk)), mapping_(mapping),
           controllers_(controllers) {}
     ~FrontSession() override { leave(); }
 
@@ -96,8 +97,19 @@
             end_now("malformed");
         }
     }
+    std::size_t held() const override {
+        std::size_t bytes = in_.size();
+        for (const auto &[tag, transfer] : transfers_) bytes += transfer.data.size();
+        return bytes;
+    }
+    Micros may_idle() const override { return 0; } // a host with a controller has its keep-alives
+    void spoilt(const char *why) override {
+        core::log("nvme client: {}", why);
+        send(term_req(Type::C2HTermReq, Malformed(Fatal::HeaderField, why, in_.substr(0, kMostHead))), 0);
+        end_now(why);
+    }
     void end_now(const char *) {
-        in_.clear();
+        std::string().swap(in_);
         over_ = true;
         client_.owed -= commands_.size(); // these get no answer; what is queued already is still sent
         left();
@@ -280,6 +292,7 @@
             controller_ = asked;
         }
         if (!controller_) return complete(c.cid(), wrong);
+        client_.asked = true;
         complete(c.cid(), {}, controller_);
     }
 
--- a/src/net/nvme/node_port.cpp
+++ b/src/net/nvme/node_port.cpp
@@ -14,7 +14,8 @@
 constexpr Micros kDial = 250'000;          // us for an association to come up, where the settings do not say
 constexpr Micros kAbortWithin = 2'000'000; // us for an aborted command to be completed; else all is given up
 constexpr Micros kKeepAlive = 5'000'000;   // us between keep-alives, and for the answer to one
-constexpr std::size_t kChunk = 16 * 1024;  // bytes of one H2CData, so that a cancel can stop half-way
+constexpr Micros kGap = 100'000; // us of silence in a PDU that has begun, after which it does not go on
+constexpr std::size_t kChunk = 16 * 1024; // bytes of one H2CData, so that a cancel can stop half-way
 constexpr std::uint16_t kEntries = 128;
 
 struct Up {};
@@ -212,14 +213,15 @@
     }
 
     asio::awaitable<std::optional<Pdu>> receive(QueuePtr queue) {
+        core::Deadlines::Entry limit; // a PDU that has begun and does not go on holds up all behind it
         for (;;) {
             if (auto pdu = take(queue->in)) co_return pdu;
-            char chunk[16384];
-            boost::system::error_code error;
-            const std::size_t got = co_await queue->socket.async_read_some(
-                asio::buffer(chunk), asio::redirect_error(asio::use_awaitable, error));
-            if (error) co_return std::nullopt;
-            queue->in.append(chunk, got);
+            if (!queue->in.empty())
+                limit = deadlines_.in(kGap, [queue] {
+                    boost::system::error_code ignored;
+                    if (queue->socket.available(ignored) == 0) queue->socket.close(ignored);
+                });
+            if (co_await read_more(queue->socket, queue->in)) co_return std::nullopt;
         }
     }
 
@@ -441,6 +443,13 @@
                                        connect_timeout_);
 }
 
+void NodePort::forget(NodeId node) {
+    const auto at = associations_.find(node);
+    if (at == associations_.end()) return;
+    at->second->drop("it is gone");
+    associations_.erase(at);
+}
+
 void NodePort::close_idle(NodeId node) {
     if (const auto at = associations_.find(node); at != associations_.end() && at->second->idle())
         at->second->drop(nullptr);
--- a/src/net/nvme/node_port.hpp
+++ b/src/net/nvme/node_port.hpp
@@ -24,6 +24,7 @@
     NodePort(asio::any_io_executor executor, core::Deadlines &deadlines, SocketBudget &budget,
              const Settings &settings, std::uint32_t block_bytes);
     void place(NodeId node, const tcp::endpoint &address, const NodeMapping &mapping);
+    void forget(NodeId node); // it is gone, and nothing is out there
 
     asio::awaitable<core::AttemptResult> run(std::shared_ptr<core::Attempt> attempt) override;
     asio::awaitable<core::ProbeResult> probe(NodeId node) override;
--- a/src/net/pool.hpp
+++ b/src/net/pool.hpp
@@ -20,6 +20,13 @@
         boost::system::error_code ignored;
         socket.close(ignored);
     }
+    // Closes it at the end of the time, unless something has come that is only not read yet.
+    core::Deadlines::Entry expect_more(core::Deadlines &deadlines, Micros within) {
+        return deadlines.in(within, [this] {
+            boost::system::error_code ignored;
+            if (socket.available(ignored) == 0) close();
+        });
+    }
     // A node may have closed it since its last use. What is written to such a connection may be lost after it
     // was written whole, so it is looked at before.
     bool fresh() {
@@ -37,10 +44,12 @@
 
     // An idle connection to this address that still stands, or null.
     std::shared_ptr<Wire> reuse(const tcp::endpoint &to) {
-        auto &idle = idle_[to];
-        while (!idle.empty()) {
-            auto wire = std::move(idle.back()); // the one used last: the others may grow old and go
-            idle.pop_back();
+        for (auto at = idle_.find(to); at != idle_.end(); at = idle_.find(to)) {
+            // The one that has rested the longest: a node that ends a connection after an answer, or sends
+            // more behind it, does so some milliseconds later, and it is seen only once that has come.
+            auto wire = std::move(at->second.front());
+            at->second.pop_front();
+            if (at->second.empty()) idle_.erase(at);
             wire->idle_end.reset();
             if (wire->fresh()) return wire;
         }
@@ -56,7 +65,10 @@
     }
     void give_back(const tcp::endpoint &to, std::shared_ptr<Wire> wire) {
         wire->idle_end = deadlines_.in(keep_, [this, to, raw = wire.get()] {
-            idle_[to].remove_if([raw](const auto &w) { return w.get() == raw; });
+            const auto at = idle_.find(to);
+            if (at == idle_.end()) return;
+            at->second.remove_if([raw](const auto &w) { return w.get() == raw; });
+            if (at->second.empty()) idle_.erase(at);
         });
         idle_[to].push_back(std::move(wire));
     }
@@ -64,15 +76,17 @@
 
 private:
     void drop_one() {
-        for (auto &[to, idle] : idle_)
-            if (!idle.empty()) return idle.pop_front();
+        if (idle_.empty()) return;
+        const auto at = idle_.begin();
+        at->second.pop_front();
+        if (at->second.empty()) idle_.erase(at);
     }
 
     asio::any_io_executor executor_;
     core::Deadlines &deadlines_;
     SocketBudget &budget_;
     Micros keep_;
-    std::map<tcp::endpoint, std::list<std::shared_ptr<Wire>>> idle_;
+    std::map<tcp::endpoint, std::list<std::shared_ptr<Wire>>> idle_; // no empty list
 };
 
 } // namespace marblewood::net
--- a/src/net/ports.hpp
+++ b/src/net/ports.hpp
@@ -11,6 +11,7 @@
 public:
     explicit Ports(core::NodePort &usual) : usual_(usual) {}
     void set(NodeId node, core::NodePort &port) { special_[node] = &port; }
+    void forget(NodeId node) { special_.erase(node); }
 
     boost::asio::awaitable<core::AttemptResult> run(std::shared_ptr<core::Attempt> attempt) override {
         core::NodePort &port = of(attempt->node);
--- a/src/net/resp/front.cpp
+++ b/src/net/resp/front.cpp
@@ -10,6 +10,8 @@
 namespace marblewood::net::resp {
 namespace {
 
+constexpr Micros kMayIdle = 2'000'000; // us; clients open another connection when they need one
+
 template <typename T> T number(std::string_view text, const char *name, int base = 10) {
     T value{};
     const char *const last = text.data() + text.size();
@@ -54,7 +56,8 @@
 // Answer callbacks may outlive the connection, so they hold it weakly.
 class RespSession : public Session {
 public:
-    RespSession(Client &client, core::Desk desk) : Session(client, desk.deadlines), desk_(std::move(desk)) {}
+    RespSession(Client &client, core::Desk desk, OpenIds &open)
+        : Session(client, desk.deadlines, desk.memory), desk_(std::move(desk)), open_(open) {}
 
 private:
     struct Slot {
@@ -62,22 +65,34 @@
         bool ready = false;
         core::Planner *planner = nullptr;
         RequestId id{};
+        std::string name; // the client's id
     };
 
     void take_all() override {
         std::string_view bytes = in_;
         try {
-            while (auto value = take(bytes)) {
+            while (auto value = over_ ? std::nullopt : reader_.take(bytes)) {
                 command(std::move(*value));
                 since_ = deadlines_.clock.now(); // what stands behind has come by now at the latest
             }
             in_.erase(0, in_.size() - bytes.size());
         } catch (const Malformed &error) { // where the next command begins cannot be known any more
-            in_.clear();
             over_ = true;
-            say(fmt::format("-ERR Protocol error: {}\r\n", error.what()));
+            spoilt(error.what());
         }
     }
+    bool begun() const override { return !in_.empty() || !reader_.between(); }
+    std::size_t held() const override { return in_.size() + reader_.kept() + ready_; }
+    Micros may_idle() const override { return kMayIdle; }
+    void spoilt(const char *why) override {
+        std::string().swap(in_); // nothing of it is kept while the client takes its leave
+        reader_ = Reader();
+        say(fmt::format("-ERR Protocol error: {}\r\n", why));
+    }
+    void turn_away(const char *why) { // understood, but of no use
+        wrong_ = true;
+        say(fmt::format("-ERR {}\r\n", why));
+    }
 
     void command(Value &&value) {
         if (value.kind != Value::Kind::Array || value.null || value.elements.empty())
@@ -92,20 +107,24 @@
             over_ = true;
             return say("+OK\r\n");
         }
-        if (name != "OBJ.GET" && name != "OBJ.PUT") return say("-ERR unknown command\r\n");
+        if (name != "OBJ.GET" && name != "OBJ.PUT") return turn_away("unknown command");
         try {
             ask(read_request(std::move(value), desk_.settings));
         } catch (const Malformed &error) {
-            say(fmt::format("-ERR {}\r\n", error.what()));
+            turn_away(error.what());
         }
     }
 
     void ask(core::Request &&read) {
+        // Its answers could not be told from the other's, and a node takes one for a repeat of the other.
+        if (!open_.insert(read.id).second) throw Malformed("the id of an open request");
+        client_.asked = true;
         read.sent = since_;
         auto request = std::make_shared<const core::Request>(std::move(read));
         core::Planner &planner = desk_.planner(*request);
         const std::uint64_t number = slot();
         slots_.back().planner = &planner;
+        slots_.back().name = request->id;
         const std::weak_ptr<Session> weak = weak_from_this();
         const RequestId id = planner.submit(std::move(request), [this, weak, number](core::Outcome outcome) {
             if (const auto self = weak.lock()) answer(number, spell(outcome));
@@ -126,10 +145,13 @@
         Slot &slot = slots_[number - first_];
         slot.bytes = std::move(bytes);
         slot.ready = true;
+        ready_ += slot.bytes.size();
+        if (slot.planner) open_.erase(slot.name);
         std::string out;
         std::size_t answers = 0;
         for (; !slots_.empty() && slots_.front().ready; ++first_, ++answers) {
             out += slots_.front().bytes;
+            ready_ -= slots_.front().bytes.size();
             slots_.pop_front();
         }
         if (answers > 0) send(std::move(out), answers);
@@ -137,18 +159,24 @@
 
     void left() override {
         for (const Slot &slot : slots_)
-            if (slot.planner && !slot.ready) slot.planner->client_left(slot.id);
+            if (slot.planner && !slot.ready) {
+                open_.erase(slot.name);
+                slot.planner->client_left(slot.id);
+            }
     }
 
     core::Desk desk_;
+    OpenIds &open_;
+    Reader reader_;
+    std::size_t ready_ = 0; // bytes of answers that wait for those before them
     std::deque<Slot> slots_;
     std::uint64_t first_ = 0; // the number of the first slot
 };
 
 } // namespace
 
-asio::awaitable<void> serve(Client &client, core::Desk desk) {
-    const auto session = std::make_shared<RespSession>(client, std::move(desk));
+asio::awaitable<void> serve(Client &client, core::Desk desk, OpenIds &open) {
+    const auto session = std::make_shared<RespSession>(client, std::move(desk), open);
     co_await session->run();
 }
 
--- a/src/net/resp/front.hpp
+++ b/src/net/resp/front.hpp
@@ -6,9 +6,13 @@
 #include "net/clients.hpp"
 #include "net/resp/parser.hpp"
 
+#include <unordered_set>
+
 namespace marblewood::net::resp {
 
-asio::awaitable<void> serve(Client &client, core::Desk desk);
+using OpenIds = std::unordered_set<std::string>; // of requests taken and not yet answered, of all clients
+
+asio::awaitable<void> serve(Client &client, core::Desk desk, OpenIds &open);
 
 // What a command asks. Throws Malformed, which says what is wrong.
 core::Request read_request(Value &&command, const Settings &settings);
--- a/src/net/resp/node_port.cpp
+++ b/src/net/resp/node_port.cpp
@@ -1,6 +1,7 @@
 #include "net/resp/node_port.hpp"
 
 #include "config/decode.hpp"
+#include "core/log.hpp"
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -11,6 +12,8 @@
 namespace {
 
 constexpr Micros kDial = 250'000; // us for a connection to come up, where the settings do not say
+constexpr Micros kGap = 100'000;  // us of silence in an answer that has begun, after which it does not go on
+constexpr Micros kRest = 5'000;   // the same behind a whole value
 
 // Calls `use` with each name and number of "used=37,cost=4"; what is not of that form is passed over.
 template <typename F> void figures(std::string_view text, F use) {
@@ -39,20 +42,65 @@
     });
 }
 
-asio::awaitable<std::optional<Value>> receive(Wire &wire) {
-    for (;;) {
+struct Answer {
+    std::optional<Value> value;
+    bool spoilt = false; // the connection is of no further use
+};
+
+// Reads one answer. A value stands once it is whole, whatever follows it: the rest of its array can't take
+// back what has run, and is not waited for long. Nor is an answer that has begun and does not go on.
+asio::awaitable<Answer> receive(Wire &wire, core::Deadlines &deadlines) {
+    Answer answer;
+    Reader reader;
+    core::Deadlines::Entry limit;
+    while (!answer.value && !answer.spoilt) {
+        if (!reader.between() || !wire.in.empty())
+            limit = wire.expect_more(deadlines, reader.first() ? kRest : kGap);
+        answer.spoilt = bool(co_await read_more(wire.socket, wire.in));
         std::string_view bytes = wire.in;
-        if (auto value = take(bytes)) {
-            wire.in.erase(0, wire.in.size() - bytes.size());
-            co_return value;
+        try {
+            answer.value = reader.take(bytes);
+        } catch (const Malformed &error) { // no guess is made at what such an answer meant
+            core::log("node: {}", error.what());
+            answer.spoilt = true;
         }
-        char chunk[16384];
-        boost::system::error_code error;
-        const std::size_t got = co_await wire.socket.async_read_some(
-            asio::buffer(chunk), asio::redirect_error(asio::use_awaitable, error));
-        if (error) co_return std::nullopt;
-        wire.in.append(chunk, got);
+        wire.in.erase(0, wire.in.size() - bytes.size());
     }
+    if (!answer.value)
+        if (const std::string *first = reader.first()) {
+            answer.value = Value{Value::Kind::Array, false, {}, {}};
+            answer.value->elements.push_back({Value::Kind::Bulk, false, *first, {}});
+        }
+    answer.spoilt |= !wire.in.empty(); // what stands behind an answer belongs to nobody
+    co_return answer;
+}
+
+// What a node's answer means; false: nothing that a node says, and its connection can't be trusted further.
+bool read_answer(Value &&answer, core::AttemptResult &result) {
+    const auto text = [](const Value &v) { return v.kind == Value::Kind::Bulk && !v.null; };
+    const auto says = [&](std::string_view word) {
+        return answer.text == word || answer.text.starts_with(std::string(word) + ' ');
+    };
+    if (answer.kind == Value::Kind::Array && !answer.elements.empty() && text(answer.elements.front())) {
+        result.status = Status::Ok;
+        result.value = std::move(answer.elements.front().text);
+        for (std::size_t n = 1; n < answer.elements.size(); ++n)
+            if (text(answer.elements[n])) read_figures(answer.elements[n].text, result);
+        return true;
+    }
+    result.status = Status::Error;
+    if (answer.kind != Value::Kind::Error) return false;
+    if (says("BUSY")) {
+        result.status = Status::Full;
+        return true;
+    }
+    std::string_view words = answer.text;
+    while (!words.empty()) {
+        const std::string_view one = words.substr(0, words.find(' '));
+        words.remove_prefix(std::min(words.size(), one.size() + 1));
+        read_figures(one, result);
+    }
+    return says("ERR");
 }
 
 } // namespace
@@ -69,6 +117,17 @@
     it->second = address;
 }
 
+void NodePort::forget(NodeId node) {
+    close_idle(node);
+    addresses_.erase(node);
+}
+// Where the node has moved or gone meanwhile, nobody would come for the connection.
+void NodePort::give_back(NodeId node, const tcp::endpoint &to, std::shared_ptr<Wire> wire) {
+    const auto at = addresses_.find(node);
+    std::string().swap(wire->in); // its room, too
+    if (at != addresses_.end() && at->second == to) pool_.give_back(to, std::move(wire));
+}
+
 void NodePort::close_idle(NodeId node) {
     if (const auto at = addresses_.find(node); at != addresses_.end()) pool_.close_idle(at->second);
 }
@@ -92,12 +151,12 @@
     std::shared_ptr<Wire> wire; // no co_await inside a ?: anywhere: g++ 12 frees its temporaries twice
     if (at != addresses_.end()) wire = co_await connect(to, *attempt);
     if (!wire || attempt->stopped) {
-        if (wire) pool_.give_back(to, wire);
+        if (wire) give_back(attempt->node, to, wire);
         result.status = attempt->broken(false);
         co_return result;
     }
     if (!attempt->may_write()) {
-        pool_.give_back(to, wire);
+        give_back(attempt->node, to, wire);
         result.status = Status::Moot;
         co_return result;
     }
@@ -109,44 +168,19 @@
     const std::size_t written = co_await asio::async_write(wire->socket, asio::buffer(command),
                                                            asio::redirect_error(asio::use_awaitable, error));
     const bool whole = written == command.size();
-    std::optional<Value> answer;
-    if (whole) try {
-            answer = co_await receive(*wire);
-        } catch (const Malformed &) { // no guess is made at what such an answer meant
-        }
+    Answer answer;
+    if (whole) answer = co_await receive(*wire, deadlines_);
     attempt->on_stop = nullptr;
-    if (!answer || !wire->socket.is_open()) {
+    if (!answer.value) {
         wire->close();
         result.status = attempt->broken(whole);
         co_return result;
     }
-    result = read_answer(std::move(*answer));
-    if (wire->in.empty()) pool_.give_back(to, wire);
+    const bool good = read_answer(std::move(*answer.value), result) && !answer.spoilt;
+    if (good && wire->socket.is_open()) give_back(attempt->node, to, wire);
     co_return result;
 }
 
-core::AttemptResult read_answer(Value &&answer) {
-    core::AttemptResult result;
-    const auto text = [](const Value &v) { return v.kind == Value::Kind::Bulk && !v.null; };
-    if (answer.kind == Value::Kind::Array && !answer.elements.empty() && text(answer.elements.front())) {
-        result.status = Status::Ok;
-        result.value = std::move(answer.elements.front().text);
-        for (std::size_t n = 1; n < answer.elements.size(); ++n)
-            if (text(answer.elements[n])) read_figures(answer.elements[n].text, result);
-    } else if (answer.kind == Value::Kind::Error && answer.text.starts_with("BUSY")) {
-        result.status = Status::Full;
-    } else {
-        result.status = Status::Error;
-        std::string_view words = answer.text;
-        while (!words.empty()) {
-            const std::string_view one = words.substr(0, words.find(' '));
-            words.remove_prefix(std::min(words.size(), one.size() + 1));
-            read_figures(one, result);
-        }
-    }
-    return result;
-}
-
 // The client's command again, but for `d`, which tells how long this broker will wait.
 std::string NodePort::spell(const core::Attempt &attempt) const {
     const core::Request &r = *attempt.request;
@@ -179,25 +213,20 @@
     boost::system::error_code error;
     co_await asio::async_write(wire->socket, asio::buffer(ask),
                                asio::redirect_error(asio::use_awaitable, error));
-    std::optional<Value> answer;
-    if (!error) try {
-            answer = co_await receive(*wire);
-        } catch (const Malformed &) {
-        }
-    if (!answer || !wire->socket.is_open()) {
+    Answer answer;
+    if (!error) answer = co_await receive(*wire, deadlines_);
+    frame.on_stop = nullptr;
+    if (!answer.value) {
         wire->close();
         result.status = frame.broken(!error);
         co_return result;
     }
-    if (answer->kind == Value::Kind::Bulk && !answer->null) {
-        core::AttemptResult told;
-        read_figures(answer->text, told);
-        result.report = told.report;
-        result.status = Status::Ok;
-    } else {
-        result.status = Status::Error;
-    }
-    pool_.give_back(to, wire);
+    const bool good = answer.value->kind == Value::Kind::Bulk && !answer.value->null;
+    core::AttemptResult told;
+    if (good) read_figures(answer.value->text, told);
+    result.report = told.report;
+    result.status = good ? Status::Ok : Status::Error;
+    if (good && !answer.spoilt && wire->socket.is_open()) give_back(node, to, wire);
     co_return result;
 }
 
--- a/src/net/resp/node_port.hpp
+++ b/src/net/resp/node_port.hpp
@@ -12,6 +12,7 @@
     NodePort(asio::any_io_executor executor, core::Deadlines &deadlines, SocketBudget &budget,
              const Settings &settings);
     void place(NodeId node, const tcp::endpoint &address);
+    void forget(NodeId node); // it is gone, and nothing is out there
 
     asio::awaitable<core::AttemptResult> run(std::shared_ptr<core::Attempt> attempt) override;
     asio::awaitable<core::ProbeResult> probe(NodeId node) override;
@@ -19,6 +20,7 @@
 
 private:
     asio::awaitable<std::shared_ptr<Wire>> connect(tcp::endpoint to, core::Attempt &attempt);
+    void give_back(NodeId node, const tcp::endpoint &to, std::shared_ptr<Wire> wire);
     std::string spell(const core::Attempt &attempt) const;
 
     asio::any_io_executor executor_;
@@ -28,7 +30,4 @@
     std::map<NodeId, tcp::endpoint> addresses_;
 };
 
-// What a node's answer means. Exposed for the tests of odd answers.
-core::AttemptResult read_answer(Value &&answer);
-
 } // namespace marblewood::net::resp
--- a/src/net/resp/parser.cpp
+++ b/src/net/resp/parser.cpp
@@ -1,8 +1,10 @@
 #include "net/resp/parser.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <fmt/format.h>
 #include <iterator>
+#include <utility>
 
 namespace marblewood::net::resp {
 namespace {
@@ -27,47 +29,79 @@
     return number;
 }
 
-std::optional<Value> take(std::string_view &bytes, int depth) {
-    if (bytes.empty()) return std::nullopt;
-    const char type = bytes.front();
-    if (std::string_view("+-:$*").find(type) == std::string_view::npos) throw Malformed("unexpected byte");
-    std::string_view rest = bytes.substr(1);
-    const auto head = line(rest);
-    if (!head) return std::nullopt;
-    Value value;
-    if (type == '$') {
-        const long size = count(*head, kMostValue, "bulk");
-        value.null = size < 0;
-        if (size >= 0) {
-            const auto length = static_cast<std::size_t>(size);
-            if (rest.size() < length + 2) return std::nullopt;
-            if (rest.substr(length, 2) != "\r\n") throw Malformed("bulk string runs on");
-            value.text = rest.substr(0, length);
-            rest.remove_prefix(length + 2);
+} // namespace
+
+std::optional<Value> Reader::take(std::string_view &bytes) {
+    for (;;) {
+        std::optional<Value> whole;
+        if (bulk_) {
+            const std::string_view part = bytes.substr(0, length_ - bulk_->text.size());
+            bulk_->text += part;
+            bytes.remove_prefix(part.size());
+            if (bulk_->text.size() < length_ || bytes.empty()) return std::nullopt;
+            if (!std::string_view("\r\n").starts_with(bytes.substr(0, 2)))
+                throw Malformed("bulk string runs on");
+            if (bytes.size() < 2) return std::nullopt;
+            bytes.remove_prefix(2);
+            whole = ended(std::move(*std::exchange(bulk_, std::nullopt)));
+        } else {
+            if (bytes.empty()) return std::nullopt;
+            const char type = bytes.front();
+            if (std::string_view("+-:$*").find(type) == std::string_view::npos)
+                throw Malformed("unexpected byte");
+            std::string_view rest = bytes.substr(1);
+            const auto head = line(rest);
+            if (!head) return std::nullopt;
+            bytes = rest;
+            Value value;
+            if (type == '$') {
+                const long size = count(*head, kMostValue, "bulk");
+                value.null = size < 0;
+                if (size >= 0) {
+                    length_ = static_cast<std::size_t>(size);
+                    if ((size_ += length_) > kMostMessage) throw Malformed("message too long");
+                    value.text.reserve(length_);
+                    bulk_ = std::move(value);
+                    continue;
+                }
+            } else if (type == '*') {
+                if (array_) throw Malformed("array within an array");
+                const long size = count(*head, kMostElements, "array");
+                value.kind = Value::Kind::Array;
+                value.null = size < 0;
+                if (size > 0) {
+                    missing_ = static_cast<std::size_t>(size);
+                    array_ = std::move(value);
+                    continue;
+                }
+            } else {
+                value.kind = type == '+'   ? Value::Kind::Simple
+                             : type == '-' ? Value::Kind::Error
+                                           : Value::Kind::Integer;
+                value.text = *head;
+            }
+            whole = ended(std::move(value));
         }
-    } else if (type == '*') {
-        if (depth > 1) throw Malformed("nested too deep");
-        value.kind = Value::Kind::Array;
-        const long size = count(*head, kMostElements, "array");
-        value.null = size < 0;
-        for (long n = 0; n < size; ++n) {
-            auto element = take(rest, depth + 1);
-            if (!element) return std::nullopt;
-            value.elements.push_back(std::move(*element));
+        if (whole) {
+            size_ = 0;
+            return whole;
         }
-    } else {
-        value.kind = type == '+'   ? Value::Kind::Simple
-                     : type == '-' ? Value::Kind::Error
-                                   : Value::Kind::Integer;
-        value.text = *head;
     }
-    bytes = rest;
-    return value;
 }
 
-} // namespace
+// A value is whole; with it perhaps the array that it belongs to.
+std::optional<Value> Reader::ended(Value &&value) {
+    if (!array_) return std::move(value);
+    array_->elements.push_back(std::move(value));
+    if (--missing_ > 0) return std::nullopt;
+    return std::exchange(array_, std::nullopt);
+}
 
-std::optional<Value> take(std::string_view &bytes) { return take(bytes, 0); }
+const std::string *Reader::first() const {
+    if (!array_ || array_->elements.empty()) return nullptr;
+    const Value &value = array_->elements.front();
+    return value.kind == Value::Kind::Bulk && !value.null ? &value.text : nullptr;
+}
 
 void put_bulk(std::string &out, std::string_view text) {
     fmt::format_to(std::back_inserter(out), "${}\r\n", text.size());
--- a/src/net/resp/parser.hpp
+++ b/src/net/resp/parser.hpp
@@ -1,4 +1,4 @@
-// RESP2, read and written. The reader starts again from the front while a message is not whole.
+// RESP2, read and written.
 #pragma once
 
 #include <optional>
@@ -16,6 +16,7 @@
 inline constexpr std::size_t kMostValue = 64 * 1024; // bytes of a bulk string
 inline constexpr std::size_t kMostLine = 4096;
 inline constexpr std::size_t kMostElements = 16;
+inline constexpr std::size_t kMostMessage = kMostValue + 4 * kMostLine; // bytes of all bulk strings of one
 
 struct Value {
     enum class Kind { Simple, Error, Integer, Bulk, Array } kind = Kind::Bulk;
@@ -24,9 +25,26 @@
     std::vector<Value> elements;
 };
 
-// Takes one message off the front of `bytes`, or nothing while it is not whole. Throws Malformed as soon as
-// no further byte can make it right.
-std::optional<Value> take(std::string_view &bytes);
+// Reads messages off a stream of bytes. It keeps what it has read of a message that is not whole yet, so that
+// no byte is looked at again however small the pieces come in; only the start of a line stays with the
+// caller.
+class Reader {
+public:
+    // Takes bytes off the front until a message is whole; nothing where they end before. Throws Malformed as
+    // soon as no further byte can make it right.
+    std::optional<Value> take(std::string_view &bytes);
+    bool between() const { return !array_ && !bulk_; } // no part of a message is kept
+    std::size_t kept() const { return size_; }         // bytes that it has room for
+    // The first element of an array that is not whole, once that is there and a string.
+    const std::string *first() const;
+
+private:
+    std::optional<Value> ended(Value &&value);
+
+    std::optional<Value> array_, bulk_;    // begun
+    std::size_t missing_ = 0, length_ = 0; // elements of the one, bytes of the other
+    std::size_t size_ = 0;
+};
 
 void put_bulk(std::string &out, std::string_view text);
 std::string command(const std::vector<std::string_view> &words); // an array of bulk strings
--- a/src/net/session.hpp
+++ b/src/net/session.hpp
@@ -3,20 +3,26 @@
 #pragma once
 
 #include "core/mailbox.hpp"
+#include "core/memory.hpp"
 #include "net/clients.hpp"
 
 namespace marblewood::net {
 
 class Session : public std::enable_shared_from_this<Session> {
 public:
-    Session(Client &client, core::Deadlines &deadlines)
-        : client_(client), deadlines_(deadlines), wake_(client.socket.get_executor()) {}
+    Session(Client &client, core::Deadlines &deadlines, core::Memory &memory)
+        : client_(client), deadlines_(deadlines), wake_(client.socket.get_executor()), share_(memory),
+          memory_(memory) {}
     virtual ~Session() = default;
     asio::awaitable<void> run(); // until the connection has ended
 
 protected:
-    virtual void take_all() = 0; // takes what is whole out of `in_`
-    virtual void left() = 0;     // the client has gone: nothing more can be answered
+    virtual void take_all() = 0;                        // takes what is whole out of `in_`
+    virtual void left() = 0;                            // the client has gone: nothing more can be answered
+    virtual bool begun() const { return !in_.empty(); } // part of a message has come
+    virtual std::size_t held() const { return in_.size(); }
+    virtual Micros may_idle() const = 0; // us for which a client that has asked may be silent; 0: for good
+    virtual void spoilt(const char *why) = 0; // what has come can't be finished: tells the client
 
     // Queues bytes; with them `answers` of what is owed are paid.
     void send(std::string bytes, std::size_t answers);
@@ -24,13 +30,19 @@
 
     Client &client_;
     core::Deadlines &deadlines_;
-    std::string in_;    // read, not yet taken
-    Micros since_ = 0;  // when its first byte came
-    bool over_ = false; // nothing more is read: all that is owed is paid, then the connection ends
+    std::string in_;     // read, not yet taken
+    Micros since_ = 0;   // when its first byte came
+    bool over_ = false;  // nothing more is read: all that is owed is paid, then the connection ends
+    bool wrong_ = false; // it sent what is of no use: it is read on after a rest
 
 private:
-    void received(std::size_t got);
-    void took();
+    void took(bool fresh);
+    void mind();
+    void stop_reading(const char *why);
+    asio::awaitable<void> rest();
+    void wake() { // at most one call waits to be heard
+        if (wake_.empty()) wake_.put(true);
+    }
     asio::awaitable<void> write(std::shared_ptr<Session> self);
     asio::awaitable<void> end();
 
@@ -38,7 +50,9 @@
     std::string out_;
     std::size_t out_answers_ = 0;
     bool writing_ = false, gone_ = false;
-    char chunk_[16384];
+    core::Memory::Share share_;
+    core::Memory &memory_;
+    core::Deadlines::Entry patience_;
 };
 
 } // namespace marblewood::net
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -897,6 +897,8 @@
                    node.spent.front().at < now - (kHold / kSlots + 2) * set.fall_window)
                 node.spent.pop_front();
         std::erase_if(volumes, [&](const auto &v) { return !v.second.open && now - v.second.stamp > kIdle; });
+        std::erase_if(shards,
+                      [](const auto &s) { return s.second.nodes.empty() && s.second.waiting.empty(); });
         std::erase_if(unserved, [&](const auto &u) { return now - u.second > kForget; });
         std::erase_if(keys, [&](const auto &k) { return k.second.line.empty() && now >= k.second.rest; });
     }
--- a/tests/helper.hpp
+++ b/tests/helper.hpp
@@ -86,11 +86,9 @@
     std::optional<resp::Value> value() {
         for (;;) {
             std::string_view bytes = in;
-            if (auto v = resp::take(bytes)) {
-                in.erase(0, in.size() - bytes.size());
-                return v;
-            }
-            if (!more()) return std::nullopt;
+            auto v = reader_.take(bytes);
+            in.erase(0, in.size() - bytes.size());
+            if (v || !more()) return v;
         }
     }
     bool ended() { // reads on until the other side has closed
@@ -101,6 +99,7 @@
     std::string in;
 
 private:
+    resp::Reader reader_;
     int fd_;
 };
 
@@ -198,6 +197,7 @@
                 changed_.wait(lock, [&] { return over_ || revision_ > std::atoi(head.c_str() + since + 6); });
             if (over_) return;
             const std::string body = answer(revision_, members_);
+            s.send("HTTP/1.1 103 Early Hints\r\nLink: </v1>\r\n\r\n"); // interim answers may come first
             s.send(fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", body.size(), body));
         }
     }
@@ -301,7 +301,7 @@
             "config.json",
             fmt::format(
                 R"({{"name":"n0","listen":"127.0.0.1:{}","discovery":"127.0.0.1:{}","seed":"8c1f30d27a5be964",)"
-                R"("limits":{{"cores":1.0,"memory_mb":192,"sockets":256}},"known":{},"settings":{}}})",
+                R"("limits":{{"cores":1.0,"memory_mb":16,"sockets":256}},"known":{},"settings":{}}})",
                 port, discovery.port(), discovery.known(), settings));
     }
     void write(const std::string &name, const std::string &text) const {
@@ -317,6 +317,13 @@
             std::this_thread::sleep_for(10ms);
         assert(log().find(words) != std::string::npos);
     }
+    std::size_t memory_kb() const { // resident
+        std::ifstream status(fmt::format("/proc/{}/status", pid_));
+        for (std::string word; status >> word;)
+            if (word == "VmRSS:" && status >> word) return std::stoul(word);
+        assert(!"no such process");
+        return 0;
+    }
     void signal(int number) const { ::kill(pid_, number); }
     int exit_code() { // waits for its end
         int status = 0;
@@ -350,15 +357,20 @@
     pid_t pid_ = -1;
 };
 
-inline std::string get(const std::string &piece, int shard = 0, int wait = 1500) {
+inline std::string fresh_id() { // every request bears its own
+    static std::atomic<std::uint64_t> last = 0x9b1f03aa5c7e2d41;
+    return fmt::format("{:016x}", ++last);
+}
+inline std::string get(const std::string &piece, int shard = 0, int wait = 1500,
+                       const std::string &id = fresh_id()) {
     return resp::command(
-        {"OBJ.GET", piece, "9b1f03aa5c7e2d41",
+        {"OBJ.GET", piece, id,
          fmt::format("c=read,t=standard,d={},volume=00000003b4d60021,units=2,shard={},hosts=1", wait,
                      shard)});
 }
 inline std::string put(const std::string &piece, const std::string &body, int shard = 0, int wait = 2500) {
     return resp::command(
-        {"OBJ.PUT", piece, "9b1f03aa5c7e2d42",
+        {"OBJ.PUT", piece, fresh_id(),
          fmt::format("c=new-write,t=standard,d={},k=5c0f6e1a2b3d4c59,volume=00000003b4d60021,"
                      "units=2,shard={},hosts=1",
                      wait, shard),
--- a/tests/nvme_test.cpp
+++ b/tests/nvme_test.cpp
@@ -22,7 +22,7 @@
 }
 
 // A target: admin and I/O queues, a store of blocks, and a script of what goes wrong.
-enum class Act { Serve, Error, NotReady, Silent, Break, Hold };
+enum class Act { Serve, Error, NotReady, Silent, Break, Half };
 class Target {
 public:
     using Script = std::function<Act(bool write, std::uint64_t block, int nth)>;
@@ -81,6 +81,9 @@
         done.cid = cid;
         if (act == Act::Break) s.shut();
         if (act == Act::Break || act == Act::Silent) return act == Act::Silent;
+        if (act == Act::Half)
+            s.send(nvme::data(Type::C2HData, cid, 0, 0, std::string(1000, 'x'), false).substr(0, 500));
+        if (act == Act::Half) return true;
         if (act == Act::Error) done.status.code = status::kInternal;
         if (act == Act::NotReady) done.status.code = status::kNotReady;
         if (act == Act::Serve && write) blocks_[block] = data;
@@ -363,6 +366,37 @@
     }
     return counts;
 }
+// As on RESP2: a host that says nothing, or half of a PDU, is told and let go; a connected one may be idle.
+void silent_hosts_and_half_pdus_get_an_end() {
+    const Discovery discovery(member("s-1", free_port(), 0));
+    const int port = free_port();
+    const Program program(discovery, operators(port, false));
+    Host idle(port);
+    const auto from = std::chrono::steady_clock::now();
+    Socket silent = Socket::to(port), half = Socket::to(port);
+    half.send(nvme::ic_req().substr(0, 100));
+    assert(receive(half)->type == Type::C2HTermReq && half.ended() && silent.ended());
+    assert(std::chrono::steady_clock::now() - from < 3s);
+    assert(idle.admin.silent_for(100) && idle.io.silent_for(0));
+}
+
+// As on RESP2: an answer that has begun and does not go on is not waited for until the client's time is up.
+void half_a_node_pdu_is_not_waited_for() {
+    Target target([](bool, std::uint64_t, int nth) { return nth == 9 ? Act::Half : Act::Serve; });
+    const Discovery discovery(member("s-1", target.server.port, 0));
+    const Program program(discovery, operators(free_port(), true));
+    Socket client = program.client();
+    for (int n = 0; n < 8; ++n) { // a node known to be quick: the repeat is worth its while
+        client.send(get("0000000000000101"));
+        assert(client.value()->kind == resp::Value::Kind::Bulk);
+    }
+    const auto from = std::chrono::steady_clock::now();
+    client.send(get("0000000000000101"));
+    const auto v = client.value();
+    assert(v->kind == resp::Value::Kind::Bulk && target.commands == 10);
+    assert(std::chrono::steady_clock::now() - from < 1s);
+}
+
 void outcomes_are_the_same_over_both_protocols() {
     const Counts expected{{"served", 12}, {"refused", 6}, {"failed", 2}};
     for (const bool nvme_host : {false, true})
@@ -380,5 +414,7 @@
     a_lost_connection_is_made_again();
     nothing_new_goes_to_a_draining_nvme_node();
     malformed_pdus_end_one_connection_only();
+    silent_hosts_and_half_pdus_get_an_end();
+    half_a_node_pdu_is_not_waited_for();
     outcomes_are_the_same_over_both_protocols();
 }
--- a/tests/resp_test.cpp
+++ b/tests/resp_test.cpp
@@ -5,20 +5,20 @@
 
 namespace {
 
-const std::string kPiece = "7f3a9c21e0b4d655";
+const std::string kPiece = "7f3a9c21e0b4d655", kId = "9b1f03aa5c7e2d41";
 
 void a_request_is_served_as_the_node_served_it() {
     RespNode node([](const auto &, int) { return RespNode::served("photo\r\nbytes"); });
     const Discovery discovery(member("s-1", node.server.port, 0));
     const Program program(discovery);
     Socket client = program.client();
-    client.send(get(kPiece));
+    client.send(get(kPiece, 0, 1500, kId));
     assert(client.value()->text == "photo\r\nbytes");
     client.send(put(kPiece, std::string(64 * 1024, 'x'), -1)); // a new object: any node
     assert(client.value()->text == "photo\r\nbytes");
     const auto taken = node.taken();
     assert(taken.size() == 2 && taken[0].size() == 4 && taken[1].size() == 5);
-    assert(taken[0][0] == "OBJ.GET" && taken[0][1] == kPiece && taken[0][2] == "9b1f03aa5c7e2d41");
+    assert(taken[0][0] == "OBJ.GET" && taken[0][1] == kPiece && taken[0][2] == kId);
     assert(taken[0][3].starts_with("c=read,t=standard,d=") &&
            taken[0][3].ends_with(",volume=00000003b4d60021,units=2,shard=0,hosts=1"));
     assert(taken[1][3].find(",k=5c0f6e1a2b3d4c59,") != std::string::npos);
@@ -247,6 +247,118 @@
     assert(client.value()->text == "second" && after.calls == calls && program.running());
 }
 
+// Guards against clients that hold connections and parts of messages: each gets an error or an end in time,
+// and what all of them send is held within the memory.
+void silent_and_half_messages_get_an_end() {
+    const Discovery discovery(member("s-1", free_port(), 0));
+    const Program program(discovery);
+    const auto from = std::chrono::steady_clock::now();
+    Socket silent = program.client(), pings = program.client(), half = program.client(),
+           line = program.client(), huge = program.client();
+    pings.send("*1\r\n$4\r\nPING\r\n");
+    half.send("*4\r\n$7\r\nOBJ.GET\r\n$16\r\n7f3a");
+    line.send("*4\r\n$");
+    line.send(std::string(5000, '1'));
+    huge.send("*5\r\n$7\r\nOBJ.PUT\r\n$62914560\r\n");
+    for (Socket *s : {&half, &line, &huge}) assert(s->value()->text.starts_with("ERR Protocol error"));
+    assert(pings.value()->text == "PONG");
+    for (Socket *s : {&silent, &pings, &half, &line, &huge}) assert(s->ended());
+    assert(std::chrono::steady_clock::now() - from < 3s);
+
+    const std::size_t usual = program.memory_kb();
+    std::list<Socket> crowd; // 9 MB of parts; a quarter of 16 MB is for what is held
+    for (int n = 0; n < 150; ++n) {
+        crowd.push_back(program.client());
+        crowd.back().send("*5\r\n$7\r\nOBJ.PUT\r\n$60000\r\n");
+        crowd.back().send(std::string(59000, 'x'));
+    }
+    assert(crowd.back().value()->text.starts_with("ERR Protocol error: no room"));
+    assert(program.memory_kb() < usual + 8 * 1024);
+}
+
+// A message in pieces is read once; the work must not grow with the square of their number.
+void a_message_may_come_byte_by_byte() {
+    RespNode node([](const auto &, int) { return RespNode::served("v"); });
+    const Discovery discovery(member("s-1", node.server.port, 0));
+    const Program program(discovery);
+    Socket client = program.client();
+    for (const char byte : put(kPiece, "body\r\n")) client.send({&byte, 1});
+    assert(client.value()->text == "v" && node.taken()[0][4] == "body\r\n");
+}
+
+// Guards against two requests out under one id: a node takes the second for a repeat of the first.
+void the_id_of_an_open_request_is_refused() {
+    RespNode node([](const auto &, int) {
+        std::this_thread::sleep_for(200ms);
+        return RespNode::served("mine");
+    });
+    const Discovery discovery(member("s-1", node.server.port, 0));
+    const Program program(discovery);
+    Socket client = program.client(), thief = program.client();
+    client.send(get(kPiece, 0, 1500, kId));
+    std::this_thread::sleep_for(50ms);
+    thief.send(get(kPiece, 0, 1500, kId));
+    assert(thief.value()->text.starts_with("ERR "));
+    assert(client.value()->text == "mine" && node.taken().size() == 1);
+    thief.send(get(kPiece, 0, 1500, kId)); // it is free again
+    assert(thief.value()->text == "mine");
+}
+
+// What a node spoils is never passed on, nor waited for until the client's time is up; a whole value stands
+// whatever follows; and a connection on which more came than belongs there is not used again.
+void spoilt_answers_are_told_from_good_ones() {
+    const std::string good = RespNode::served("right");
+    for (const std::string &spoilt :
+         {std::string("*3\r\n$500\r\nshort"), std::string("*3\r\n$3000000000\r\nx"),
+          std::string("*3\r\n$2\r\nwrong\r\n$-1\r\n$-1\r\n"), std::string("+OK\r\n"),
+          std::string("-BUSYBODY\r\n"), std::string(5000, '-'), std::string(":7\r\n")}) {
+        RespNode node([&](const auto &, int nth) { return nth == 9 ? spoilt : good; });
+        const Discovery discovery(member("s-1", node.server.port, 0));
+        const Program program(discovery);
+        Socket client = program.client();
+        for (int n = 0; n < 8; ++n) { // a node known to be quick: the repeat is worth its while
+            client.send(get(kPiece));
+            assert(client.value()->text == "right" && node.server.accepted == 1);
+        }
+        const auto from = std::chrono::steady_clock::now();
+        client.send(get(kPiece));
+        assert(client.value()->text == "right" && node.server.accepted == 2);
+        assert(std::chrono::steady_clock::now() - from < 1s);
+    }
+    for (const std::string &more :
+         {good + RespNode::served("a second copy"), good + "noise",
+          std::string("*3\r\n$5\r\nright\r\n$-9\r\n"), std::string("*3\r\n$5\r\nright\r\n$9\r\nused"),
+          std::string("*3\r\n$5\r\nright\r\n$6\r\nused=x\r\n$1\r\n?\r\n")}) {
+        RespNode node([&](const auto &, int) { return more; });
+        const Discovery discovery(member("s-1", node.server.port, 0));
+        const Program program(discovery);
+        Socket client = program.client();
+        for (int n = 1; n <= 3; ++n) {
+            client.send(get(kPiece));
+            assert(client.value()->text == "right" && node.taken().size() == static_cast<std::size_t>(n));
+        }
+    }
+}
+
+// Guards against memory that grows with every node that ever was.
+void nodes_that_are_gone_are_forgotten() {
+    Discovery discovery(member("s-1", free_port(), 0));
+    const Program program(discovery);
+    std::size_t early = 0;
+    for (int n = 0; n < 60; ++n) {
+        std::string members;
+        for (int k = 0; k < 500; ++k)
+            members +=
+                fmt::format("{}{}", k ? "," : "",
+                            member(fmt::format("a-node-with-quite-a-long-name-{}-{}", n, k), 1 + k, k % 9));
+        const int calls = discovery.calls;
+        discovery.change(members);
+        while (discovery.calls == calls) std::this_thread::sleep_for(2ms);
+        if (n == 10) early = program.memory_kb();
+    }
+    assert(program.memory_kb() < early + 2 * 1024);
+}
+
 void a_bad_configuration_is_named() {
     const std::string path =
         std::filesystem::temp_directory_path() / fmt::format("marblewood-bad-{}", ::getpid());
@@ -284,5 +396,10 @@
     a_planned_end_answers_all_it_took();
     more_clients_than_sockets_are_survived();
     a_reload_moves_to_another_discovery();
+    silent_and_half_messages_get_an_end();
+    a_message_may_come_byte_by_byte();
+    the_id_of_an_open_request_is_refused();
+    spoilt_answers_are_told_from_good_ones();
+    nodes_that_are_gone_are_forgotten();
     a_bad_configuration_is_named();
 }
