--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -8,8 +8,8 @@
 
 constexpr Micros kRest = 10'000; // us before the next accept after a failed one
 constexpr Micros kStillComing =
-    250'000;                         // us without a new connection after which, at a drain, none is awaited
-constexpr Micros kLongest = 500'000; // us for which a drain keeps accepting
+    250'000; // us without a new connection after which, at a drain without clients, none is awaited
+constexpr Micros kServeOn = 650'000; // us for which a drain serves as before
 
 } // namespace
 
@@ -80,7 +80,10 @@
 
 void Clients::drain_turn() {
     const Micros now = deadlines_.clock.now();
-    if (now - last_new_ < kStillComing && now - drain_from_ < kLongest) {
+    // Clients go on using what connections they have for as long as those are open, and cannot know of a
+    // broker that has gone. A request that is taken in this time has the whole of its own before the end is
+    // forced.
+    if (now - drain_from_ < kServeOn && (!clients_.empty() || now - last_new_ < kStillComing)) {
         look_ = deadlines_.in(kRest, [this] { drain_turn(); });
         return;
     }
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -36,8 +36,8 @@
 
     Clients(asio::io_context &io, core::Deadlines &deadlines, SocketBudget &budget, const tcp::endpoint &at,
             Front front);
-    // At a planned end: takes new connections for as long as they keep coming, then lets all go between
-    // requests. `done` is called once none is left.
+    // At a planned end: serves on for a while, new connections too, then lets all go between requests. `done`
+    // is called once none is left.
     void drain(std::function<void()> done);
 
 private:
--- a/src/net/discovery/discovery.cpp
+++ b/src/net/discovery/discovery.cpp
@@ -101,6 +101,7 @@
 }
 
 asio::awaitable<std::optional<Reading>> Discovery::call(tcp::socket &socket, std::string path, Micros until) {
+    const int moves = moves_;
     const std::string request =
         fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n", path, host_);
     if (!socket.is_open()) {
@@ -114,7 +115,8 @@
     }
     const auto response = co_await http::exchange(socket, request, until, deadlines_);
     if (!response || response->status != 200) {
-        core::log("discovery: {}", response ? fmt::format("status {}", response->status) : "no answer");
+        if (moves == moves_)
+            core::log("discovery: {}", response ? fmt::format("status {}", response->status) : "no answer");
         co_return std::nullopt;
     }
     try {
--- a/tests/resp_test.cpp
+++ b/tests/resp_test.cpp
@@ -201,6 +201,20 @@
     assert(program.exit_code() == 0);
 }
 
+// Guards against an end as soon as no new connection comes: clients go on using those they have, and what
+// they ask then would find nobody.
+void a_planned_end_serves_the_connections_in_use() {
+    RespNode node([](const auto &, int) { return RespNode::served("v"); });
+    const Discovery discovery(member("s-1", node.server.port, 0));
+    Program program(discovery);
+    Socket client = program.client();
+    program.signal(SIGTERM);
+    std::this_thread::sleep_for(400ms);
+    client.send(get(kPiece));
+    assert(client.value()->text == "v" && client.ended());
+    assert(program.exit_code() == 0);
+}
+
 void more_clients_than_sockets_are_survived() {
     RespNode node([](const auto &, int) { return RespNode::served("v"); });
     const Discovery discovery(member("s-1", node.server.port, 0));
@@ -394,6 +408,7 @@
     a_malformed_answer_is_not_guessed_at();
     a_client_that_leaves_harms_nobody();
     a_planned_end_answers_all_it_took();
+    a_planned_end_serves_the_connections_in_use();
     more_clients_than_sockets_are_survived();
     a_reload_moves_to_another_discovery();
     silent_and_half_messages_get_an_end();
