--- a/src/net/resp/node_port.cpp
+++ b/src/net/resp/node_port.cpp
@@ -51,7 +51,7 @@
 // back what has run, and is not waited for long. Nor is an answer that has begun and does not go on.
 asio::awaitable<Answer> receive(Wire &wire, core::Deadlines &deadlines) {
     Answer answer;
-    Reader reader;
+    Reader reader(kMostAnswer);
     core::Deadlines::Entry limit;
     while (!answer.value && !answer.spoilt) {
         if (!reader.between() || !wire.in.empty())
--- a/src/net/resp/parser.cpp
+++ b/src/net/resp/parser.cpp
@@ -55,11 +55,11 @@
             bytes = rest;
             Value value;
             if (type == '$') {
-                const long size = count(*head, kMostValue, "bulk");
+                const long size = count(*head, most_, "bulk");
                 value.null = size < 0;
                 if (size >= 0) {
                     length_ = static_cast<std::size_t>(size);
-                    if ((size_ += length_) > kMostMessage) throw Malformed("message too long");
+                    if ((size_ += length_) > most_ + kMostBeside) throw Malformed("message too long");
                     value.text.reserve(length_);
                     bulk_ = std::move(value);
                     continue;
--- a/src/net/resp/parser.hpp
+++ b/src/net/resp/parser.hpp
@@ -13,10 +13,12 @@
     using std::runtime_error::runtime_error;
 };
 
-inline constexpr std::size_t kMostValue = 64 * 1024; // bytes of a bulk string
+inline constexpr std::size_t kMostValue = 64 * 1024; // bytes of a bulk string of a client
+inline constexpr std::size_t kMostAnswer =
+    1024 * 1024; // and of a node: some serve values past the protocol's 64 KiB
 inline constexpr std::size_t kMostLine = 4096;
 inline constexpr std::size_t kMostElements = 16;
-inline constexpr std::size_t kMostMessage = kMostValue + 4 * kMostLine; // bytes of all bulk strings of one
+inline constexpr std::size_t kMostBeside = 4 * kMostLine; // bytes of the other bulk strings of a message
 
 struct Value {
     enum class Kind { Simple, Error, Integer, Bulk, Array } kind = Kind::Bulk;
@@ -30,6 +32,7 @@
 // caller.
 class Reader {
 public:
+    explicit Reader(std::size_t most_value = kMostValue) : most_(most_value) {}
     // Takes bytes off the front until a message is whole; nothing where they end before. Throws Malformed as
     // soon as no further byte can make it right.
     std::optional<Value> take(std::string_view &bytes);
@@ -41,6 +44,7 @@
 private:
     std::optional<Value> ended(Value &&value);
 
+    std::size_t most_;
     std::optional<Value> array_, bulk_;    // begun
     std::size_t missing_ = 0, length_ = 0; // elements of the one, bytes of the other
     std::size_t size_ = 0;
--- a/tests/resp_test.cpp
+++ b/tests/resp_test.cpp
@@ -354,6 +354,17 @@
     }
 }
 
+// Guards against good answers taken for spoilt: nodes serve values past 64 KiB, in pieces.
+void long_values_come_whole() {
+    const std::string value(400'000, 'v');
+    RespNode node([&](const auto &, int) { return RespNode::served(value); });
+    const Discovery discovery(member("s-1", node.server.port, 0));
+    const Program program(discovery);
+    Socket client = program.client();
+    client.send(get(kPiece));
+    assert(client.value()->text == value && node.taken().size() == 1);
+}
+
 // Guards against memory that grows with every node that ever was.
 void nodes_that_are_gone_are_forgotten() {
     Discovery discovery(member("s-1", free_port(), 0));
@@ -415,6 +426,7 @@
     a_message_may_come_byte_by_byte();
     the_id_of_an_open_request_is_refused();
     spoilt_answers_are_told_from_good_ones();
+    long_values_come_whole();
     nodes_that_are_gone_are_forgotten();
     a_bad_configuration_is_named();
 }
