--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -31,6 +31,8 @@
 constexpr Micros kTrialGap = 100'000;  // us between trials of a distrusted node, at the least
 constexpr Micros kFleetGap = 10'000;   // us, times the hosts: between trials, so that all stay bounded
 constexpr double kTrialAims = 1.5;     // aims after which a trial is given up
+constexpr int kOvertaken = 3;          // later ones served, after which an attempt older than
+constexpr double kLostAims = 0.5;      // this many aims was lost on its way
 constexpr int kSlots = 16;     // slots of a cold node's turns to a window; more waste less to rounding
 constexpr int kHold = 32;      // slots for which a turn stays good: a request is likelier to find it
 constexpr int kShardStep = 97; // hosts by which the turns of neighbouring shards are apart
@@ -77,7 +79,8 @@
         NodeId node{};
         Micros sent = 0;
         bool out = true;
-        bool ran = true; // may have run: all that is not proved otherwise
+        bool ran = true;   // may have run: all that is not proved otherwise
+        int overtaken = 0; // later ones that the node has served since
     };
     struct Request {
         RequestId id{};
@@ -706,6 +709,7 @@
             measure(node, r, e.status, e.latency); // the count out still includes this attempt
             node.out.erase({r.id, e.attempt});
             if (e.status != Status::Timeout || now - a.sent >= r.cls->aim) judge(node, e.status);
+            if (e.status == Status::Ok) overtake(node, a.sent);
             touched.insert(node.entry.shard);
         }
         if (ordered(r) &&
@@ -719,6 +723,18 @@
         forget(e.id); // r may be gone by now
     }
 
+    // A node takes requests in turn. What several sent later have overtaken was lost on a connection that
+    // fell silent; it must not hold a place of the bound, nor its client, until its time is up.
+    void overtake(const Node &node, Micros sent) {
+        for (const auto &out : node.out) {
+            Request &r = requests.at(out.first);
+            Attempt &a = r.attempts[out.second];
+            if (a.sent >= sent || ++a.overtaken < kOvertaken || age(out) < kLostAims || !set.cancel) continue;
+            if (r.cls->effect != Effect::Unsafe)
+                a.overtaken = -kOvertaken * 1000, act(Cancel{r.id, out.second});
+        }
+    }
+
     void heed(const Request &r, const AttemptEnded &e) { // what the answer tells of the volume
         Volume &v = account(r.in);
         const double span = kAccount / 1e6;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -54,6 +54,8 @@
                 refused.push_back(refuse->id);
             else if (const auto *fail = std::get_if<Fail>(&action))
                 failed.push_back(fail->id);
+            else if (const auto *cancel = std::get_if<Cancel>(&action))
+                cancelled.push_back(cancel->id);
             else if (const auto *timer = std::get_if<SetTimer>(&action))
                 timers_.insert(now + timer->delay), ++timers_set;
             else if (const auto *log = std::get_if<Log>(&action))
@@ -105,7 +107,7 @@
     Scheduler scheduler;
     std::map<RequestId, std::vector<NodeId>> attempts;
     std::vector<Send> sent;
-    std::vector<RequestId> refused, failed;
+    std::vector<RequestId> refused, cancelled, failed;
     std::vector<std::string> logs;
     std::vector<NodeId> probed;
     int hosts = 1, watches = 0, timers_set = 0;
@@ -346,6 +348,29 @@
     EXPECT_EQ(b.tries(one) + b.tries(two), 3u);
 }
 
+// Guards against a place of the bound, and a client, held until its time is up by an attempt whose connection
+// fell silent. A slow node, which has served nothing later, keeps its attempt.
+TEST(Effects, AnAttemptThatLaterOnesOvertookIsCancelled) {
+    Settings settings = basic();
+    settings.cancel = true;
+    Bench bench(settings);
+    const RequestId lost = bench.ask(0);
+    for (int n = 0; n < 3; ++n) {
+        bench.run(60 * kMs);
+        EXPECT_TRUE(bench.cancelled.empty()) << n;
+        bench.end(bench.ask(0));
+    }
+    EXPECT_EQ(bench.cancelled, std::vector<RequestId>{lost});
+    bench.end(lost, Status::Cancelled);
+    bench.run(30 * kMs);
+    EXPECT_EQ(bench.tries(lost), 2u);
+
+    Bench slow(settings);
+    slow.ask(0);
+    slow.run(kSecond);
+    EXPECT_TRUE(slow.cancelled.empty());
+}
+
 TEST(Order, OneKeyRunsInTurnAndRestsAfterATimeout) {
     Bench b(basic());
     const DataKey key{5};
