--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -48,6 +48,7 @@
 constexpr double kSpareMean = 0.4;  // work beyond its volume's share goes only while L is under this
 constexpr double kHeld = 0.5;  // part of a client's time for which work is held unsent: it may go elsewhere
 constexpr Micros kPatient = 2; // tightest aims left: work with more leaves one place of the bound to others
+constexpr double kQuick = 0.3; // L under which a long overdue attempt is an exception
 constexpr double kStale = 0.4; // answers' weight under which L says nothing of now
 constexpr Micros kBlindGap = 1'000'000; // us between requests of less worth sent without evidence
 // Sight.
@@ -623,10 +624,12 @@
 
     bool room(const Node &node) const {
         if (!node.usable) return false;
-        if (node.trusted) return static_cast<double>(node.out.size()) + 1 <= node.bound;
-        if (now < node.next_trial) return false;
-        return std::none_of(node.out.begin(), node.out.end(),
-                            [&](const auto &out) { return age(out) < kTrialAims; });
+        // What is long overdue holds no place where it stands alone: other answers of the node are quick.
+        const auto live = std::count_if(node.out.begin(), node.out.end(), [&](const auto &out) {
+            return age(out) < kTrialAims || (node.trusted && node.mean() > kQuick);
+        });
+        return node.trusted ? static_cast<double>(live) + 1 <= node.bound
+                            : live == 0 && now >= node.next_trial;
     }
 
     void dispatch(Shard &shard) {
