--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -31,7 +31,7 @@
 constexpr Micros kTrialGap = 100'000;  // us between trials of a distrusted node, at the least
 constexpr Micros kFleetGap = 10'000;   // us, times the hosts: between trials, so that all stay bounded
 constexpr double kTrialAims = 1.5;     // aims after which a trial is given up
-constexpr int kOvertaken = 3;          // later ones served, after which an attempt older than
+constexpr int kOvertaken = 5;          // later ones served, after which an attempt older than
 constexpr double kLostAims = 0.5;      // this many aims was lost on its way
 constexpr int kSlots = 16;     // slots of a cold node's turns to a window; more waste less to rounding
 constexpr int kHold = 32;      // slots for which a turn stays good: a request is likelier to find it
@@ -388,7 +388,7 @@
             weigh(node, ratio);
         else if (status == Status::Full)
             weigh(node, std::max(ratio, kRefusedRatio));
-        else if (status == Status::Timeout) // the client's time may have been short: at least this long
+        else if (status == Status::Timeout || status == Status::Reset) // at least so long; no sign of load
             weigh(node, std::max(ratio, node.mean()));
         else if (status != Status::Moot && status != Status::Cancelled)
             weigh(node, std::max({ratio, kTarget, node.mean()}));
