--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -6,7 +6,8 @@
 namespace marblewood::net {
 namespace {
 
-constexpr Micros kRest = 10'000; // us before the next accept after a failed one
+constexpr Micros kNewcomer = 250'000; // us in which a new client's first request is awaited
+constexpr Micros kRest = 10'000;      // us before the next accept after a failed one
 constexpr Micros kStillComing =
     250'000; // us without a new connection after which, at a drain without clients, none is awaited
 constexpr Micros kServeOn = 650'000; // us for which a drain serves as before
@@ -51,14 +52,18 @@
 }
 
 void Clients::drop_idle() {
-    Client *oldest = nullptr;
+    // A newcomer's first request may be on its way or unread: it is the last to go, however much it looks
+    // like one that says nothing.
+    const Micros now = deadlines_.clock.now();
+    const auto rank = [now](const Client &c) {
+        return std::pair(c.asked ? 1 : now - c.accepted < kNewcomer ? 2 : 0, c.used);
+    };
+    Client *first = nullptr;
     for (Client &client : clients_)
-        if (client.idle() && !client.closing &&
-            (!oldest || std::pair(client.asked, client.used) < std::pair(oldest->asked, oldest->used)))
-            oldest = &client;
-    if (!oldest) return;
-    oldest->closing = true;
-    oldest->close();
+        if (client.idle() && !client.closing && (!first || rank(client) < rank(*first))) first = &client;
+    if (!first) return;
+    first->closing = true;
+    first->close();
 }
 
 asio::awaitable<void> Clients::serve(std::list<Client>::iterator client) {
--- a/tests/resp_test.cpp
+++ b/tests/resp_test.cpp
@@ -384,6 +384,26 @@
     assert(program.memory_kb() < early + 2 * 1024);
 }
 
+// Guards against room made by closing a client that has just come, its first request unread, when all others
+// have asked before.
+void newcomers_are_not_closed_for_each_other() {
+    RespNode node([](const auto &, int) { return RespNode::served("v"); });
+    const Discovery discovery(member("s-1", node.server.port, 0));
+    const Program program(discovery); // told of 256 descriptors: room for 160 clients
+    std::list<Socket> crowd, newcomers;
+    for (int n = 0; n < 160; ++n) {
+        crowd.push_back(program.client());
+        crowd.back().send(get(kPiece));
+        assert(crowd.back().value()->text == "v");
+    }
+    for (int n = 0; n < 20; ++n) newcomers.push_back(program.client());
+    for (Socket &s : newcomers) {
+        s.send(get(kPiece));
+        const auto v = s.value();
+        assert(v && v->text == "v");
+    }
+}
+
 void a_bad_configuration_is_named() {
     const std::string path =
         std::filesystem::temp_directory_path() / fmt::format("marblewood-bad-{}", ::getpid());
@@ -428,5 +448,6 @@
     spoilt_answers_are_told_from_good_ones();
     long_values_come_whole();
     nodes_that_are_gone_are_forgotten();
+    newcomers_are_not_closed_for_each_other();
     a_bad_configuration_is_named();
 }
