Give the tests' programs ports that no outgoing connection can take

Seen: in a fresh clone nvme_test ended with 'the program does not answer' at its start, right behind resp_test, which opens some 1,500 connections. Ports now come from below that range.

--- a/tests/helper.hpp
+++ b/tests/helper.hpp
@@ -150,9 +150,18 @@
     std::thread accepting_;
 };
 
+// Below the ports that the system gives to clients, or one of a test's many connections may take it before
+// the program does.
 inline int free_port() {
-    Server once([](Socket &) {});
-    return once.port;
+    static int last = 20'000 + ::getpid() * 37 % 12'000;
+    for (;;) {
+        last = last < 32'000 ? last + 1 : 20'000;
+        const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+        const sockaddr_in at = local(last);
+        const bool free = ::bind(fd, reinterpret_cast<const sockaddr *>(&at), sizeof at) == 0;
+        ::close(fd);
+        if (free) return last;
+    }
 }
 
 // Discovery: the list and watches on it.
