--- a/include/marblewood/scheduler.hpp
+++ b/include/marblewood/scheduler.hpp
@@ -109,7 +109,8 @@
     ShardId shard{};
     ZoneId zone{};
     NodeState state = NodeState::Ready;
-    Micros started = 0; // 0: long ago
+    Micros started = 0;    // 0: long ago
+    bool returned = false; // put back by hand: it may have started just now, unseen
 };
 
 // Events.
@@ -249,6 +250,8 @@
     bool knows(RequestId id) const;
     // The bound of a node's requests out; empty where the node is not known.
     std::optional<double> bound(NodeId node) const;
+    // Whether a node that is known gets no requests as things stand, or only trials.
+    bool avoids(NodeId node) const;
 
 private:
     struct State;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -14,6 +14,7 @@
     c.discovery = text_or(root, "discovery", "");
     c.peer_listen = text_or(root, "peer_listen", "");
     c.peers_all = text_or(root, "peers_all", "");
+    c.control = text_or(root, "control", "");
     if (root.isMember("peers"))
         for (const Json::Value &peer : root["peers"]) {
             if (!peer.isString()) throw Error("field 'peers' is not a list of addresses");
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -6,7 +6,7 @@
 namespace marblewood::config {
 
 struct Config {
-    std::string name, listen, discovery, peer_listen, peers_all;
+    std::string name, listen, discovery, peer_listen, peers_all, control;
     std::vector<std::string> peers;
     int sockets = 1024;
     std::size_t memory_mb = 192;
--- /dev/null
+++ b/src/core/figures.hpp
@@ -0,0 +1,24 @@
+// The counts of what has happened since the start. Control and telemetry read them.
+#pragma once
+
+#include "core/types.hpp"
+
+#include <array>
+
+namespace marblewood::core {
+
+struct Figures {
+    explicit Figures(std::size_t classes) : ended(classes) {}
+    std::vector<std::array<std::uint64_t, 3>> ended; // requests, by class and Outcome::Kind
+    std::uint64_t sends = 0;                         // attempts written whole to a node
+    std::uint64_t loaded = 0, invalid = 0;           // configurations read again: taken, not taken
+
+    std::uint64_t &of(int cls, Outcome::Kind kind) { return ended[cls][static_cast<std::size_t>(kind)]; }
+    std::uint64_t sum(std::size_t kind) const {
+        std::uint64_t all = 0;
+        for (const auto &cls : ended) all += cls[kind];
+        return all;
+    }
+};
+
+} // namespace marblewood::core
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -16,10 +16,11 @@
 
 } // namespace
 
-Planner::Planner(asio::any_io_executor executor, Deadlines &deadlines, Memory &memory,
+Planner::Planner(asio::any_io_executor executor, Deadlines &deadlines, Memory &memory, Figures &figures,
                  const Settings &settings, NodePort &port, Surroundings surroundings, Observer *observer)
-    : executor_(std::move(executor)), deadlines_(deadlines), memory_(memory), settings_(settings),
-      port_(port), surroundings_(std::move(surroundings)), observer_(observer), scheduler_(settings) {}
+    : executor_(std::move(executor)), deadlines_(deadlines), memory_(memory), figures_(figures),
+      settings_(settings), port_(port), surroundings_(std::move(surroundings)), observer_(observer),
+      scheduler_(settings) {}
 
 RequestId Planner::submit(std::shared_ptr<const Request> request, Answer answer) {
     const RequestId id{next_id_++};
@@ -55,6 +56,7 @@
             out->may_write = [this, life = life.get(), node = out->node, until = out->expires] {
                 return may_write(*life, node, until);
             };
+            out->written = [this] { ++figures_.sends; };
             life->attempts.push_back(std::move(out));
             ++life->out;
             asio::co_spawn(executor_, attempt(life, static_cast<int>(life->attempts.size()) - 1), report);
@@ -98,6 +100,7 @@
 void Planner::finish(Life &life, Outcome outcome) {
     if (!life.answer) return;
     --answers_;
+    ++figures_.of(life.request->facts.cls, outcome.kind);
     if (observer_) observer_->request_ended(life.id, *life.request, outcome, deadlines_.clock.now());
     std::exchange(life.answer, nullptr)(std::move(outcome));
 }
--- a/src/core/planner.hpp
+++ b/src/core/planner.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/deadlines.hpp"
+#include "core/figures.hpp"
 #include "core/log.hpp"
 #include "core/mailbox.hpp"
 #include "core/memory.hpp"
@@ -34,7 +35,7 @@
 public:
     using Answer = std::function<void(Outcome)>;
 
-    Planner(boost::asio::any_io_executor executor, Deadlines &deadlines, Memory &memory,
+    Planner(boost::asio::any_io_executor executor, Deadlines &deadlines, Memory &memory, Figures &figures,
             const Settings &settings, NodePort &port, Surroundings surroundings,
             Observer *observer = nullptr);
 
@@ -45,6 +46,7 @@
     void peer_message(PeerMessage message) { tell(std::move(message)); }
     // Whether the node is on the list, or anything is out there.
     bool knows(NodeId node) const { return scheduler_.bound(node).has_value(); }
+    bool avoids(NodeId node) const { return scheduler_.avoids(node); }
     std::size_t open() const { return answers_; } // requests that still owe an answer
 
 private:
@@ -81,6 +83,7 @@
     boost::asio::any_io_executor executor_;
     Deadlines &deadlines_;
     Memory &memory_;
+    Figures &figures_;
     Settings settings_;
     NodePort &port_;
     Surroundings surroundings_;
@@ -102,6 +105,7 @@
     const Settings &settings;
     Deadlines &deadlines;
     Memory &memory;
+    const bool &away; // clients are sent away: a front says so to those who ask
 };
 
 } // namespace marblewood::core
--- a/src/core/types.hpp
+++ b/src/core/types.hpp
@@ -44,6 +44,7 @@
     NodeId node{};
     Micros started = 0, expires = 0;
     std::function<bool()> may_write; // asked just before the first byte goes out
+    std::function<void()> written;   // called by the port once the last byte is out
     std::optional<Status> stopped;   // why it was told to stop
     std::function<void()> on_stop;   // set by the port while it runs: breaks off what it waits for
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -3,14 +3,12 @@
 #include "core/planner.hpp"
 #include "net/address.hpp"
 #include "net/clients.hpp"
-#include "net/discovery/discovery.hpp"
+#include "net/control/control.hpp"
+#include "net/fleet.hpp"
 #include "net/nvme/front.hpp"
-#include "net/nvme/node_port.hpp"
 #include "net/otlp/exporter.hpp"
 #include "net/peers/peers.hpp"
-#include "net/ports.hpp"
 #include "net/resp/front.hpp"
-#include "net/resp/node_port.hpp"
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -35,7 +33,7 @@
 
 // Reads the file again, whole: what is wrong with any of it leaves the broker as it is. Discovery moves; all
 // else is bound to what runs already and is taken up at the next start.
-void reload(const std::string &path, config::Config &config,
+void reload(const std::string &path, config::Config &config, core::Figures &figures,
             const std::function<void(const tcp::endpoint &, const std::string &)> &move) {
     try {
         config::Config fresh = config::load(path);
@@ -52,7 +50,9 @@
         core::log("configuration read again: discovery at {}", fresh.discovery);
         if (fresh.discovery != config.discovery) move(discovery, fresh.discovery);
         config.discovery = fresh.discovery;
+        ++figures.loaded;
     } catch (const std::exception &error) {
+        ++figures.invalid;
         core::log("configuration not taken: {}", error.what());
     }
 }
@@ -84,51 +84,34 @@
         if (peers) peers->tell(peer, data);
     };
     // Each planner is a host of its own to the module, so that what hosts share out is shared out once more.
-    std::vector<std::unique_ptr<core::Planner>> planners;
+    net::Fleet::Planners planners;
+    core::Figures figures(config.settings.classes.size());
     std::optional<net::otlp::Exporter> exporter;
     if (!added.otlp.isNull())
         exporter.emplace(io, deadlines, net::otlp::read_endpoint(added.otlp), config.name, config.settings,
-                         random());
+                         figures, random());
     for (int n = 0; n < added.planners; ++n) {
         Settings own = config.settings;
         own.hosts = config.settings.hosts * added.planners;
         own.position = config.settings.position * added.planners + n;
         own.seed = config.settings.seed + static_cast<std::uint64_t>(n) * 0x9e3779b97f4a7c15;
-        planners.push_back(std::make_unique<core::Planner>(io.get_executor(), deadlines, memory, own, ports,
-                                                           around,
+        planners.push_back(std::make_unique<core::Planner>(io.get_executor(), deadlines, memory, figures, own,
+                                                           ports, around,
                                                            exporter ? &exporter->observer() : nullptr));
     }
+    bool away = false; // quiesced
     const core::Desk desk{
         [&](const core::Request &r) -> core::Planner & { // a volume always goes through the same one
             return *planners[static_cast<std::uint64_t>(r.facts.volume) % planners.size()];
         },
-        [&] { return random(); }, config.settings, deadlines, memory};
+        [&] { return random(); },
+        config.settings,
+        deadlines,
+        memory,
+        away};
 
-    const auto told = [&](const net::discovery::Reading &reading) {
-        for (const auto &[node, at] : reading.addresses) {
-            const auto where = net::endpoint<tcp::endpoint>(at);
-            if (!where) continue;
-            const auto special = mapping.nodes.find(nodes.text(static_cast<std::uint32_t>(node)));
-            if (special == mapping.nodes.end()) {
-                resp_port.place(node, *where);
-            } else {
-                nvme_port.place(node, *where, special->second);
-                ports.set(node, nvme_port);
-            }
-        }
-        for (const auto &planner : planners) planner->list(reading.update);
-        // Nodes are replaced for as long as this runs: those that are gone, with nothing out there, are
-        // forgotten.
-        nodes.forget_if([&](std::uint32_t number) {
-            const NodeId node{number};
-            for (const auto &planner : planners)
-                if (planner->knows(node)) return false;
-            resp_port.forget(node);
-            nvme_port.forget(node);
-            ports.forget(node);
-            return true;
-        });
-    };
+    net::Fleet fleet(nodes, mapping, resp_port, nvme_port, ports, planners);
+    const auto told = [&](const net::discovery::Reading &reading) { fleet.told(reading); };
     if (!config.discovery.empty())
         discovery.emplace(
             io, deadlines, address<tcp::endpoint>(config.discovery, "discovery"), config.discovery,
@@ -158,13 +141,29 @@
         nvme_clients.emplace(
             io, deadlines, budget, address<tcp::endpoint>(mapping.listen, "nvme.listen"),
             [&](net::Client &client) { return net::nvme::serve(client, desk, mapping, controllers); });
+    net::control::Operations operations;
+    operations.stats = [&] {
+        return net::control::spell(figures, config.settings, {fleet.open(), fleet.size(), fleet.avoided()});
+    };
+    operations.cordon = [&](const std::string &id) { return fleet.cordon(id); };
+    operations.uncordon = [&](const std::string &id) { return fleet.uncordon(id); };
+    operations.quiesce = [&](bool on) {
+        away = on;
+        clients.quiesce(on);
+        if (nvme_clients) nvme_clients->quiesce(on);
+    };
+    operations.acts = [] { return true; };
+    std::optional<net::control::Control> control;
+    if (!config.control.empty())
+        control.emplace(io, deadlines, address<tcp::endpoint>(config.control, "control"),
+                        std::move(operations));
     core::log("{} serves at {}", config.name, config.listen);
 
     asio::signal_set hangups(io, SIGHUP);
     const std::function<void()> await_hangup = [&] {
         hangups.async_wait([&](const boost::system::error_code &error, int) {
             if (error) return;
-            reload(path, config, [&](const tcp::endpoint &at, const std::string &host) {
+            reload(path, config, figures, [&](const tcp::endpoint &at, const std::string &host) {
                 if (!discovery) discovery.emplace(io, deadlines, at, host, 0, nodes, zones, told);
                 discovery->move(at, host);
             });
@@ -213,7 +212,9 @@
             return 0;
         }
         if (path.empty()) throw config::Error("no configuration: give --config or set BALANCER_CONFIG");
-        const config::Config config = config::load(path);
+        config::Config config = config::load(path);
+        if (const char *const at = std::getenv("BALANCER_CONTROL"); at && *at) config.control = at;
+        if (!config.control.empty()) address<tcp::endpoint>(config.control, "control");
         const config::Operator added = config::load_operator(operators);
         net::nvme::read_mapping(added.nvme, config.settings); // what is wrong there is said now
         if (!added.otlp.isNull()) net::otlp::read_endpoint(added.otlp);
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -10,7 +10,9 @@
 constexpr Micros kRest = 10'000;      // us before the next accept after a failed one
 constexpr Micros kStillComing =
     250'000; // us without a new connection after which, at a drain without clients, none is awaited
-constexpr Micros kServeOn = 650'000; // us for which a drain serves as before
+constexpr Micros kServeOn = 650'000;      // us for which a drain serves as before
+constexpr Micros kFrontMoves = 1'000'000; // us from quiescing until clients' connections are closed
+constexpr Micros kAwayAgain = 100'000;    // us between looks at who has come since
 
 } // namespace
 
@@ -83,6 +85,21 @@
     drain_turn();
 }
 
+void Clients::quiesce(bool on) {
+    away_.reset();
+    if (on) away_ = deadlines_.in(kFrontMoves, [this] { send_away(); });
+}
+
+void Clients::send_away() {
+    const Micros now = deadlines_.clock.now();
+    for (Client &client : clients_) {
+        if (client.closing || (client.idle() && !client.asked && now - client.accepted < kNewcomer)) continue;
+        client.closing = true;
+        if (client.nudge) client.nudge();
+    }
+    away_ = deadlines_.in(kAwayAgain, [this] { send_away(); });
+}
+
 void Clients::drain_turn() {
     const Micros now = deadlines_.clock.now();
     // Clients go on using what connections they have for as long as those are open, and cannot know of a
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -39,12 +39,16 @@
     // At a planned end: serves on for a while, new connections too, then lets all go between requests. `done`
     // is called once none is left.
     void drain(std::function<void()> done);
+    // Sends all away between requests once those who direct clients have had time to turn to others, or stops
+    // doing so. New ones are still taken, and served.
+    void quiesce(bool on);
 
 private:
     asio::awaitable<void> accept();
     asio::awaitable<void> serve(std::list<Client>::iterator client);
     void drop_idle(); // one that never asked, else one unused the longest
     void drain_turn();
+    void send_away();
 
     asio::io_context &io_;
     core::Deadlines &deadlines_;
@@ -54,7 +58,7 @@
     std::list<Client> clients_;
     std::function<void()> done_;
     Micros drain_from_ = 0, last_new_ = 0;
-    core::Deadlines::Entry look_;
+    core::Deadlines::Entry look_, away_;
 };
 
 } // namespace marblewood::net
--- /dev/null
+++ b/src/net/fleet.hpp
@@ -0,0 +1,45 @@
+// The nodes as the whole program knows them: what discovery tells and operators change reaches ports and
+// planners from here.
+#pragma once
+
+#include "core/planner.hpp"
+#include "core/roster.hpp"
+#include "net/discovery/discovery.hpp"
+#include "net/nvme/mapping.hpp"
+#include "net/nvme/node_port.hpp"
+#include "net/ports.hpp"
+#include "net/resp/node_port.hpp"
+
+namespace marblewood::net {
+
+class Fleet {
+public:
+    using Planners = std::vector<std::unique_ptr<core::Planner>>;
+    Fleet(config::Names &names, const nvme::Mapping &mapping, resp::NodePort &resp_port,
+          nvme::NodePort &nvme_port, Ports &ports, Planners &planners)
+        : names_(names), mapping_(mapping), resp_port_(resp_port), nvme_port_(nvme_port), ports_(ports),
+          planners_(planners) {}
+
+    void told(const discovery::Reading &reading);
+    // By hand. False: nobody has the id.
+    bool cordon(const std::string &id);
+    bool uncordon(const std::string &id);
+
+    std::size_t size() const { return roster_.entries().size(); }
+    std::size_t avoided() const; // listed, and out by hand or by a planner's choice
+    std::size_t open() const;    // requests that still owe an answer
+
+private:
+    std::optional<NodeId> find(const std::string &id) const;
+    void tell(const ListUpdate &update);
+
+    config::Names &names_;
+    const nvme::Mapping &mapping_;
+    resp::NodePort &resp_port_;
+    nvme::NodePort &nvme_port_;
+    Ports &ports_;
+    Planners &planners_;
+    core::Roster roster_;
+};
+
+} // namespace marblewood::net
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -50,45 +50,82 @@
     }
 }
 
-} // namespace
+struct Head {
+    std::string_view first; // its first line
+    std::size_t end = 0;    // bytes up to the body
+    std::optional<std::size_t> size;
+    bool chunked = false, close = false;
+    std::optional<std::string> retry_after;
+};
 
-std::optional<Response> take(std::string &in, bool ended) {
+// The head of a message; nothing while it is not whole.
+std::optional<Head> read_head(std::string_view in) {
     const std::size_t head_end = in.find("\r\n\r\n");
-    if (head_end == std::string::npos) {
-        if (in.size() > kMostHead) throw std::runtime_error("head too large");
-        return std::nullopt;
-    }
-    const std::string_view head = std::string_view(in).substr(0, head_end);
-    if (head.size() < 12 || !head.starts_with("HTTP/1.")) throw std::runtime_error("no status line");
-    Response response;
-    response.status = static_cast<int>(length(head.substr(9, 3), 10));
-    std::optional<std::size_t> size;
-    bool chunked = false;
-    for (std::size_t at = head.find("\r\n"); at != std::string_view::npos;) {
+    if (std::min(head_end, in.size()) > kMostHead) throw std::runtime_error("head too large");
+    if (head_end == std::string_view::npos) return std::nullopt;
+    const std::string_view text = in.substr(0, head_end);
+    Head head;
+    head.first = text.substr(0, text.find("\r\n"));
+    head.end = head_end + 4;
+    for (std::size_t at = text.find("\r\n"); at != std::string_view::npos;) {
         at += 2;
-        const std::size_t end = head.find("\r\n", at);
+        const std::size_t end = text.find("\r\n", at);
         const std::string_view line =
-            head.substr(at, end == std::string_view::npos ? std::string_view::npos : end - at);
+            text.substr(at, end == std::string_view::npos ? std::string_view::npos : end - at);
         at = end;
         const std::size_t colon = line.find(':');
         if (colon == std::string_view::npos) throw std::runtime_error("malformed header");
         const std::string_view name = line.substr(0, colon), value = trim(line.substr(colon + 1));
-        if (same(name, "content-length")) size = length(value, 10);
-        if (same(name, "transfer-encoding")) chunked = same(value, "chunked");
-        if (same(name, "connection") && same(value, "close")) response.keep = false;
-        if (same(name, "retry-after")) response.retry_after = value;
+        if (same(name, "content-length")) head.size = length(value, 10);
+        if (same(name, "transfer-encoding")) head.chunked = same(value, "chunked");
+        if (same(name, "connection") && same(value, "close")) head.close = true;
+        if (same(name, "retry-after")) head.retry_after = value;
     }
-    std::string_view rest = std::string_view(in).substr(head_end + 4);
+    return head;
+}
+
+} // namespace
+
+std::optional<Request> read_request(const std::string &in) {
+    const auto head = read_head(in);
+    if (!head) return std::nullopt;
+    const std::string_view line = head->first;
+    const std::size_t space = line.find(' '), last = line.rfind(' ');
+    if (space == 0 || space == std::string_view::npos || last <= space + 1 ||
+        !line.substr(last + 1).starts_with("HTTP/1."))
+        throw std::runtime_error("no request line");
+    Request request{
+        std::string(line.substr(0, space)), std::string(line.substr(space + 1, last - space - 1)), {}};
+    std::string_view rest = std::string_view(in).substr(head->end);
+    if (head->chunked) {
+        if (!chunks(rest, request.body)) return std::nullopt;
+    } else {
+        if (rest.size() < head->size.value_or(0)) return std::nullopt;
+        request.body = rest.substr(0, head->size.value_or(0));
+    }
+    return request;
+}
+
+std::optional<Response> take(std::string &in, bool ended) {
+    const auto head = read_head(in);
+    if (!head) return std::nullopt;
+    if (head->first.size() < 12 || !head->first.starts_with("HTTP/1."))
+        throw std::runtime_error("no status line");
+    Response response;
+    response.status = static_cast<int>(length(head->first.substr(9, 3), 10));
+    response.keep = !head->close;
+    response.retry_after = head->retry_after;
+    std::string_view rest = std::string_view(in).substr(head->end);
     if (response.status >= 100 && response.status < 200) { // an interim response: the final one follows
-        in.erase(0, head_end + 4);
+        in.erase(0, head->end);
         return take(in, ended);
     }
-    if (chunked) {
+    if (head->chunked) {
         if (!chunks(rest, response.body)) return std::nullopt;
-    } else if (size) {
-        if (rest.size() < *size) return std::nullopt;
-        response.body = rest.substr(0, *size);
-        rest.remove_prefix(*size);
+    } else if (head->size) {
+        if (rest.size() < *head->size) return std::nullopt;
+        response.body = rest.substr(0, *head->size);
+        rest.remove_prefix(*head->size);
     } else if (response.status != 204 && response.status != 304) { // the body ends with the connection
         if (rest.size() > kMostBody) throw std::runtime_error("body too large");
         if (!ended) return std::nullopt;
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -1,5 +1,5 @@
-// A small HTTP/1.1 client: one exchange at a time on one connection. Parsed by hand, bounded, for discovery
-// and telemetry.
+// HTTP/1.1, parsed by hand and bounded: a client that has one exchange at a time on a connection, for
+// discovery and telemetry, and the requests that the control address takes.
 #pragma once
 
 #include "net/sockets.hpp"
@@ -16,6 +16,13 @@
     std::optional<std::string> retry_after; // the header's text
 };
 
+struct Request {
+    std::string method, target, body;
+};
+// Reads a request off the front of `in`, which it leaves as it is. Empty while it is not whole. Throws
+// std::runtime_error where it is malformed or too large.
+std::optional<Request> read_request(const std::string &in);
+
 // Reads one response off the front of `in`, taking it out. Empty while it is not whole. Throws
 // std::runtime_error where it is malformed or too large. `ended`: the peer has closed.
 std::optional<Response> take(std::string &in, bool ended);
--- a/src/net/nvme/node_port.cpp
+++ b/src/net/nvme/node_port.cpp
@@ -40,6 +40,7 @@
     struct Out {              // a command that has no completion yet; its identifier is not used again before
         Mail *mail = nullptr; // null: given up
         std::string body, read;
+        std::function<void()> written;     // called with its last byte
         bool begun = false, whole = false; // its first, its last byte is written
         core::Deadlines::Entry patience;
     };
@@ -87,13 +88,14 @@
     }
 
     std::optional<std::uint16_t> issue(Mail &mail, Command command, std::string body,
-                                       std::function<bool()> gate) {
+                                       std::function<bool()> gate, std::function<void()> written) {
         const auto cid = io_->take_id();
         if (!cid) return std::nullopt;
         set(command.bytes, 2, *cid);
         Queue::Out &out = io_->out[*cid];
         out.mail = &mail;
         out.body = std::move(body);
+        out.written = std::move(written);
         const bool last = out.body.empty(); // a Write may run once its data is there, not before
         put(io_, {command.capsule(), *cid, last, std::move(gate)});
         return cid;
@@ -202,8 +204,10 @@
             const std::size_t written = co_await asio::async_write(
                 queue->socket, asio::buffer(chunk.bytes), asio::redirect_error(asio::use_awaitable, error));
             out = queue->out.find(chunk.cid);
-            if (out != queue->out.end() && chunk.last && written == chunk.bytes.size())
+            if (out != queue->out.end() && chunk.last && written == chunk.bytes.size()) {
                 out->second.whole = true;
+                if (out->second.written) out->second.written();
+            }
             if (error) {
                 if (queue == self->admin_ || queue == self->io_) self->drop(error.message().c_str());
                 break;
@@ -490,8 +494,9 @@
         body.resize(block_bytes_ + kMetadata, '\0');
         set<std::uint64_t>(body, block_bytes_, request.body.size());
     }
-    const auto cid = node->issue(mail, command, std::move(body),
-                                 [attempt] { return !attempt->stopped && attempt->may_write(); });
+    const auto cid = node->issue(
+        mail, command, std::move(body), [attempt] { return !attempt->stopped && attempt->may_write(); },
+        [attempt] { attempt->written(); });
     if (!cid) {
         attempt->on_stop = nullptr;
         result.status = Status::Moot; // more out than the queue holds
--- a/src/net/otlp/exporter.cpp
+++ b/src/net/otlp/exporter.cpp
@@ -71,7 +71,6 @@
         span.attributes.append(attribute("marblewood.outcome", kOutcomes[kind]));
         span.attributes.append(attribute("marblewood.class", to_.settings_.classes[r.facts.cls].name));
         span.attributes.append(attribute("marblewood.plan", to_.settings_.plans[r.facts.plan].name));
-        ++to_.counts_[kind];
         const double ms = static_cast<double>(until - r.sent) / 1000;
         ++to_.buckets_[std::lower_bound(kBounds.begin(), kBounds.end(), ms) - kBounds.begin()];
         to_.latencies_ += ms;
@@ -88,9 +87,9 @@
 };
 
 Exporter::Exporter(asio::io_context &io, core::Deadlines &deadlines, Endpoint to, std::string name,
-                   const Settings &settings, std::uint64_t seed)
+                   const Settings &settings, const core::Figures &figures, std::uint64_t seed)
     : io_(io), deadlines_(deadlines), to_(std::move(to)), name_(std::move(name)), settings_(settings),
-      seed_(seed), born_(deadlines.clock.now()), socket_(io) {
+      seed_(seed), born_(deadlines.clock.now()), figures_(figures), socket_(io) {
     asio::co_spawn(io_, work(), asio::detached);
 }
 
@@ -206,13 +205,13 @@
     requests["name"] = "marblewood.requests";
     requests["unit"] = "{request}";
     std::uint64_t all = 0;
-    for (int n = 0; n < 3; ++n) {
+    for (std::size_t n = 0; n < 3; ++n) {
         Json::Value row;
         point(row);
-        row["asInt"] = std::to_string(counts_[n]);
+        row["asInt"] = std::to_string(figures_.sum(n));
         row["attributes"].append(attribute("marblewood.outcome", kOutcomes[n]));
         requests["sum"]["dataPoints"].append(row);
-        all += counts_[n];
+        all += figures_.sum(n);
     }
     latency["name"] = "marblewood.request.duration";
     latency["unit"] = "ms";
--- a/src/net/otlp/exporter.hpp
+++ b/src/net/otlp/exporter.hpp
@@ -21,7 +21,7 @@
 class Exporter {
 public:
     Exporter(asio::io_context &io, core::Deadlines &deadlines, Endpoint to, std::string name,
-             const Settings &settings, std::uint64_t seed);
+             const Settings &settings, const core::Figures &figures, std::uint64_t seed);
     // One for each planner, as request numbers are a planner's own.
     core::Observer &observer();
 
@@ -50,7 +50,8 @@
     std::uint64_t seed_;
     Micros born_;
     std::deque<Span> spans_;
-    std::uint64_t dropped_ = 0, counts_[3] = {};
+    const core::Figures &figures_;
+    std::uint64_t dropped_ = 0;
     std::array<std::uint64_t, 13> buckets_{};
     double latencies_ = 0; // ms, summed
     std::vector<std::unique_ptr<core::Observer>> observers_;
--- a/src/net/resp/front.cpp
+++ b/src/net/resp/front.cpp
@@ -101,7 +101,7 @@
             if (word.kind != Value::Kind::Bulk || word.null)
                 throw Malformed("expected an array of bulk strings");
         const std::string name = upper(value.elements.front().text);
-        if (name == "PING") return say("+PONG\r\n");
+        if (name == "PING") return say(desk_.away ? "-ERR draining\r\n" : "+PONG\r\n");
         if (name == "CLIENT" || name == "SELECT") return say("+OK\r\n");
         if (name == "QUIT") {
             over_ = true;
--- a/src/net/resp/node_port.cpp
+++ b/src/net/resp/node_port.cpp
@@ -168,6 +168,7 @@
     const std::size_t written = co_await asio::async_write(wire->socket, asio::buffer(command),
                                                            asio::redirect_error(asio::use_awaitable, error));
     const bool whole = written == command.size();
+    if (whole) attempt->written();
     Answer answer;
     if (whole) answer = co_await receive(*wire, deadlines_);
     attempt->on_stop = nullptr;
--- a/src/net/sockets.hpp
+++ b/src/net/sockets.hpp
@@ -42,7 +42,8 @@
     Lease client() { return Lease(clients_); }
 
 private:
-    static constexpr int kSpare = 32; // listener, discovery, peers, telemetry, timers, the log
+    static constexpr int kSpare =
+        40; // listeners, control's callers, discovery, peers, telemetry, timers, the log
     int most_nodes_, most_clients_, nodes_ = 0, clients_ = 0;
 };
 
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -250,10 +250,13 @@
         }
         touched.insert(entry.shard);
         const bool restarted = fresh || entry.started > node.entry.started;
+        const Micros before = node.entry.started;
         node.id = entry.node;
         if (fresh || entry.shard != node.entry.shard) place(node, entry.shard);
         node.entry = entry;
+        if (entry.returned) chill(node, now, false);
         if (entry.state != NodeState::Ready) {
+            node.entry.started = before; // a start told meanwhile counts once it is ready
             withdraw(node, entry.state == NodeState::Gone ? "gone" : "draining");
             return;
         }
@@ -960,5 +963,9 @@
     const auto it = state_->nodes.find(node);
     return it == state_->nodes.end() ? std::nullopt : std::optional(it->second.bound);
 }
+bool Scheduler::avoids(NodeId node) const {
+    const auto it = state_->nodes.find(node);
+    return it != state_->nodes.end() && !(it->second.usable && it->second.trusted);
+}
 
 } // namespace marblewood
--- /dev/null
+++ b/tests/control_test.cpp
@@ -0,0 +1,159 @@
+// The operators' address, as their calls meet it.
+#include "helper.hpp"
+
+using namespace test;
+
+namespace {
+
+const std::string kPiece = "7f3a9c21e0b4d655";
+
+void health_and_unknown_calls() {
+    const Discovery discovery(member("s-1", free_port(), 0));
+    const Program program(discovery);
+    assert(program.call("GET", "health") == std::pair(200, std::string("ok\n")));
+    assert(program.call("GET", "nothing").first == 404 && program.call("GET", "cordon").first == 405);
+    assert(program.call("POST", "cordon", "s-9").first == 404); // nobody has the id
+    for (const char *const bad :
+         {"nonsense\r\n\r\n", "POST /admin/cordon HTTP/1.1\r\nContent-Length: x\r\n\r\n"}) {
+        Socket caller = Socket::to(program.control);
+        caller.send(bad);
+        assert(caller.ended() && caller.in.starts_with("HTTP/1.1 400 "));
+    }
+}
+
+// Guards against callers who hold the operators' connections and say nothing, or half a call.
+void silent_callers_keep_nobody_out() {
+    const Discovery discovery(member("s-1", free_port(), 0));
+    const Program program(discovery);
+    std::list<Socket> silent;
+    for (int n = 0; n < 40; ++n) {
+        silent.push_back(Socket::to(program.control));
+        if (n % 2) silent.back().send("POST /admin/quiesce HT");
+    }
+    assert(program.call("GET", "health").first == 200);
+    for (Socket &caller : silent) assert(caller.ended());
+}
+
+// A call of which every byte comes by itself is a call.
+void a_call_may_come_in_pieces() {
+    const Discovery discovery(member("s-1", free_port(), 0));
+    const Program program(discovery);
+    Socket caller = Socket::to(program.control);
+    for (const char c : std::string("POST /admin/cordon HTTP/1.1\r\ncontent-length: 4\r\n\r\ns-1\n")) {
+        caller.send(std::string(1, c));
+        std::this_thread::sleep_for(1ms);
+    }
+    assert(caller.ended() && caller.in.starts_with("HTTP/1.1 200 "));
+}
+
+void figures_are_what_happened() {
+    RespNode node([](const auto &words, int) {
+        return words[0] == "OBJ.PUT" ? "-ERR failed\r\n" : RespNode::served("v");
+    });
+    const Discovery discovery(member("s-1", node.server.port, 0) + "," +
+                              member("s-2", free_port(), 1, "draining"));
+    const Program program(discovery);
+    Socket client = program.client();
+    for (int n = 0; n < 5; ++n) {
+        client.send(get(kPiece));
+        assert(client.value()->text == "v");
+    }
+    client.send(get(kPiece, 7, 300)); // no node holds the shard
+    assert(client.value()->text.starts_with("BUSY"));
+    client.send(put(kPiece, "body"));
+    assert(client.value()->text == "ERR failed");
+    const auto figures = program.figures();
+    assert(figures.at("answered.read") == 5 && figures.at("deferred.read") == 1);
+    assert(figures.at("errored.new-write") == 1 && figures.at("answered.new-write") == 0);
+    assert(figures.at("sends") == 9 && static_cast<int>(node.taken().size()) == 9);
+    assert(figures.at("current") == 0);
+    assert(figures.at("cluster_size") == 2 && figures.at("cluster_unhealthy") == 1);
+}
+
+void a_request_under_way_is_current() {
+    std::atomic<bool> go = false;
+    RespNode node([&](const auto &, int) {
+        while (!go) std::this_thread::sleep_for(5ms);
+        return RespNode::served("v");
+    });
+    const Discovery discovery(member("s-1", node.server.port, 0));
+    const Program program(discovery);
+    Socket client = program.client();
+    client.send(get(kPiece));
+    while (node.taken().empty()) std::this_thread::sleep_for(5ms);
+    assert(program.figures().at("current") == 1 && program.figures().at("sends") == 1);
+    go = true;
+    assert(client.value()->text == "v" && program.figures().at("current") == 0);
+}
+
+// A node out by hand gets nothing new, whatever discovery lists, until it is put back once; then it is in use
+// again, as one that has just started.
+void a_cordoned_node_stays_out() {
+    RespNode node([](const auto &, int) { return RespNode::served("v"); });
+    Discovery discovery(member("s-1", node.server.port, 0));
+    const Program program(discovery);
+    Socket client = program.client();
+    client.send(get(kPiece));
+    assert(client.value()->text == "v");
+    for (int n = 0; n < 2; ++n) assert(program.call("POST", "cordon", "s-1").first == 200);
+    client.send(get(kPiece, 0, 600));
+    assert(client.value()->text.starts_with("BUSY"));
+    for (const std::string &members :
+         {std::string(), member("s-1", node.server.port, 0)}) { // it goes and comes
+        const int asked = discovery.calls;
+        discovery.change(members);
+        while (discovery.calls == asked) std::this_thread::sleep_for(10ms);
+    }
+    client.send(get(kPiece, 0, 600));
+    assert(client.value()->text.starts_with("BUSY") && node.taken().size() == 1);
+    assert(program.figures().at("cluster_unhealthy") == 1);
+    assert(program.call("POST", "uncordon", "s-1").first == 200);
+    const auto back = std::chrono::steady_clock::now();
+    do client.send(get(kPiece)); // a young process sends nothing to a cold node for a while
+    while (client.value()->text != "v");
+    assert(std::chrono::steady_clock::now() - back < 5s);
+    assert(program.figures().at("cluster_unhealthy") == 0);
+    program.await_log("started: held to its cold part");
+}
+
+// Quiesced, the broker tells the front no, serves what still comes, and lets each connection go between
+// requests; a resume in time undoes it.
+void clients_are_sent_away_and_taken_again() {
+    RespNode node([](const auto &, int) {
+        std::this_thread::sleep_for(1500ms);
+        return RespNode::served("v");
+    });
+    const Discovery discovery(member("s-1", node.server.port, 0));
+    const Program program(discovery);
+    const auto ping = [&] {
+        Socket front = program.client();
+        front.send("*1\r\n$4\r\nPING\r\n");
+        return front.value()->text;
+    };
+    Socket idle = program.client(), busy = program.client();
+    idle.send("*1\r\n$4\r\nPING\r\n");
+    assert(idle.value()->text == "PONG");
+    busy.send(get(kPiece, 0, 4000));
+    assert(program.call("POST", "quiesce").first == 200 && ping() != "PONG");
+    assert(idle.silent_for(300)); // the front has not moved yet
+    assert(idle.ended());
+    assert(busy.value()->text == "v"); // a new connection is served, too
+    assert(busy.ended());
+    assert(program.call("POST", "resume").first == 200 && ping() == "PONG");
+    assert(program.call("POST", "quiesce").first == 200 && program.call("POST", "resume").first == 200);
+    Socket kept = program.client();
+    kept.send("*1\r\n$4\r\nPING\r\n");
+    assert(kept.value()->text == "PONG" && kept.silent_for(1500));
+}
+
+} // namespace
+
+int main() {
+    health_and_unknown_calls();
+    silent_callers_keep_nobody_out();
+    a_call_may_come_in_pieces();
+    figures_are_what_happened();
+    a_request_under_way_is_current();
+    a_cordoned_node_stays_out();
+    clients_are_sent_away_and_taken_again();
+}
--- a/tests/helper.hpp
+++ b/tests/helper.hpp
@@ -23,6 +23,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sstream>
 #include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -280,6 +281,7 @@
     explicit Program(const Discovery &discovery, const std::string &operators = "",
                      const std::string &settings = kSettings) {
         port = free_port();
+        control = free_port();
         configure(discovery, settings);
         if (!operators.empty()) write("operator.json", operators);
         start(operators.empty() ? std::vector<std::string>{}
@@ -309,9 +311,9 @@
         write(
             "config.json",
             fmt::format(
-                R"({{"name":"n0","listen":"127.0.0.1:{}","discovery":"127.0.0.1:{}","seed":"8c1f30d27a5be964",)"
-                R"("limits":{{"cores":1.0,"memory_mb":16,"sockets":256}},"known":{},"settings":{}}})",
-                port, discovery.port(), discovery.known(), settings));
+                R"({{"name":"n0","listen":"127.0.0.1:{}","control":"127.0.0.1:{}","discovery":"127.0.0.1:{}",)"
+                R"("seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":16,"sockets":256}},"known":{},"settings":{}}})",
+                port, control, discovery.port(), discovery.known(), settings));
     }
     void write(const std::string &name, const std::string &text) const {
         std::ofstream(folder_ / name) << text;
@@ -341,7 +343,29 @@
     }
     bool running() const { return ::waitpid(pid_, nullptr, WNOHANG) == 0; }
     Socket client() const { return Socket::to(port); }
-    int port = 0;
+    // A call of an operator: the status and the body.
+    std::pair<int, std::string> call(const std::string &method, const std::string &what,
+                                     const std::string &body = "") const {
+        Socket caller = Socket::to(control);
+        caller.send(fmt::format("{} /admin/{} HTTP/1.1\r\nHost: broker\r\nContent-Length: {}\r\n\r\n{}",
+                                method, what, body.size(), body));
+        caller.ended();
+        assert(caller.in.starts_with("HTTP/1.1 "));
+        return {std::atoi(caller.in.c_str() + 9), caller.in.substr(caller.in.find("\r\n\r\n") + 4)};
+    }
+    std::map<std::string, long> figures() const { // by their names behind `balancer.`
+        const auto [status, body] = call("GET", "stats");
+        assert(status == 200);
+        std::map<std::string, long> all;
+        std::istringstream lines(body);
+        for (std::string line; std::getline(lines, line);) {
+            assert(line.starts_with("balancer.") && (line.ends_with("|c") || line.ends_with("|g")));
+            const std::size_t colon = line.find(':');
+            all[line.substr(9, colon - 9)] = std::atol(line.c_str() + colon + 1);
+        }
+        return all;
+    }
+    int port = 0, control = 0;
 
 private:
     void start(const std::vector<std::string> &more) {
