--- a/include/marblewood/scheduler.hpp
+++ b/include/marblewood/scheduler.hpp
@@ -184,8 +184,34 @@
     std::string data;
 };
 
+// What one process leaves to its successor, so that limits and the guards on cold nodes hold over both.
+struct Legacy {
+    struct Store { // what this host may still send for a volume within its plan's limit
+        VolumeId volume{};
+        double units = 0;
+    };
+    struct Spent {
+        Micros at = 0;
+        double units = 0;
+        int layer = 0;
+    };
+    struct Start { // a cold node
+        NodeId node{};
+        Micros since = 0;
+        bool declared = false; // by the list
+        std::vector<Spent> spent = {};
+    };
+    Micros born = 0;
+    std::vector<Store> stores;
+    std::vector<Start> starts;
+};
+
+struct Retire { // a successor has the legacy: only what is held is still sent; or, not `on`, it has gone
+    bool on = true;
+};
+
 using Event = std::variant<ListUpdate, RequestArrived, AttemptEnded, StreamStarted, ClientLeft, TimerDue,
-                           ProbeEnded, PeerMessage>;
+                           ProbeEnded, PeerMessage, Legacy, Retire>;
 
 // Actions.
 
@@ -252,6 +278,8 @@
     std::optional<double> bound(NodeId node) const;
     // Whether a node that is known gets no requests as things stand, or only trials.
     bool avoids(NodeId node) const;
+    // For a successor; a Retire belongs right behind it.
+    Legacy legacy() const;
 
 private:
     struct State;
--- a/src/core/memory.hpp
+++ b/src/core/memory.hpp
@@ -9,7 +9,8 @@
 class Memory {
 public:
     explicit Memory(std::size_t most) : most_(most) {}
-    bool full() const { return held_ >= most_; }
+    bool full() const { return held_ >= (shared_ ? most_ / 2 : most_); }
+    void share(bool shared) { shared_ = shared; } // another process has half
 
     class Share { // what one holder has of it
     public:
@@ -29,6 +30,7 @@
 
 private:
     std::size_t most_, held_ = 0;
+    bool shared_ = false;
 };
 
 } // namespace marblewood::core
--- a/src/core/planner.hpp
+++ b/src/core/planner.hpp
@@ -44,6 +44,9 @@
     void client_left(RequestId id);
     void list(const ListUpdate &update);
     void peer_message(PeerMessage message) { tell(std::move(message)); }
+    Legacy legacy() const { return scheduler_.legacy(); }
+    void inherit(const Legacy &legacy) { tell(legacy); }
+    void retire(bool on) { tell(Retire{on}); }
     // Whether the node is on the list, or anything is out there.
     bool knows(NodeId node) const { return scheduler_.bound(node).has_value(); }
     bool avoids(NodeId node) const { return scheduler_.avoids(node); }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -5,6 +5,7 @@
 #include "net/clients.hpp"
 #include "net/control/control.hpp"
 #include "net/fleet.hpp"
+#include "net/handover/handover.hpp"
 #include "net/nvme/front.hpp"
 #include "net/otlp/exporter.hpp"
 #include "net/peers/peers.hpp"
@@ -12,9 +13,11 @@
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <charconv>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <cstring>
 #include <random>
 #include <sys/resource.h>
 
@@ -24,6 +27,7 @@
 
 namespace {
 
+constexpr Micros kLook = 1'000;      // us between looks at what is still to go over to a successor
 constexpr std::size_t kHeldPart = 4; // a quarter of the memory is for what clients send and are owed
 
 template <typename Endpoint> Endpoint address(const std::string &text, const char *field) {
@@ -57,6 +61,25 @@
     }
 }
 
+// The clients' listening socket that the platform holds for every process of this broker.
+net::Descriptor passed_socket() {
+    const char *const text = std::getenv("BALANCER_PASSED_SOCKET");
+    if (!text || !*text) return net::Descriptor();
+    int fd = -1;
+    const auto [end, error] = std::from_chars(text, text + std::strlen(text), fd);
+    if (error != std::errc() || *end || fd < 3)
+        throw config::Error(fmt::format("$BALANCER_PASSED_SOCKET: '{}' is not a descriptor", text));
+    return net::Descriptor(fd);
+}
+
+// The platform's socket, or the predecessor's, or one of our own.
+tcp::acceptor listener(asio::io_context &io, net::Descriptor platform, net::Descriptor predecessor,
+                       const tcp::endpoint &at) {
+    if (platform.get() >= 0) return net::listen_with(io, std::move(platform));
+    if (predecessor.get() >= 0) return net::listen_with(io, std::move(predecessor));
+    return net::listen_at(io, at);
+}
+
 int serve(const std::string &path, config::Config config, const config::Operator &added) {
     rlimit files{};
     int sockets = config.sockets; // the lower of what we are told and what the system allows
@@ -75,6 +98,19 @@
     net::Ports ports(resp_port);
     std::mt19937_64 random(std::random_device{}());
 
+    std::optional<tcp::acceptor> control_listener; // all that may fail comes before a predecessor is asked
+    if (!config.control.empty())
+        control_listener = net::listen_at(io, address<tcp::endpoint>(config.control, "control"));
+    const char *const folder = std::getenv("TMPDIR");
+    const std::string meeting = folder && *folder ? std::string(folder) + "/marblewood.handover" : "";
+    std::optional<net::handover::Inheritance> legacy;
+    if (!meeting.empty()) legacy = net::handover::inherit(meeting);
+    const auto inherited = [&](const char *name) {
+        if (!legacy || legacy->channel.get() < 0) return net::Descriptor();
+        const auto found = legacy->sockets.find(name);
+        return found == legacy->sockets.end() ? net::Descriptor() : std::move(found->second);
+    };
+
     std::optional<net::discovery::Discovery> discovery;
     std::optional<net::peers::Peers> peers;
     core::Surroundings around;
@@ -110,7 +146,7 @@
         memory,
         away};
 
-    net::Fleet fleet(nodes, mapping, resp_port, nvme_port, ports, planners);
+    net::Fleet fleet(nodes, zones, mapping, resp_port, nvme_port, ports, planners);
     const auto told = [&](const net::discovery::Reading &reading) { fleet.told(reading); };
     if (!config.discovery.empty())
         discovery.emplace(
@@ -122,24 +158,42 @@
             others.push_back(address<asio::ip::udp::endpoint>(peer, "peers"));
         std::optional<asio::ip::udp::endpoint> all;
         if (!config.peers_all.empty()) all = address<asio::ip::udp::endpoint>(config.peers_all, "peers_all");
-        peers.emplace(io, address<asio::ip::udp::endpoint>(config.peer_listen, "peer_listen"), others, all,
-                      [&](const PeerMessage &message) {
-                          for (const auto &planner : planners) planner->peer_message(message);
-                      });
+        const auto at = address<asio::ip::udp::endpoint>(config.peer_listen, "peer_listen");
+        asio::ip::udp::socket socket(io);
+        if (auto kept = inherited("peers"); kept.get() >= 0)
+            socket.assign(at.protocol(), kept.release());
+        else
+            socket = asio::ip::udp::socket(io, at);
+        peers.emplace(std::move(socket), others, all, [&](const PeerMessage &message) {
+            for (const auto &planner : planners) planner->peer_message(message);
+        });
     }
     net::discovery::Reading saved;
     if (!config.known.isNull()) saved = net::discovery::read(config.known, nodes, zones);
     saved.update.kind = ListUpdate::Kind::Saved;
     told(saved);
+    if (legacy) {
+        try {
+            fleet.inherit(config::need(legacy->state, "fleet"));
+            away = config::flag_or(legacy->state, "quiesced", false);
+        } catch (const config::Error &error) { // nothing of it is taken; the predecessor serves on
+            core::log("handover: {}", error.what());
+            legacy->channel = net::Descriptor();
+        }
+    }
 
     net::resp::OpenIds open;
-    net::Clients clients(io, deadlines, budget, address<tcp::endpoint>(config.listen, "listen"),
-                         [&](net::Client &client) { return net::resp::serve(client, desk, open); });
+    net::Clients clients(
+        io, deadlines, budget,
+        listener(io, passed_socket(), inherited("clients"), address<tcp::endpoint>(config.listen, "listen")),
+        [&](net::Client &client) { return net::resp::serve(client, desk, open); });
     net::nvme::Controllers controllers;
     std::optional<net::Clients> nvme_clients;
     if (!mapping.listen.empty())
         nvme_clients.emplace(
-            io, deadlines, budget, address<tcp::endpoint>(mapping.listen, "nvme.listen"),
+            io, deadlines, budget,
+            listener(io, net::Descriptor(), inherited("nvme"),
+                     address<tcp::endpoint>(mapping.listen, "nvme.listen")),
             [&](net::Client &client) { return net::nvme::serve(client, desk, mapping, controllers); });
     net::control::Operations operations;
     operations.stats = [&] {
@@ -152,11 +206,59 @@
         clients.quiesce(on);
         if (nvme_clients) nvme_clients->quiesce(on);
     };
-    operations.acts = [] { return true; };
+    std::optional<net::handover::Handover> handover;
+    operations.acts = [&] { return !handover || !handover->yielded(); };
     std::optional<net::control::Control> control;
-    if (!config.control.empty())
-        control.emplace(io, deadlines, address<tcp::endpoint>(config.control, "control"),
-                        std::move(operations));
+    if (control_listener) control.emplace(io, deadlines, std::move(*control_listener), std::move(operations));
+    if (away) {
+        clients.quiesce(true);
+        if (nvme_clients) nvme_clients->quiesce(true);
+    }
+
+    // From one process to the next: see docs/design.md.
+    const auto share = [&](bool shared, int clients_elsewhere) {
+        budget.share(shared, clients_elsewhere);
+        memory.share(shared);
+    };
+    const auto accept = [&](bool on) {
+        for (net::Clients *part : {&clients, nvme_clients ? &*nvme_clients : nullptr})
+            if (part) on ? part->resume() : part->pause();
+        if (peers) peers->listen(on);
+    };
+    net::handover::Handover::Program program;
+    program.yield = [&] {
+        net::handover::Inheritance all;
+        accept(false);
+        all.state["quiesced"] = away;
+        all.state["clients"] = budget.clients();
+        all.state["fleet"] = fleet.state();
+        const auto give = [&](const char *name, int socket) {
+            all.sockets[name] = net::Descriptor(::dup(socket));
+        };
+        give("clients", clients.listener());
+        if (nvme_clients) give("nvme", nvme_clients->listener());
+        if (peers) give("peers", peers->descriptor());
+        fleet.retire(true);
+        share(true, 0);
+        return all;
+    };
+    program.pass = [&] {
+        clients.hand_over([&](net::Passed passed) { handover->client(std::move(passed)); });
+    };
+    program.recover = [&] {
+        clients.hand_over(nullptr);
+        fleet.retire(false);
+        share(false, 0);
+        accept(true);
+    };
+    program.adopt = [&](net::Passed passed) { clients.adopt(std::move(passed)); };
+    program.alone = [&] { share(false, 0); };
+    if (!meeting.empty()) handover.emplace(io, deadlines, meeting, std::move(program));
+    if (legacy && legacy->channel.get() >= 0) {
+        share(true, static_cast<int>(config::integer_or(legacy->state, "clients", 0)));
+        handover->follow(std::move(legacy->channel));
+        core::log("took over from a predecessor");
+    }
     core::log("{} serves at {}", config.name, config.listen);
 
     asio::signal_set hangups(io, SIGHUP);
@@ -171,12 +273,17 @@
         });
     };
     await_hangup();
+    core::Deadlines::Entry last_look;
+    const std::function<void()> stop = [&] { // once all that goes over has gone
+        if (!handover || handover->sent()) return io.stop();
+        last_look = deadlines.in(kLook, stop);
+    };
     asio::signal_set signals(io, SIGTERM, SIGINT);
     signals.async_wait([&](const boost::system::error_code &error, int) {
         if (error) return;
         core::log("draining");
         const auto done = [&, left = std::make_shared<int>(nvme_clients ? 2 : 1)] {
-            if (--*left == 0) io.stop();
+            if (--*left == 0) stop();
         };
         clients.drain(done);
         if (nvme_clients) nvme_clients->drain(done);
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -14,21 +14,48 @@
 constexpr Micros kFrontMoves = 1'000'000; // us from quiescing until clients' connections are closed
 constexpr Micros kAwayAgain = 100'000;    // us between looks at who has come since
 
+tcp protocol_of(int socket) {
+    sockaddr at{};
+    socklen_t size = sizeof at;
+    return ::getsockname(socket, &at, &size) == 0 && at.sa_family == AF_INET6 ? tcp::v6() : tcp::v4();
+}
+
 } // namespace
 
+tcp::acceptor listen_at(asio::io_context &io, const tcp::endpoint &at) {
+    tcp::acceptor acceptor(io);
+    acceptor.open(at.protocol());
+    acceptor.set_option(tcp::acceptor::reuse_address(true));
+    acceptor.bind(at);
+    acceptor.listen(1024);
+    return acceptor;
+}
+
+tcp::acceptor listen_with(asio::io_context &io, Descriptor socket) {
+    int listens = 0;
+    socklen_t size = sizeof listens;
+    if (::getsockopt(socket.get(), SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) != 0 || !listens)
+        throw boost::system::system_error(asio::error::invalid_argument, "not a listening socket");
+    tcp::acceptor acceptor(io);
+    acceptor.assign(protocol_of(socket.get()), socket.get());
+    socket.release();
+    return acceptor;
+}
+
 Clients::Clients(asio::io_context &io, core::Deadlines &deadlines, SocketBudget &budget,
-                 const tcp::endpoint &at, Front front)
-    : io_(io), deadlines_(deadlines), budget_(budget), acceptor_(io), front_(std::move(front)) {
-    acceptor_.open(at.protocol());
-    acceptor_.set_option(tcp::acceptor::reuse_address(true));
-    acceptor_.bind(at);
-    acceptor_.listen(1024);
+                 tcp::acceptor acceptor, Front front)
+    : io_(io), deadlines_(deadlines), budget_(budget), acceptor_(std::move(acceptor)),
+      front_(std::move(front)), resumed_(io.get_executor()) {
     asio::co_spawn(io_, accept(), asio::detached);
 }
 
 asio::awaitable<void> Clients::accept() {
     asio::steady_timer rest(io_);
     while (acceptor_.is_open()) {
+        if (paused_) {
+            co_await resumed_.take();
+            continue;
+        }
         // A request may be written to a connection that waits to be accepted, and counts as taken then. So
         // room is made by closing an idle client, never by not accepting: one that holds a connection and
         // says nothing before one that comes back to it.
@@ -37,6 +64,7 @@
         tcp::socket socket =
             co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, error));
         if (error) {
+            if (paused_ && acceptor_.is_open()) continue;
             if (error == asio::error::operation_aborted || !acceptor_.is_open()) break;
             core::log("accept: {}", error.message()); // out of descriptors, say: it passes
             if (budget_.clients_full() || error.value() == EMFILE || error.value() == ENFILE) drop_idle();
@@ -45,14 +73,51 @@
             continue;
         }
         socket.set_option(tcp::no_delay(true), error);
-        last_new_ = deadlines_.clock.now();
-        const auto client = clients_.emplace(clients_.end(), std::move(socket));
-        client->lease = budget_.client();
-        client->accepted = client->used = last_new_;
-        asio::co_spawn(io_, serve(client), asio::detached);
+        take(std::move(socket), Passed());
+    }
+}
+
+void Clients::take(tcp::socket socket, Passed early) {
+    last_new_ = deadlines_.clock.now();
+    const auto client = clients_.emplace(clients_.end(), std::move(socket));
+    client->lease = budget_.client();
+    client->accepted = client->used = last_new_;
+    client->asked = early.asked;
+    client->early = std::move(early);
+    client->pass = pass_;
+    asio::co_spawn(io_, serve(client), asio::detached);
+}
+
+void Clients::pause() {
+    paused_ = true;
+    boost::system::error_code ignored;
+    acceptor_.cancel(ignored);
+}
+void Clients::resume() {
+    paused_ = false;
+    if (resumed_.empty()) resumed_.put(true);
+}
+
+void Clients::hand_over(std::function<void(Passed)> pass) {
+    pass_ = std::move(pass);
+    for (Client &client : clients_) {
+        client.pass = pass_;
+        if (pass_ && client.nudge) client.nudge();
     }
 }
 
+void Clients::adopt(Passed passed) {
+    budget_.came_over();
+    if (budget_.clients_full()) drop_idle();
+    tcp::socket socket(io_);
+    boost::system::error_code error;
+    const int fd = passed.descriptor.get();
+    socket.assign(protocol_of(fd), fd, error);
+    if (error) return core::log("a client's connection can't be taken over: {}", error.message());
+    passed.descriptor.release();
+    take(std::move(socket), std::move(passed));
+}
+
 void Clients::drop_idle() {
     // A newcomer's first request may be on its way or unread: it is the last to go, however much it looks
     // like one that says nothing.
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -2,6 +2,8 @@
 #pragma once
 
 #include "core/log.hpp"
+#include "core/mailbox.hpp"
+#include "net/descriptor.hpp"
 #include "net/sockets.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -10,17 +12,27 @@
 
 namespace marblewood::net {
 
+struct Passed {        // a client's connection on its way from one process to another, between requests
+    std::string front; // which one serves it
+    bool asked = false;
+    Micros since = 0;  // when the first of these came:
+    std::string bytes; // read of its next request
+    Descriptor descriptor;
+};
+
 struct Client { // one connection, as its front sees it
     explicit Client(tcp::socket s) : socket(std::move(s)) {}
     tcp::socket socket;
     SocketBudget::Lease lease;
     Micros accepted = 0;
-    Micros used = 0;             // when something last came or went on it
-    bool asked = false;          // it has asked for something, or made itself known
-    std::size_t owed = 0;        // requests taken on it and not yet answered whole
-    bool partial = false;        // part of a request has come
-    bool closing = false;        // takes no more
-    std::function<void()> nudge; // set by the front: look at `closing`
+    Micros used = 0;                  // when something last came or went on it
+    bool asked = false;               // it has asked for something, or made itself known
+    std::size_t owed = 0;             // requests taken on it and not yet answered whole
+    bool partial = false;             // part of a request has come
+    bool closing = false;             // takes no more
+    std::function<void()> nudge;      // set by the front: look at `closing` and `pass`
+    std::function<void(Passed)> pass; // set while connections are handed to another process
+    Passed early;                     // what came with it from there
 
     bool idle() const { return owed == 0 && !partial; }
     void close() {
@@ -30,11 +42,15 @@
     }
 };
 
+// Listens at an address, or takes over a socket that listens already; throws boost::system::system_error.
+tcp::acceptor listen_at(asio::io_context &io, const tcp::endpoint &at);
+tcp::acceptor listen_with(asio::io_context &io, Descriptor socket);
+
 class Clients {
 public:
     using Front = std::function<asio::awaitable<void>(Client &)>;
 
-    Clients(asio::io_context &io, core::Deadlines &deadlines, SocketBudget &budget, const tcp::endpoint &at,
+    Clients(asio::io_context &io, core::Deadlines &deadlines, SocketBudget &budget, tcp::acceptor acceptor,
             Front front);
     // At a planned end: serves on for a while, new connections too, then lets all go between requests. `done`
     // is called once none is left.
@@ -42,9 +58,17 @@
     // Sends all away between requests once those who direct clients have had time to turn to others, or stops
     // doing so. New ones are still taken, and served.
     void quiesce(bool on);
+    // Accepts no more, until resumed.
+    void pause();
+    void resume();
+    // Hands each connection on between requests, as far as its front can; with nothing given, no more.
+    void hand_over(std::function<void(Passed)> pass);
+    void adopt(Passed passed);
+    int listener() { return acceptor_.native_handle(); }
 
 private:
     asio::awaitable<void> accept();
+    void take(tcp::socket socket, Passed early);
     asio::awaitable<void> serve(std::list<Client>::iterator client);
     void drop_idle(); // one that never asked, else one unused the longest
     void drain_turn();
@@ -57,6 +81,9 @@
     Front front_;
     std::list<Client> clients_;
     std::function<void()> done_;
+    std::function<void(Passed)> pass_;
+    bool paused_ = false;
+    core::Mailbox<bool> resumed_;
     Micros drain_from_ = 0, last_new_ = 0;
     core::Deadlines::Entry look_, away_;
 };
--- a/src/net/control/control.cpp
+++ b/src/net/control/control.cpp
@@ -47,9 +47,9 @@
     return out;
 }
 
-Control::Control(asio::io_context &io, core::Deadlines &deadlines, const tcp::endpoint &at,
+Control::Control(asio::io_context &io, core::Deadlines &deadlines, tcp::acceptor acceptor,
                  Operations operations)
-    : io_(io), deadlines_(deadlines), acceptor_(io, at), do_(std::move(operations)) {
+    : io_(io), deadlines_(deadlines), acceptor_(std::move(acceptor)), do_(std::move(operations)) {
     asio::co_spawn(io_, accept(), asio::detached);
 }
 
--- a/src/net/control/control.hpp
+++ b/src/net/control/control.hpp
@@ -24,7 +24,7 @@
 
 class Control {
 public:
-    Control(asio::io_context &io, core::Deadlines &deadlines, const tcp::endpoint &at, Operations operations);
+    Control(asio::io_context &io, core::Deadlines &deadlines, tcp::acceptor acceptor, Operations operations);
 
 private:
     struct Caller {
--- a/src/net/fleet.cpp
+++ b/src/net/fleet.cpp
@@ -6,6 +6,7 @@
 
 void Fleet::told(const discovery::Reading &reading) {
     for (const auto &[node, at] : reading.addresses) {
+        addresses_[node] = at;
         const auto where = endpoint<tcp::endpoint>(at);
         if (!where) continue;
         const auto special = mapping_.nodes.find(names_.text(static_cast<std::uint32_t>(node)));
@@ -16,6 +17,7 @@
             ports_.set(node, nvme_port_);
         }
     }
+    revision_ = std::max(revision_, reading.revision);
     tell(roster_.lay(reading.update));
     // Nodes are replaced for as long as this runs: those that are gone, with nothing out there, are
     // forgotten. One that is out by hand stays so if it is listed again.
@@ -27,6 +29,7 @@
         resp_port_.forget(node);
         nvme_port_.forget(node);
         ports_.forget(node);
+        addresses_.erase(node);
         return true;
     });
 }
@@ -52,6 +55,90 @@
     return node.has_value();
 }
 
+Json::Value Fleet::state() const {
+    const auto name = [&](NodeId node) { return names_.text(static_cast<std::uint32_t>(node)); };
+    Json::Value all;
+    all["list"] = Json::objectValue;
+    all["list"]["revision"] = static_cast<Json::Int64>(revision_);
+    all["list"]["complete"] = true;
+    all["list"]["members"] = all["cordons"] = all["limits"] = all["starts"] = Json::arrayValue;
+    for (const auto &[node, entry] : roster_.entries()) {
+        Json::Value row;
+        row["id"] = name(node);
+        row["host_port"] = addresses_.at(node);
+        row["locality"] = zones_.text(static_cast<std::uint32_t>(entry.zone));
+        row["cell"] = static_cast<Json::Int64>(entry.shard);
+        row["phase"] = entry.state == NodeState::Ready ? "up" : "draining";
+        row["up_since_ms"] = static_cast<double>(entry.started) / 1000;
+        all["list"]["members"].append(std::move(row));
+    }
+    for (const NodeId node : roster_.out()) all["cordons"].append(name(node));
+    for (const auto &planner : planners_) {
+        const Legacy legacy = planner->legacy();
+        all["born"] = static_cast<Json::Int64>(legacy.born);
+        for (const Legacy::Store &s : legacy.stores) {
+            Json::Value row;
+            row["volume"] = static_cast<Json::UInt64>(s.volume);
+            row["units"] = s.units;
+            all["limits"].append(std::move(row));
+        }
+        for (const Legacy::Start &s : legacy.starts) {
+            Json::Value row;
+            row["id"] = name(s.node);
+            row["since"] = static_cast<Json::Int64>(s.since);
+            row["declared"] = s.declared;
+            row["spent"] = Json::arrayValue;
+            for (const Legacy::Spent &spent : s.spent) {
+                Json::Value one;
+                one["at"] = static_cast<Json::Int64>(spent.at);
+                one["units"] = spent.units;
+                one["layer"] = spent.layer;
+                row["spent"].append(std::move(one));
+            }
+            all["starts"].append(std::move(row));
+        }
+    }
+    return all;
+}
+
+void Fleet::inherit(const Json::Value &state) {
+    using namespace config;
+    const auto rows = [&](const Json::Value &of, const char *field) -> const Json::Value & {
+        const Json::Value &found = need(of, field);
+        if (!found.isArray()) throw Error(std::string("field '") + field + "' is not a list");
+        return found;
+    };
+    const auto list = discovery::read(need(state, "list"), names_, zones_);
+    std::vector<NodeId> out;
+    for (const Json::Value &id : rows(state, "cordons")) {
+        if (!id.isString()) throw Error("field 'cordons' is not a list of ids");
+        out.push_back(NodeId{names_.number(id.asString())});
+    }
+    Legacy legacy;
+    legacy.born = need_integer(state, "born");
+    for (const Json::Value &row : rows(state, "limits")) {
+        const Json::Value &volume = need(row, "volume");
+        if (!volume.isUInt64()) throw Error("field 'volume' is not a number");
+        legacy.stores.push_back({VolumeId{volume.asUInt64()}, need_number(row, "units")});
+    }
+    for (const Json::Value &row : rows(state, "starts")) {
+        legacy.starts.push_back({NodeId{names_.number(need_text(row, "id"))}, need_integer(row, "since"),
+                                 flag_or(row, "declared", false)});
+        for (const Json::Value &one : rows(row, "spent"))
+            legacy.starts.back().spent.push_back({need_integer(one, "at"), need_number(one, "units"),
+                                                  static_cast<int>(need_integer(one, "layer"))});
+    }
+    for (const NodeId node : out) tell(roster_.cordon(node));
+    told(list);
+    for (const auto &planner : planners_) planner->inherit(legacy);
+}
+
+void Fleet::retire(bool on) {
+    for (const auto &planner : planners_) planner->retire(on);
+    if (!on) return;
+    for (const auto &[node, entry] : roster_.entries()) ports_.close_idle(node);
+}
+
 std::size_t Fleet::avoided() const {
     return static_cast<std::size_t>(
         std::count_if(roster_.entries().begin(), roster_.entries().end(), [&](const auto &listed) {
--- a/src/net/fleet.hpp
+++ b/src/net/fleet.hpp
@@ -15,16 +15,23 @@
 class Fleet {
 public:
     using Planners = std::vector<std::unique_ptr<core::Planner>>;
-    Fleet(config::Names &names, const nvme::Mapping &mapping, resp::NodePort &resp_port,
+    Fleet(config::Names &names, config::Names &zones, const nvme::Mapping &mapping, resp::NodePort &resp_port,
           nvme::NodePort &nvme_port, Ports &ports, Planners &planners)
-        : names_(names), mapping_(mapping), resp_port_(resp_port), nvme_port_(nvme_port), ports_(ports),
-          planners_(planners) {}
+        : names_(names), zones_(zones), mapping_(mapping), resp_port_(resp_port), nvme_port_(nvme_port),
+          ports_(ports), planners_(planners) {}
 
     void told(const discovery::Reading &reading);
     // By hand. False: nobody has the id.
     bool cordon(const std::string &id);
     bool uncordon(const std::string &id);
 
+    // For a successor, and from a predecessor: the list, what is out by hand, what the module leaves. A state
+    // that can't be read throws config::Error and changes nothing.
+    Json::Value state() const;
+    void inherit(const Json::Value &state);
+    // A successor has the state; or, not `on`, it has gone.
+    void retire(bool on);
+
     std::size_t size() const { return roster_.entries().size(); }
     std::size_t avoided() const; // listed, and out by hand or by a planner's choice
     std::size_t open() const;    // requests that still owe an answer
@@ -33,13 +40,15 @@
     std::optional<NodeId> find(const std::string &id) const;
     void tell(const ListUpdate &update);
 
-    config::Names &names_;
+    config::Names &names_, &zones_;
     const nvme::Mapping &mapping_;
     resp::NodePort &resp_port_;
     nvme::NodePort &nvme_port_;
     Ports &ports_;
     Planners &planners_;
     core::Roster roster_;
+    std::map<NodeId, std::string> addresses_;
+    std::int64_t revision_ = 0;
 };
 
 } // namespace marblewood::net
--- a/src/net/nvme/front.cpp
+++ b/src/net/nvme/front.cpp
@@ -55,6 +55,7 @@
     void close() { client_.close(); }
 
 private:
+    const char *front() const override { return "nvme"; }
     struct Working { // a command that owes its completion
         bool write = false;
         Micros sent = 0;
--- a/src/net/peers/peers.hpp
+++ b/src/net/peers/peers.hpp
@@ -18,12 +18,22 @@
 public:
     static constexpr std::size_t kMost = 256; // bytes of a message; a longer one breaks the rules
 
-    Peers(asio::io_context &io, const udp::endpoint &listen, std::vector<udp::endpoint> peers,
-          std::optional<udp::endpoint> all, std::function<void(PeerMessage)> told)
-        : socket_(io, listen), peers_(std::move(peers)), all_(all), told_(std::move(told)) {
+    // `socket` is bound to this broker's own address.
+    Peers(udp::socket socket, std::vector<udp::endpoint> peers, std::optional<udp::endpoint> all,
+          std::function<void(PeerMessage)> told)
+        : socket_(std::move(socket)), peers_(std::move(peers)), all_(all), told_(std::move(told)) {
         socket_.non_blocking(true);
-        asio::co_spawn(io, listening(), asio::detached);
+        listen(true);
     }
+    // Another process that holds the socket, too, listens meanwhile.
+    void listen(bool on) {
+        boost::system::error_code ignored;
+        if (on)
+            asio::co_spawn(socket_.get_executor(), listening(), asio::detached);
+        else
+            socket_.cancel(ignored);
+    }
+    int descriptor() { return socket_.native_handle(); }
 
     void tell(std::optional<int> peer, const std::string &data) {
         if (data.size() > kMost) return core::log("peers: a message of {} bytes is not sent", data.size());
--- a/src/net/resp/front.cpp
+++ b/src/net/resp/front.cpp
@@ -89,6 +89,8 @@
         reader_ = Reader();
         say(fmt::format("-ERR Protocol error: {}\r\n", why));
     }
+    std::optional<std::string> unfinished() const override { return reader_.unfinished() + in_; }
+    const char *front() const override { return "resp"; }
     void turn_away(const char *why) { // understood, but of no use
         wrong_ = true;
         say(fmt::format("-ERR {}\r\n", why));
--- a/src/net/resp/parser.cpp
+++ b/src/net/resp/parser.cpp
@@ -97,6 +97,27 @@
     return std::exchange(array_, std::nullopt);
 }
 
+std::string Reader::unfinished() const {
+    std::string out;
+    if (array_) {
+        out = fmt::format("*{}\r\n", array_->elements.size() + missing_);
+        for (const Value &value : array_->elements) {
+            using Kind = Value::Kind;
+            if (value.kind == Kind::Bulk && value.null)
+                out += "$-1\r\n";
+            else if (value.kind == Kind::Bulk)
+                put_bulk(out, value.text);
+            else
+                out += (value.kind == Kind::Simple  ? "+"
+                        : value.kind == Kind::Error ? "-"
+                                                    : ":") +
+                       value.text + "\r\n";
+        }
+    }
+    if (bulk_) out += fmt::format("${}\r\n{}", length_, bulk_->text);
+    return out;
+}
+
 const std::string *Reader::first() const {
     if (!array_ || array_->elements.empty()) return nullptr;
     const Value &value = array_->elements.front();
--- a/src/net/resp/parser.hpp
+++ b/src/net/resp/parser.hpp
@@ -38,6 +38,7 @@
     std::optional<Value> take(std::string_view &bytes);
     bool between() const { return !array_ && !bulk_; } // no part of a message is kept
     std::size_t kept() const { return size_; }         // bytes that it has room for
+    std::string unfinished() const;                    // what it keeps, spelt again
     // The first element of an array that is not whole, once that is there and a string.
     const std::string *first() const;
 
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -14,17 +14,24 @@
 constexpr Micros kRest = 50'000;           // us for which one that sent what is of no use is not read
 constexpr Micros kReadWithin = 10'000'000; // us for a client to read what it is sent
 constexpr Micros kLinger = 200'000;        // us for a client to see the end of a connection
-constexpr int kDiscarded = 8;              // reads of what it still sends then
+constexpr std::size_t kMostPassed = 48 * 1024; // bytes of a begun message that another process goes on with
+constexpr int kDiscarded = 8;                  // reads of what it still sends then
 
 } // namespace
 
 asio::awaitable<void> Session::run() {
     client_.nudge = [this] {
         boost::system::error_code ignored;
-        if (client_.idle() || over_) client_.socket.cancel(ignored);
+        if (client_.owed == 0 || over_) client_.socket.cancel(ignored);
     };
+    if (!client_.early.bytes.empty()) { // read by the process that had this client before
+        in_ = std::exchange(client_.early.bytes, {});
+        since_ = client_.early.since;
+        took(false);
+    }
     while (!over_) {
         boost::system::error_code error;
+        if (client_.pass && hand_over()) break;
         if (client_.closing) { // between requests: only what has come already is still taken
             for (std::size_t before = ~0ul; !over_ && !error && in_.size() != before;) {
                 const bool fresh = !begun();
@@ -53,6 +60,17 @@
     client_.nudge = nullptr;
 }
 
+bool Session::hand_over() {
+    if (client_.owed > 0 || writing_ || wrong_) return false;
+    auto bytes = unfinished();
+    if (!bytes || bytes->size() > kMostPassed) return false;
+    boost::system::error_code error;
+    Descriptor fd(client_.socket.release(error));
+    gone_ = true; // from here
+    if (!error) client_.pass({front(), client_.asked, since_, std::move(*bytes), std::move(fd)});
+    return true;
+}
+
 void Session::took(bool fresh) {
     client_.used = deadlines_.clock.now();
     if (fresh) since_ = client_.used;
@@ -125,7 +143,7 @@
     self->wake();
     if (!self->client_.nudge) co_return; // it has ended
     self->mind();
-    if (self->client_.closing) self->client_.nudge();
+    if (self->client_.closing || self->client_.pass) self->client_.nudge();
 }
 
 // All that was asked is answered, then the client sees the end. What it wrote meanwhile was not read; a
--- a/src/net/session.hpp
+++ b/src/net/session.hpp
@@ -23,6 +23,9 @@
     virtual std::size_t held() const { return in_.size(); }
     virtual Micros may_idle() const = 0; // us for which a client that has asked may be silent; 0: for good
     virtual void spoilt(const char *why) = 0; // what has come can't be finished: tells the client
+    // What has come of the next message, for another process to go on with; nothing where it can't.
+    virtual std::optional<std::string> unfinished() const { return std::nullopt; }
+    virtual const char *front() const = 0; // its name between processes
 
     // Queues bytes; with them `answers` of what is owed are paid.
     void send(std::string bytes, std::size_t answers);
@@ -37,6 +40,7 @@
 
 private:
     void took(bool fresh);
+    bool hand_over();
     void mind();
     void stop_reading(const char *why);
     asio::awaitable<void> rest();
--- a/src/net/sockets.hpp
+++ b/src/net/sockets.hpp
@@ -36,15 +36,24 @@
     private:
         int *held_ = nullptr;
     };
-    bool nodes_full() const { return nodes_ >= most_nodes_; }
-    bool clients_full() const { return clients_ >= most_clients_; }
+    bool nodes_full() const { return nodes_ >= (shared_ ? most_nodes_ / 2 : most_nodes_); }
+    bool clients_full() const { return clients_ + elsewhere_ >= most_clients_; }
+    // Another process, which hands over to this one or takes over from it, has half of what nodes get, and so
+    // many clients.
+    void share(bool shared, int clients_elsewhere = 0) {
+        shared_ = shared;
+        elsewhere_ = clients_elsewhere;
+    }
+    void came_over() { elsewhere_ = std::max(0, elsewhere_ - 1); }
+    int clients() const { return clients_; }
     Lease node() { return Lease(nodes_); }
     Lease client() { return Lease(clients_); }
 
 private:
     static constexpr int kSpare =
         40; // listeners, control's callers, discovery, peers, telemetry, timers, the log
-    int most_nodes_, most_clients_, nodes_ = 0, clients_ = 0;
+    int most_nodes_, most_clients_, nodes_ = 0, clients_ = 0, elsewhere_ = 0;
+    bool shared_ = false;
 };
 
 // Connects within the time; an error otherwise. `on_stop` is where the caller may break it off.
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -103,11 +103,7 @@
             return it == attempts.end() ? nullptr : &*it;
         }
     };
-    struct Spent {
-        Micros at = 0;
-        double units = 0;
-        int layer = 0;
-    };
+    using Spent = Legacy::Spent;
     struct Node {
         NodeId id{};
         NodeEntry entry;
@@ -154,7 +150,8 @@
     Settings set;
     std::uint64_t random;
     Micros now = 0, born = kNever, ask_wait = kAskAgain, limited_at = kNever;
-    bool listless = false;
+    bool listless = false, retired = false;
+    std::map<VolumeId, double> bequest; // of limits' stores, by a predecessor
     std::vector<Action> *acts = nullptr;
     std::map<RequestId, Request> requests;
     std::map<NodeId, Node> nodes;
@@ -441,6 +438,8 @@
             v.stamp = now;
             v.reserve = (plan.reserve + most) * part;
             v.share = share_rate(plan) * part;
+            if (const auto left = bequest.find(in.volume); left != bequest.end()) v.limit = left->second;
+            bequest.erase(in.volume);
         }
         const double seconds = static_cast<double>(now - v.stamp) / 1e6, keep = decay(v.stamp, now, kAccount);
         v.own *= keep;
@@ -453,7 +452,7 @@
         v.reserve = std::min(v.reserve + reserve * seconds, reserve + most);
         v.share = std::min(v.share + share_rate(plan) * mine * seconds, share_rate(plan) * mine + most);
         // The limit's store: this host's part, empty at first, since a forerunner may just have spent it.
-        v.limit = std::min(v.limit + plan.limit * part * seconds, plan.limit_burst * part);
+        if (!retired) v.limit = std::min(v.limit + plan.limit * part * seconds, plan.limit_burst * part);
         return v;
     }
 
@@ -631,7 +630,7 @@
         const auto live = std::count_if(node.out.begin(), node.out.end(), [&](const auto &out) {
             return age(out) < kTrialAims || (node.trusted && node.mean() > kQuick);
         });
-        return node.trusted ? static_cast<double>(live) + 1 <= node.bound
+        return node.trusted ? static_cast<double>(live) + 1 <= (retired ? kFloor : node.bound)
                             : live == 0 && now >= node.next_trial;
     }
 
@@ -848,7 +847,7 @@
     }
     int cold_layer(const Node &node, double units) const { // the layer that bears a request; -1: none now
         if (!cold(node) || set.fall_window <= 0) return 0;
-        if (now - born < set.fall_window) return -1;
+        if (retired || now - born < set.fall_window) return -1;
         for (const int layer : {0, 1}) {
             const double part = total(node, layer, now - set.fall_window) / set.hosts;
             Micros from = now - set.fall_window;
@@ -874,10 +873,42 @@
         if (r.charged || r.plan->limit <= 0) return true;
         const Volume &v = volumes.at(r.in.volume);
         const double part = 1.0 / std::max(1, r.in.hosts);
-        const double filled = r.plan->limit * part * static_cast<double>(now - v.stamp) / 1e6;
+        const double filled = retired ? 0 : r.plan->limit * part * static_cast<double>(now - v.stamp) / 1e6;
         return std::min(v.limit + filled, r.plan->limit_burst * part) >= r.in.units + spare;
     }
 
+    // A successor takes over: what it is left and what is kept for the requests held here add up to what
+    // there was. Nothing more goes to cold nodes from here, and of the bounds this host keeps the floor.
+    double kept(VolumeId volume) const {
+        double units = 0;
+        for (const auto &[id, r] : requests)
+            if (r.in.volume == volume && r.open && !r.charged && r.plan->limit > 0) units += r.in.units;
+        return units;
+    }
+    Legacy legacy() const {
+        Legacy all{born, {}, {}};
+        for (const auto &[id, v] : volumes)
+            if (v.limit > 0) all.stores.push_back({id, std::max(0.0, v.limit - kept(id))});
+        for (const auto &[id, n] : nodes)
+            if (cold(n))
+                all.starts.push_back({id, n.cold_since, n.declared, {n.spent.begin(), n.spent.end()}});
+        return all;
+    }
+    void on(const Legacy &e) {
+        born = std::min(born, e.born);
+        for (const Legacy::Store &s : e.stores) bequest[s.volume] = s.units;
+        for (const Legacy::Start &s : e.starts)
+            if (const auto n = nodes.find(s.node); n != nodes.end()) {
+                n->second.spent.assign(s.spent.begin(), s.spent.end());
+                if (s.since > n->second.cold_since) chill(n->second, s.since, s.declared);
+            }
+    }
+    void on(const Retire &e) {
+        retired = e.on;
+        for (auto &[id, v] : volumes)
+            v.limit = retired ? std::min(v.limit, kept(id)) : 0, v.stamp = retired ? v.stamp : now;
+    }
+
     bool budget_allows(const Request &r) const {
         if (r.attempts.empty() || set.budget_window <= 0) return true;
         const auto since = now - set.budget_window;
@@ -963,6 +994,7 @@
     const auto it = state_->nodes.find(node);
     return it == state_->nodes.end() ? std::nullopt : std::optional(it->second.bound);
 }
+Legacy Scheduler::legacy() const { return state_->legacy(); }
 bool Scheduler::avoids(NodeId node) const {
     const auto it = state_->nodes.find(node);
     return it != state_->nodes.end() && !(it->second.usable && it->second.trusted);
--- a/tests/helper.hpp
+++ b/tests/helper.hpp
@@ -278,10 +278,12 @@
 // The real program, with a configuration of its own in a folder that goes with it.
 class Program {
 public:
+    int port = 0, control = 0;
     explicit Program(const Discovery &discovery, const std::string &operators = "",
-                     const std::string &settings = kSettings) {
-        port = free_port();
-        control = free_port();
+                     const std::string &settings = kSettings, const std::filesystem::path &folder = {},
+                     int listen = 0)
+        : port(listen ? listen : free_port()), control(free_port()),
+          folder_(folder.empty() ? make_folder() : folder) {
         configure(discovery, settings);
         if (!operators.empty()) write("operator.json", operators);
         start(operators.empty() ? std::vector<std::string>{}
@@ -300,12 +302,25 @@
         }
         assert(!"the program does not answer");
     }
+    // Started beside its predecessor, with an operators' address of its own, until it says yes.
+    explicit Program(const Program &predecessor)
+        : port(predecessor.port), control(free_port()), folder_(predecessor.folder_), successor_(true) {
+        start({});
+        for (int n = 0; n < 500; ++n, std::this_thread::sleep_for(10ms)) {
+            const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+            const sockaddr_in at = local(control);
+            const bool up = ::connect(fd, reinterpret_cast<const sockaddr *>(&at), sizeof at) == 0;
+            ::close(fd);
+            if (up && call("GET", "health").first == 200) return;
+        }
+        assert(!"the successor does not say yes");
+    }
     ~Program() {
         if (pid_ > 0) {
             ::kill(pid_, SIGKILL);
             exit_code();
         }
-        std::filesystem::remove_all(folder_);
+        if (!successor_) std::filesystem::remove_all(folder_);
     }
     void configure(const Discovery &discovery, const std::string &settings = kSettings) const {
         write(
@@ -320,7 +335,7 @@
     }
     std::string log() const {
         std::ostringstream text;
-        text << std::ifstream(folder_ / "log").rdbuf();
+        text << std::ifstream(log_path()).rdbuf();
         return text.str();
     }
     void await_log(const std::string &words) const {
@@ -365,7 +380,6 @@
         }
         return all;
     }
-    int port = 0, control = 0;
 
 private:
     void start(const std::vector<std::string> &more) {
@@ -373,7 +387,9 @@
         words.insert(words.end(), more.begin(), more.end());
         pid_ = ::fork();
         if (pid_ != 0) return;
-        if (std::freopen((folder_ / "log").c_str(), "w", stderr) == nullptr) ::_exit(127);
+        if (std::freopen(log_path().c_str(), "w", stderr) == nullptr) ::_exit(127);
+        ::setenv("TMPDIR", folder_.c_str(), 1);
+        ::setenv("BALANCER_CONTROL", fmt::format("127.0.0.1:{}", control).c_str(), 1);
         ::setenv("ASAN_OPTIONS", "quarantine_size_mb=1", 1); // freed memory is free, where tests measure it
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);                  // a test that fails leaves no program behind
         std::vector<char *> argv;
@@ -387,7 +403,9 @@
         assert(::mkdtemp(name.data()));
         return name;
     }
-    const std::filesystem::path folder_ = make_folder();
+    std::string log_path() const { return folder_ / (successor_ ? "log-2" : "log"); }
+    const std::filesystem::path folder_;
+    bool successor_ = false;
     pid_t pid_ = -1;
 };
 
