--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -57,20 +57,40 @@
                 return may_write(*life, node, until);
             };
             out->written = [this] { ++figures_.sends; };
+            out->begin = [this, life = life.get(), out = out.get(),
+                          n = static_cast<int>(life->attempts.size())](std::size_t length) {
+                out->stream = std::make_shared<Stream>(executor_, memory_, length);
+                life->steps.put(Began{n});
+            };
             life->attempts.push_back(std::move(out));
             ++life->out;
             asio::co_spawn(executor_, attempt(life, static_cast<int>(life->attempts.size()) - 1), report);
         } else if (const auto *cancel = std::get_if<Cancel>(&step)) {
             const auto number = static_cast<std::size_t>(cancel->attempt);
             if (number < life->attempts.size()) life->attempts[number]->stop(Status::Cancelled);
+        } else if (const auto *began = std::get_if<Began>(&step)) { // a long value: passed on as it comes
+            const auto &from = life->attempts[began->attempt];
+            if (!life->answer) {
+                from->stream->abandon();
+                continue;
+            }
+            life->streamed = from;
+            tell(StreamStarted{life->id, began->attempt});
+            std::exchange(life->answer, nullptr)({Outcome::Kind::Served, {}, 0, true, from->stream});
         } else if (auto *ended = std::get_if<Ended>(&step)) {
             --life->out;
             const AttemptResult &result = ended->result;
             AttemptEnded event{life->id, ended->attempt, result.status,    0,
                                false,    result.used,    result.elsewhere, result.report};
             event.latency = deadlines_.clock.now() - life->attempts[event.attempt]->started;
-            if (result.status == Status::Ok) // the first value served is the answer
+            if (life->streamed ==
+                life->attempts[event.attempt]) { // what was begun is whole, or will never be
+                const bool whole = life->streamed->stream->whole();
+                account(*life, {whole ? Outcome::Kind::Served : Outcome::Kind::Failed, {}, 0, true});
+                life->streamed = nullptr;
+            } else if (result.status == Status::Ok) { // the first value served is the answer
                 finish(*life, {Outcome::Kind::Served, std::move(ended->result.value), 0, true});
+            }
             event.closed = !life->answer;
             tell(std::move(event));
         } else if (const auto *refuse = std::get_if<Refuse>(&step)) {
@@ -81,6 +101,10 @@
             finish(*life, {Outcome::Kind::Failed, {}, 0, effect == Effect::Safe});
         } else { // the client has left: nobody is there to be answered
             if (std::exchange(life->answer, nullptr)) --answers_;
+            if (life->streamed) {
+                life->streamed->stream->abandon();
+                life->streamed->stop(Status::Cancelled);
+            }
             tell(ClientLeft{life->id});
         }
     }
@@ -90,7 +114,9 @@
 // One attempt: run by the node port, until its time is up at the latest.
 asio::awaitable<void> Planner::attempt(std::shared_ptr<Life> life, int number) {
     const std::shared_ptr<Attempt> out = life->attempts[number];
-    const auto expiry = deadlines_.at(out->expires, [&out = *out] { out.stop(Status::Timeout); });
+    const auto expiry = deadlines_.at(out->expires, [&out = *out] {
+        if (!out.stream) out.stop(Status::Timeout); // what has begun to come goes on
+    });
     AttemptResult result = co_await port_.run(out);
     if (observer_)
         observer_->attempt_ended(life->id, *out, number, result.status, out->started, deadlines_.clock.now());
@@ -99,10 +125,14 @@
 
 void Planner::finish(Life &life, Outcome outcome) {
     if (!life.answer) return;
+    account(life, outcome);
+    std::exchange(life.answer, nullptr)(std::move(outcome));
+}
+
+void Planner::account(Life &life, const Outcome &outcome) {
     --answers_;
     ++figures_.of(life.request->facts.cls, outcome.kind);
     if (observer_) observer_->request_ended(life.id, *life.request, outcome, deadlines_.clock.now());
-    std::exchange(life.answer, nullptr)(std::move(outcome));
 }
 
 // Between a Send and its first byte a connection may have to come up. Meanwhile time may run out, the client
--- a/src/core/planner.hpp
+++ b/src/core/planner.hpp
@@ -54,11 +54,14 @@
 
 private:
     struct Left {};
+    struct Began {
+        int attempt;
+    };
     struct Ended {
         int attempt;
         AttemptResult result;
     };
-    using Step = std::variant<Send, Refuse, Fail, Cancel, Left, Ended>;
+    using Step = std::variant<Send, Refuse, Fail, Cancel, Left, Began, Ended>;
     struct Life {
         Life(boost::asio::any_io_executor executor, Memory &memory, RequestId number,
              std::shared_ptr<const Request> r, Answer a)
@@ -68,6 +71,7 @@
         std::shared_ptr<const Request> request;
         Answer answer; // empty once given, or once the client has left
         std::vector<std::shared_ptr<Attempt>> attempts;
+        std::shared_ptr<Attempt> streamed; // whose value is being passed on, until that has ended
         std::size_t out = 0;
         Mailbox<Step> steps;
         Memory::Share held;
@@ -77,6 +81,7 @@
     boost::asio::awaitable<void> attempt(std::shared_ptr<Life> life, int number);
     boost::asio::awaitable<void> probe(NodeId node);
     void finish(Life &life, Outcome outcome);
+    void account(Life &life, const Outcome &outcome);
     bool may_write(const Life &life, NodeId node, Micros expires) const;
 
     void tell(Event event);
--- a/src/core/types.hpp
+++ b/src/core/types.hpp
@@ -1,6 +1,7 @@
 // What the core deals in. It knows no wire: fronts make Requests and spell Outcomes, node ports run Attempts.
 #pragma once
 
+#include "core/stream.hpp"
 #include "marblewood/scheduler.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -25,9 +26,10 @@
 
 struct Outcome {
     enum class Kind { Served, Refused, Failed } kind = Kind::Failed;
-    std::string value;       // of a node
-    Micros retry_after = 0;  // refused: when to come back; 0: no advice
-    bool repeat_safe = true; // failed: whether a repeat does no harm
+    std::string value;                        // of a node
+    Micros retry_after = 0;                   // refused: when to come back; 0: no advice
+    bool repeat_safe = true;                  // failed: whether a repeat does no harm
+    std::shared_ptr<Stream> stream = nullptr; // served: where the value comes from, if it is a long one
 };
 
 struct AttemptResult {
@@ -44,9 +46,12 @@
     NodeId node{};
     Micros started = 0, expires = 0;
     std::function<bool()> may_write; // asked just before the first byte goes out
-    std::function<void()> written;   // called by the port once the last byte is out
-    std::optional<Status> stopped;   // why it was told to stop
-    std::function<void()> on_stop;   // set by the port while it runs: breaks off what it waits for
+    std::shared_ptr<Stream> stream;  // of its answer, once that has begun as a long value
+    // Called by the port where a long value begins, which then goes into `stream`.
+    std::function<void(std::size_t length)> begin;
+    std::function<void()> written; // called by the port once the last byte is out
+    std::optional<Status> stopped; // why it was told to stop
+    std::function<void()> on_stop; // set by the port while it runs: breaks off what it waits for
 
     void stop(Status why) {
         if (stopped) return;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -93,7 +93,7 @@
     core::Memory memory((config.memory_mb << 20) / kHeldPart);
     config::Names nodes, zones;
     const net::nvme::Mapping mapping = net::nvme::read_mapping(added.nvme, config.settings);
-    net::resp::NodePort resp_port(io.get_executor(), deadlines, budget, config.settings);
+    net::resp::NodePort resp_port(io.get_executor(), deadlines, memory, budget, config.settings);
     net::nvme::NodePort nvme_port(io.get_executor(), deadlines, budget, config.settings, mapping.block_bytes);
     net::Ports ports(resp_port);
     std::mt19937_64 random(std::random_device{}());
--- a/src/net/resp/front.cpp
+++ b/src/net/resp/front.cpp
@@ -2,6 +2,8 @@
 
 #include "net/session.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <charconv>
 #include <cmath>
 #include <deque>
@@ -36,7 +38,9 @@
 
 std::string spell(const core::Outcome &outcome) {
     std::string out;
-    if (outcome.kind == core::Outcome::Kind::Served)
+    if (outcome.stream)
+        out = fmt::format("${}\r\n", outcome.stream->length);
+    else if (outcome.kind == core::Outcome::Kind::Served)
         put_bulk(out, outcome.value);
     else if (outcome.kind == core::Outcome::Kind::Failed)
         out = "-ERR failed\r\n";
@@ -65,7 +69,8 @@
         bool ready = false;
         core::Planner *planner = nullptr;
         RequestId id{};
-        std::string name; // the client's id
+        std::string name;                     // the client's id
+        std::shared_ptr<core::Stream> stream; // where the rest of its answer comes from
     };
 
     void take_all() override {
@@ -129,7 +134,11 @@
         slots_.back().name = request->id;
         const std::weak_ptr<Session> weak = weak_from_this();
         const RequestId id = planner.submit(std::move(request), [this, weak, number](core::Outcome outcome) {
-            if (const auto self = weak.lock()) answer(number, spell(outcome));
+            const auto self = weak.lock();
+            if (self)
+                answer(number, spell(outcome), outcome.stream);
+            else if (outcome.stream)
+                outcome.stream->abandon();
         });
         if (number >= first_) slots_[number - first_].id = id;
     }
@@ -141,28 +150,56 @@
     }
     void say(std::string bytes) { answer(slot(), std::move(bytes)); }
 
-    // Sends what is ready, in the order asked.
-    void answer(std::uint64_t number, std::string bytes) {
-        if (gone()) return;
+    void answer(std::uint64_t number, std::string bytes, std::shared_ptr<core::Stream> stream = nullptr) {
+        if (gone()) return stream ? stream->abandon() : void();
         Slot &slot = slots_[number - first_];
         slot.bytes = std::move(bytes);
         slot.ready = true;
+        slot.stream = std::move(stream);
         ready_ += slot.bytes.size();
         if (slot.planner) open_.erase(slot.name);
+        if (!streaming_) flush();
+    }
+
+    // Sends what is ready, in the order asked, up to a long value.
+    void flush() {
         std::string out;
         std::size_t answers = 0;
-        for (; !slots_.empty() && slots_.front().ready; ++first_, ++answers) {
+        std::shared_ptr<core::Stream> stream;
+        while (!stream && !slots_.empty() && slots_.front().ready) {
             out += slots_.front().bytes;
             ready_ -= slots_.front().bytes.size();
-            slots_.pop_front();
+            stream = slots_.front().stream;
+            if (!stream) slots_.pop_front(), ++first_, ++answers;
+        }
+        if (!out.empty()) send(std::move(out), answers);
+        if (!stream) return;
+        streaming_ = true;
+        asio::co_spawn(client_.socket.get_executor(), pass_on(shared_from_this(), std::move(stream)),
+                       asio::detached);
+    }
+
+    // A long value, as it comes and as the client reads it. Broken off, the client must be able to tell.
+    asio::awaitable<void> pass_on([[maybe_unused]] std::shared_ptr<Session> self,
+                                  std::shared_ptr<core::Stream> stream) {
+        for (;;) {
+            std::string piece = co_await stream->take();
+            if (gone() || piece.empty()) break;
+            send(std::move(piece), 0);
+            co_await flushed();
         }
-        if (answers > 0) send(std::move(out), answers);
+        if (gone()) co_return stream->abandon();
+        if (!stream->whole()) co_return client_.close();
+        streaming_ = false;
+        slots_.pop_front(), ++first_;
+        send("\r\n", 1);
+        flush();
     }
 
     void left() override {
         for (const Slot &slot : slots_)
-            if (slot.planner && !slot.ready) {
-                open_.erase(slot.name);
+            if (slot.planner && (!slot.ready || slot.stream)) {
+                if (!slot.ready) open_.erase(slot.name);
                 slot.planner->client_left(slot.id);
             }
     }
@@ -173,6 +210,7 @@
     std::size_t ready_ = 0; // bytes of answers that wait for those before them
     std::deque<Slot> slots_;
     std::uint64_t first_ = 0; // the number of the first slot
+    bool streaming_ = false;  // its answer is being passed on
 };
 
 } // namespace
--- a/src/net/resp/node_port.cpp
+++ b/src/net/resp/node_port.cpp
@@ -14,6 +14,8 @@
 constexpr Micros kDial = 250'000; // us for a connection to come up, where the settings do not say
 constexpr Micros kGap = 100'000;  // us of silence in an answer that has begun, after which it does not go on
 constexpr Micros kRest = 5'000;   // the same behind a whole value
+constexpr Micros kStreamGap =
+    5'000'000; // the same within a long value: its node or the way to it may be slow
 
 // Calls `use` with each name and number of "used=37,cost=4"; what is not of that form is passed over.
 template <typename F> void figures(std::string_view text, F use) {
@@ -48,15 +50,19 @@
 };
 
 // Reads one answer. A value stands once it is whole, whatever follows it: the rest of its array can't take
-// back what has run, and is not waited for long. Nor is an answer that has begun and does not go on.
-asio::awaitable<Answer> receive(Wire &wire, core::Deadlines &deadlines) {
+// back what has run, and is not waited for long. Nor is an answer that has begun and does not go on. A long
+// value goes into the attempt's stream as it comes, no faster than that is emptied.
+asio::awaitable<Answer> receive(Wire &wire, core::Deadlines &deadlines, core::Memory &memory,
+                                core::Attempt &attempt) {
     Answer answer;
     Reader reader(kMostAnswer);
+    core::Memory::Share held(memory);
     core::Deadlines::Entry limit;
     while (!answer.value && !answer.spoilt) {
         if (!reader.between() || !wire.in.empty())
-            limit = wire.expect_more(deadlines, reader.first() ? kRest : kGap);
-        answer.spoilt = bool(co_await read_more(wire.socket, wire.in));
+            limit = wire.expect_more(deadlines, reader.first() ? kRest : attempt.stream ? kStreamGap : kGap);
+        answer.spoilt =
+            bool(co_await read_more(wire.socket, wire.in, attempt.stream ? core::Stream::kMostKept : kChunk));
         std::string_view bytes = wire.in;
         try {
             answer.value = reader.take(bytes);
@@ -65,13 +71,23 @@
             answer.spoilt = true;
         }
         wire.in.erase(0, wire.in.size() - bytes.size());
+        if (const auto length = reader.long_first(); length && !attempt.stream && attempt.begin)
+            attempt.begin(*length);
+        if (attempt.stream) {
+            limit.reset();
+            std::string part = answer.value ? std::move(answer.value->elements.front().text) : reader.part();
+            if (!part.empty()) answer.spoilt |= !co_await attempt.stream->put(std::move(part));
+            if (answer.value || reader.first()) attempt.stream->end(true);
+        }
+        held.set(wire.in.size() + (attempt.stream ? 0 : reader.kept()));
     }
     if (!answer.value)
         if (const std::string *first = reader.first()) {
             answer.value = Value{Value::Kind::Array, false, {}, {}};
             answer.value->elements.push_back({Value::Kind::Bulk, false, *first, {}});
         }
-    answer.spoilt |= !wire.in.empty(); // what stands behind an answer belongs to nobody
+    if (attempt.stream) attempt.stream->end(false); // unless it is whole
+    answer.spoilt |= !wire.in.empty();              // what stands behind an answer belongs to nobody
     co_return answer;
 }
 
@@ -105,9 +121,9 @@
 
 } // namespace
 
-NodePort::NodePort(asio::any_io_executor executor, core::Deadlines &deadlines, SocketBudget &budget,
-                   const Settings &settings)
-    : executor_(executor), deadlines_(deadlines), settings_(settings),
+NodePort::NodePort(asio::any_io_executor executor, core::Deadlines &deadlines, core::Memory &memory,
+                   SocketBudget &budget, const Settings &settings)
+    : executor_(executor), deadlines_(deadlines), memory_(memory), settings_(settings),
       pool_(std::move(executor), deadlines, budget, settings.idle_close) {}
 
 void NodePort::place(NodeId node, const tcp::endpoint &address) {
@@ -170,7 +186,7 @@
     const bool whole = written == command.size();
     if (whole) attempt->written();
     Answer answer;
-    if (whole) answer = co_await receive(*wire, deadlines_);
+    if (whole) answer = co_await receive(*wire, deadlines_, memory_, *attempt);
     attempt->on_stop = nullptr;
     if (!answer.value) {
         wire->close();
@@ -215,7 +231,7 @@
     co_await asio::async_write(wire->socket, asio::buffer(ask),
                                asio::redirect_error(asio::use_awaitable, error));
     Answer answer;
-    if (!error) answer = co_await receive(*wire, deadlines_);
+    if (!error) answer = co_await receive(*wire, deadlines_, memory_, frame);
     frame.on_stop = nullptr;
     if (!answer.value) {
         wire->close();
--- a/src/net/resp/node_port.hpp
+++ b/src/net/resp/node_port.hpp
@@ -9,8 +9,8 @@
 
 class NodePort : public core::NodePort {
 public:
-    NodePort(asio::any_io_executor executor, core::Deadlines &deadlines, SocketBudget &budget,
-             const Settings &settings);
+    NodePort(asio::any_io_executor executor, core::Deadlines &deadlines, core::Memory &memory,
+             SocketBudget &budget, const Settings &settings);
     void place(NodeId node, const tcp::endpoint &address);
     void forget(NodeId node); // it is gone, and nothing is out there
 
@@ -25,6 +25,7 @@
 
     asio::any_io_executor executor_;
     core::Deadlines &deadlines_;
+    core::Memory &memory_;
     Settings settings_;
     Pool pool_;
     std::map<NodeId, tcp::endpoint> addresses_;
--- a/src/net/resp/parser.cpp
+++ b/src/net/resp/parser.cpp
@@ -35,10 +35,11 @@
     for (;;) {
         std::optional<Value> whole;
         if (bulk_) {
-            const std::string_view part = bytes.substr(0, length_ - bulk_->text.size());
+            const std::string_view part = bytes.substr(0, length_ - got_);
             bulk_->text += part;
+            got_ += part.size();
             bytes.remove_prefix(part.size());
-            if (bulk_->text.size() < length_ || bytes.empty()) return std::nullopt;
+            if (got_ < length_ || bytes.empty()) return std::nullopt;
             if (!std::string_view("\r\n").starts_with(bytes.substr(0, 2)))
                 throw Malformed("bulk string runs on");
             if (bytes.size() < 2) return std::nullopt;
@@ -60,7 +61,8 @@
                 if (size >= 0) {
                     length_ = static_cast<std::size_t>(size);
                     if ((size_ += length_) > most_ + kMostBeside) throw Malformed("message too long");
-                    value.text.reserve(length_);
+                    value.text.reserve(std::min(length_, kMostValue));
+                    got_ = 0;
                     bulk_ = std::move(value);
                     continue;
                 }
@@ -124,6 +126,16 @@
     return value.kind == Value::Kind::Bulk && !value.null ? &value.text : nullptr;
 }
 
+std::optional<std::size_t> Reader::long_first() const {
+    const bool first = bulk_ && array_ && array_->elements.empty();
+    return first && length_ > kMostValue ? std::optional(length_) : std::nullopt;
+}
+std::string Reader::part() {
+    if (bulk_ && array_ && array_->elements.empty()) return std::exchange(bulk_->text, {});
+    return array_ && !array_->elements.empty() ? std::exchange(array_->elements.front().text, {})
+                                               : std::string();
+}
+
 void put_bulk(std::string &out, std::string_view text) {
     fmt::format_to(std::back_inserter(out), "${}\r\n", text.size());
     out.append(text).append("\r\n");
--- a/src/net/resp/parser.hpp
+++ b/src/net/resp/parser.hpp
@@ -13,9 +13,8 @@
     using std::runtime_error::runtime_error;
 };
 
-inline constexpr std::size_t kMostValue = 64 * 1024; // bytes of a bulk string of a client
-inline constexpr std::size_t kMostAnswer =
-    1024 * 1024; // and of a node: some serve values past the protocol's 64 KiB
+inline constexpr std::size_t kMostValue = 64 * 1024;        // bytes of a bulk string of a client
+inline constexpr std::size_t kMostAnswer = 4 * 1024 * 1024; // and of a node: some values are long
 inline constexpr std::size_t kMostLine = 4096;
 inline constexpr std::size_t kMostElements = 16;
 inline constexpr std::size_t kMostBeside = 4 * kMostLine; // bytes of the other bulk strings of a message
@@ -38,7 +37,11 @@
     std::optional<Value> take(std::string_view &bytes);
     bool between() const { return !array_ && !bulk_; } // no part of a message is kept
     std::size_t kept() const { return size_; }         // bytes that it has room for
-    std::string unfinished() const;                    // what it keeps, spelt again
+    // The length of an array's first string, while that comes and is longer than a client's may be. What is
+    // there of it may be taken out from then on.
+    std::optional<std::size_t> long_first() const;
+    std::string part();
+    std::string unfinished() const; // what it keeps, spelt again
     // The first element of an array that is not whole, once that is there and a string.
     const std::string *first() const;
 
@@ -48,6 +51,7 @@
     std::size_t most_;
     std::optional<Value> array_, bulk_;    // begun
     std::size_t missing_ = 0, length_ = 0; // elements of the one, bytes of the other
+    std::size_t got_ = 0;                  // of those bytes
     std::size_t size_ = 0;
 };
 
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -141,11 +141,16 @@
     }
     self->writing_ = false;
     self->wake();
+    if (self->flow_.empty()) self->flow_.put(true);
     if (!self->client_.nudge) co_return; // it has ended
     self->mind();
     if (self->client_.closing || self->client_.pass) self->client_.nudge();
 }
 
+asio::awaitable<void> Session::flushed() {
+    while (writing_ && !gone_) co_await flow_.take();
+}
+
 // All that was asked is answered, then the client sees the end. What it wrote meanwhile was not read; a
 // little of it is now, so that a reset does not take the last answer from it.
 asio::awaitable<void> Session::end() {
--- a/src/net/session.hpp
+++ b/src/net/session.hpp
@@ -11,8 +11,8 @@
 class Session : public std::enable_shared_from_this<Session> {
 public:
     Session(Client &client, core::Deadlines &deadlines, core::Memory &memory)
-        : client_(client), deadlines_(deadlines), wake_(client.socket.get_executor()), share_(memory),
-          memory_(memory) {}
+        : client_(client), deadlines_(deadlines), wake_(client.socket.get_executor()),
+          flow_(client.socket.get_executor()), share_(memory), memory_(memory) {}
     virtual ~Session() = default;
     asio::awaitable<void> run(); // until the connection has ended
 
@@ -30,6 +30,7 @@
     // Queues bytes; with them `answers` of what is owed are paid.
     void send(std::string bytes, std::size_t answers);
     bool gone() const { return gone_; }
+    asio::awaitable<void> flushed(); // until all that was queued is written, or the client has gone
 
     Client &client_;
     core::Deadlines &deadlines_;
@@ -50,7 +51,7 @@
     asio::awaitable<void> write(std::shared_ptr<Session> self);
     asio::awaitable<void> end();
 
-    core::Mailbox<bool> wake_;
+    core::Mailbox<bool> wake_, flow_;
     std::string out_;
     std::size_t out_answers_ = 0;
     bool writing_ = false, gone_ = false;
--- a/src/net/sockets.hpp
+++ b/src/net/sockets.hpp
@@ -71,18 +71,20 @@
 }
 
 // Appends what has come. One buffer serves all connections: those that wait need none.
-inline boost::system::error_code read_now(tcp::socket &socket, std::string &in) {
-    static char chunk[64 * 1024];
+inline constexpr std::size_t kChunk = 64 * 1024;
+inline boost::system::error_code read_now(tcp::socket &socket, std::string &in, std::size_t most = kChunk) {
+    static char chunk[kChunk];
     boost::system::error_code error;
     socket.non_blocking(true, error);
-    if (!error) in.append(chunk, socket.read_some(asio::buffer(chunk), error));
+    if (!error) in.append(chunk, socket.read_some(asio::buffer(chunk, most), error));
     if (error == asio::error::would_block) error.clear();
     return error;
 }
-inline asio::awaitable<boost::system::error_code> read_more(tcp::socket &socket, std::string &in) {
+inline asio::awaitable<boost::system::error_code> read_more(tcp::socket &socket, std::string &in,
+                                                            std::size_t most = kChunk) {
     boost::system::error_code error;
     co_await socket.async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
-    co_return error ? error : read_now(socket, in);
+    co_return error ? error : read_now(socket, in, most);
 }
 
 } // namespace marblewood::net
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -705,18 +705,7 @@
         if (!a.out) return;
         a.out = false;
         a.ran = e.status != Status::Full && e.status != Status::ConnectFailed && e.status != Status::Moot;
-        if (const auto found = nodes.find(a.node); found != nodes.end()) {
-            Node &node = found->second;
-            if (usable(node, e.report)) {
-                if (e.status == Status::Ok) calibrate(*e.report, e.latency);
-                expect(node, *e.report);
-            }
-            measure(node, r, e.status, e.latency); // the count out still includes this attempt
-            node.out.erase({r.id, e.attempt});
-            if (e.status != Status::Timeout || now - a.sent >= r.cls->aim) judge(node, e.status);
-            if (e.status == Status::Ok) overtake(node, a.sent);
-            touched.insert(node.entry.shard);
-        }
+        if (!r.streaming) speak(r, e);
         if (ordered(r) &&
             (e.status == Status::Timeout || e.status == Status::Reset || e.status == Status::Cancelled))
             keys[*r.in.key].rest = now + set.order_settle;
@@ -728,6 +717,22 @@
         forget(e.id); // r may be gone by now
     }
 
+    void speak(const Request &r, const AttemptEnded &e) { // what an outcome says of the node
+        const Attempt &a = r.attempts[e.attempt];
+        const auto found = nodes.find(a.node);
+        if (found == nodes.end()) return;
+        Node &node = found->second;
+        if (usable(node, e.report)) {
+            if (e.status == Status::Ok) calibrate(*e.report, e.latency);
+            expect(node, *e.report);
+        }
+        measure(node, r, e.status, e.latency); // the count out still includes this attempt
+        node.out.erase({r.id, e.attempt});
+        if (e.status != Status::Timeout || now - a.sent >= r.cls->aim) judge(node, e.status);
+        if (e.status == Status::Ok) overtake(node, a.sent);
+        touched.insert(node.entry.shard);
+    }
+
     // A node takes requests in turn. What several sent later have overtaken was lost on a connection that
     // fell silent; it must not hold a place of the bound, nor its client, until its time is up.
     void overtake(const Node &node, Micros sent) {
@@ -803,7 +808,14 @@
     }
 
     void on(const StreamStarted &e) {
-        if (const auto it = requests.find(e.id); it != requests.end()) it->second.streaming = true;
+        const auto it = requests.find(e.id);
+        if (it == requests.end() || it->second.streaming || e.attempt < 0 ||
+            e.attempt >= static_cast<int>(it->second.attempts.size()) || !it->second.attempts[e.attempt].out)
+            return;
+        // The node has done its work: how long its answer takes to come is the network's and the client's.
+        const Micros latency = now - it->second.attempts[e.attempt].sent;
+        speak(it->second, {e.id, e.attempt, Status::Ok, latency, false, 0, 0, {}});
+        it->second.streaming = true;
     }
     void on(const ClientLeft &e) {
         const auto it = requests.find(e.id);
