Count a request's time from its last byte; hand the nodes' latencies to a successor

The successor started with no idea of its nodes: Legacy now has the sums behind L, so bounds go on where they were.

--- a/include/marblewood/scheduler.hpp
+++ b/include/marblewood/scheduler.hpp
@@ -184,7 +184,7 @@
     std::string data;
 };
 
-// What one process leaves to its successor, so that limits and the guards on cold nodes hold over both.
+// What one process leaves to its successor, so that limits, bounds and the guards on cold nodes hold over both.
 struct Legacy {
     struct Store { // what this host may still send for a volume within its plan's limit
         VolumeId volume{};
@@ -195,15 +195,17 @@
         double units = 0;
         int layer = 0;
     };
-    struct Start { // a cold node
+    struct Sight { // a node: its last start, what it was sent since, how its latencies add up
         NodeId node{};
         Micros since = 0;
         bool declared = false; // by the list
         std::vector<Spent> spent = {};
+        double sum = 0, weight = 0;
+        Micros stamp = 0;
     };
     Micros born = 0;
     std::vector<Store> stores;
-    std::vector<Start> starts;
+    std::vector<Sight> nodes;
 };
 
 struct Retire { // a successor has the legacy: only what is held is still sent; or, not `on`, it has gone
--- a/src/core/types.hpp
+++ b/src/core/types.hpp
@@ -20,7 +20,7 @@
     std::string repeat_key; // idempotency key, in a keyed class
     std::string body;
     std::vector<std::pair<std::string, std::string>> extra; // what else the client said, passed on unread
-    Micros sent = 0; // when the client sent it, as far as can be seen: its first byte's arrival
+    Micros sent = 0; // when the client had sent it, as far as can be seen: its last byte's arrival
     Micros wait = 0; // for how long the client waits, from then
 };
 
--- a/src/net/fleet.cpp
+++ b/src/net/fleet.cpp
@@ -61,7 +61,7 @@
     all["list"] = Json::objectValue;
     all["list"]["revision"] = static_cast<Json::Int64>(revision_);
     all["list"]["complete"] = true;
-    all["list"]["members"] = all["cordons"] = all["limits"] = all["starts"] = Json::arrayValue;
+    all["list"]["members"] = all["cordons"] = all["limits"] = all["nodes"] = Json::arrayValue;
     for (const auto &[node, entry] : roster_.entries()) {
         Json::Value row;
         row["id"] = name(node);
@@ -82,11 +82,14 @@
             row["units"] = s.units;
             all["limits"].append(std::move(row));
         }
-        for (const Legacy::Start &s : legacy.starts) {
+        for (const Legacy::Sight &s : legacy.nodes) {
             Json::Value row;
             row["id"] = name(s.node);
             row["since"] = static_cast<Json::Int64>(s.since);
             row["declared"] = s.declared;
+            row["sum"] = s.sum;
+            row["weight"] = s.weight;
+            row["stamp"] = static_cast<Json::Int64>(s.stamp);
             row["spent"] = Json::arrayValue;
             for (const Legacy::Spent &spent : s.spent) {
                 Json::Value one;
@@ -95,7 +98,7 @@
                 one["layer"] = spent.layer;
                 row["spent"].append(std::move(one));
             }
-            all["starts"].append(std::move(row));
+            all["nodes"].append(std::move(row));
         }
     }
     return all;
@@ -121,12 +124,17 @@
         if (!volume.isUInt64()) throw Error("field 'volume' is not a number");
         legacy.stores.push_back({VolumeId{volume.asUInt64()}, need_number(row, "units")});
     }
-    for (const Json::Value &row : rows(state, "starts")) {
-        legacy.starts.push_back({NodeId{names_.number(need_text(row, "id"))}, need_integer(row, "since"),
-                                 flag_or(row, "declared", false)});
+    for (const Json::Value &row : rows(state, "nodes")) {
+        legacy.nodes.push_back({NodeId{names_.number(need_text(row, "id"))},
+                                need_integer(row, "since"),
+                                flag_or(row, "declared", false),
+                                {},
+                                need_number(row, "sum"),
+                                need_number(row, "weight"),
+                                need_integer(row, "stamp")});
         for (const Json::Value &one : rows(row, "spent"))
-            legacy.starts.back().spent.push_back({need_integer(one, "at"), need_number(one, "units"),
-                                                  static_cast<int>(need_integer(one, "layer"))});
+            legacy.nodes.back().spent.push_back({need_integer(one, "at"), need_number(one, "units"),
+                                                 static_cast<int>(need_integer(one, "layer"))});
     }
     for (const NodeId node : out) tell(roster_.cordon(node));
     told(list);
--- a/src/net/nvme/front.cpp
+++ b/src/net/nvme/front.cpp
@@ -133,7 +133,7 @@
             return complete_bytes(c.cid(), {status::kIdConflict, 0, true});
         }
         ++client_.owed;
-        commands_[c.cid()] = {c.opcode() == op::kWrite, since_, nullptr, {}, {}, ++serial_};
+        commands_[c.cid()] = {c.opcode() == op::kWrite, deadlines_.clock.now(), nullptr, {}, {}, ++serial_};
         const bool has_data =
             c.opcode() == op::kWrite || (c.opcode() == op::kFabrics && c.fabrics_type() == op::kConnect);
         if (!has_data) return execute(c, {});
@@ -157,7 +157,8 @@
         t.length = length;
         t.command = c;
         commands_[c.cid()].tag = last_tag_;
-        t.end = deadlines_.at(since_ + mapping_.namespaces.at(c.nsid()).write_wait, [this, cid = c.cid()] {
+        const Micros until = commands_[c.cid()].sent + mapping_.namespaces.at(c.nsid()).write_wait;
+        t.end = deadlines_.at(until, [this, cid = c.cid()] {
             complete(cid, {status::kTransferError, 0, false}); // its data never came: nothing has run
         });
         send(r2t(c.cid(), last_tag_, 0, length), 0);
--- a/src/net/resp/front.cpp
+++ b/src/net/resp/front.cpp
@@ -126,7 +126,7 @@
         // Its answers could not be told from the other's, and a node takes one for a repeat of the other.
         if (!open_.insert(read.id).second) throw Malformed("the id of an open request");
         client_.asked = true;
-        read.sent = since_;
+        read.sent = deadlines_.clock.now(); // its last byte: however slowly it was written
         auto request = std::make_shared<const core::Request>(std::move(read));
         core::Planner &planner = desk_.planner(*request);
         const std::uint64_t number = slot();
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -9,7 +9,7 @@
 
 constexpr std::size_t kMostOwed = 256;     // requests of one connection worked at once
 constexpr std::size_t kFreeRein = 4096;    // bytes of a begun message that are kept even when memory is short
-constexpr Micros kWholeWithin = 2'000'000; // us for a begun message to come whole
+constexpr Micros kWholeWithin = 2'500'000; // us for a begun message to come whole: honest ones take up to 2 s
 constexpr Micros kAskWithin = 2'000'000;   // us for a new client to ask for something
 constexpr Micros kRest = 50'000;           // us for which one that sent what is of no use is not read
 constexpr Micros kReadWithin = 10'000'000; // us for a client to read what it is sent
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -63,8 +63,7 @@
 constexpr double kProbesFree = 4;      // and at once
 constexpr Micros kProbeGap = 250'000;  // us between probes of a node
 constexpr double kLateSpare = 0.9;     // and the part of a limit's store that it needs filled
-constexpr Micros kRetryPause =
-    20'000; // us before the next attempt after an error or a full queue, or an unanswered probe
+constexpr Micros kRetryPause = 20'000; // us before another attempt after an error, a refusal, a lost probe
 
 constexpr Micros kForget = 10'000'000; // us until a limit reached is told again, a client's repeat not known
 constexpr Micros kIdle = 60'000'000;   // us after which an unused volume's account is dropped
@@ -438,8 +437,7 @@
             v.stamp = now;
             v.reserve = (plan.reserve + most) * part;
             v.share = share_rate(plan) * part;
-            if (const auto left = bequest.find(in.volume); left != bequest.end()) v.limit = left->second;
-            bequest.erase(in.volume);
+            v.limit = bequest[in.volume], bequest.erase(in.volume);
         }
         const double seconds = static_cast<double>(now - v.stamp) / 1e6, keep = decay(v.stamp, now, kAccount);
         v.own *= keep;
@@ -822,10 +820,7 @@
         it->second.streaming = true;
     }
     void on(const ClientLeft &e) {
-        const auto it = requests.find(e.id);
-        if (it == requests.end()) return;
-        close(it->second);
-        forget(e.id);
+        if (const auto it = requests.find(e.id); it != requests.end()) close(it->second), forget(e.id);
     }
     void on(const PeerMessage &) {}
 
@@ -906,17 +901,20 @@
         for (const auto &[id, v] : volumes)
             if (v.limit > 0) all.stores.push_back({id, std::max(0.0, v.limit - kept(id))});
         for (const auto &[id, n] : nodes)
-            if (cold(n))
-                all.starts.push_back({id, n.cold_since, n.declared, {n.spent.begin(), n.spent.end()}});
+            all.nodes.push_back(
+                {id, n.cold_since, n.declared, {n.spent.begin(), n.spent.end()}, n.sum, n.weight, n.stamp});
         return all;
     }
     void on(const Legacy &e) {
         born = std::min(born, e.born);
         for (const Legacy::Store &s : e.stores) bequest[s.volume] = s.units;
-        for (const Legacy::Start &s : e.starts)
-            if (const auto n = nodes.find(s.node); n != nodes.end()) {
-                n->second.spent.assign(s.spent.begin(), s.spent.end());
-                if (s.since > n->second.cold_since) chill(n->second, s.since, s.declared);
+        for (const Legacy::Sight &s : e.nodes)
+            if (const auto it = nodes.find(s.node); it != nodes.end()) {
+                Node &n = it->second;
+                n.spent.assign(s.spent.begin(), s.spent.end());
+                if (s.since > n.cold_since) chill(n, s.since, s.declared);
+                n.sum = s.sum, n.weight = s.weight, n.stamp = s.stamp;
+                rebound(n);
             }
     }
     void on(const Retire &e) {
--- a/tests/resp_test.cpp
+++ b/tests/resp_test.cpp
@@ -300,6 +300,22 @@
     assert(client.value()->text == "v" && node.taken()[0][4] == "body\r\n");
 }
 
+// Guards against a client that writes slowly being cut off, or given less time than it waits: that counts
+// from its last byte.
+void a_request_may_be_written_slowly() {
+    RespNode node([](const auto &, int) { return RespNode::served("v"); });
+    const Discovery discovery(member("s-1", node.server.port, 0));
+    const Program program(discovery);
+    Socket client = program.client();
+    const std::string command = get(kPiece, 0, 600);
+    client.send(command.substr(0, 20));
+    std::this_thread::sleep_for(2200ms);
+    client.send(command.substr(20));
+    assert(client.value()->text == "v");
+    const std::string told = node.taken()[0][3];
+    assert(std::atoi(told.c_str() + told.find(",d=") + 3) > 500);
+}
+
 // Guards against two requests out under one id: a node takes the second for a repeat of the first.
 void the_id_of_an_open_request_is_refused() {
     RespNode node([](const auto &, int) {
@@ -444,6 +460,7 @@
     a_reload_moves_to_another_discovery();
     silent_and_half_messages_get_an_end();
     a_message_may_come_byte_by_byte();
+    a_request_may_be_written_slowly();
     the_id_of_an_open_request_is_refused();
     spoilt_answers_are_told_from_good_ones();
     long_values_come_whole();
