--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -86,6 +86,7 @@
     client->early = std::move(early);
     client->pass = pass_;
     asio::co_spawn(io_, serve(client), asio::detached);
+    thin_out();
 }
 
 void Clients::pause() {
@@ -133,6 +134,21 @@
     first->close();
 }
 
+// Some clients ask once and stay, each on a connection of its own. What they hold of the connections that
+// clients may have is missing to those who want to ask.
+void Clients::thin_out() {
+    int kept = 0;
+    Client *first = nullptr;
+    for (Client &client : clients_) {
+        if (!client.asked || client.closing) continue;
+        ++kept;
+        if (client.idle() && (!first || client.used < first->used)) first = &client;
+    }
+    if (kept < budget_.most_kept() || !first) return;
+    first->closing = true;
+    if (first->nudge) first->nudge();
+}
+
 asio::awaitable<void> Clients::serve(std::list<Client>::iterator client) {
     try {
         co_await front_(*client);
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -71,6 +71,7 @@
     void take(tcp::socket socket, Passed early);
     asio::awaitable<void> serve(std::list<Client>::iterator client);
     void drop_idle(); // one that never asked, else one unused the longest
+    void thin_out();  // one that asked and is unused the longest, if too many such stay
     void drain_turn();
     void send_away();
 
--- a/src/net/sockets.hpp
+++ b/src/net/sockets.hpp
@@ -18,7 +18,8 @@
 class SocketBudget {
 public:
     explicit SocketBudget(int limit)
-        : most_nodes_(std::max(4, limit / 4)), most_clients_(std::max(4, limit - most_nodes_ - kSpare)) {}
+        : most_nodes_(std::max(4, limit / 4)), most_clients_(std::max(4, limit - most_nodes_ - kSpare)),
+          most_kept_(std::max(4, limit / 4)) {}
 
     class Lease { // one descriptor's place in the budget
     public:
@@ -46,13 +47,16 @@
     }
     void came_over() { elsewhere_ = std::max(0, elsewhere_ - 1); }
     int clients() const { return clients_; }
+    // Connections that have asked. For requests, clients hold a third of the descriptors at the most: they
+    // must have some left for what comes next.
+    int most_kept() const { return most_kept_; }
     Lease node() { return Lease(nodes_); }
     Lease client() { return Lease(clients_); }
 
 private:
     static constexpr int kSpare =
         40; // listeners, control's callers, discovery, peers, telemetry, timers, the log
-    int most_nodes_, most_clients_, nodes_ = 0, clients_ = 0, elsewhere_ = 0;
+    int most_nodes_, most_clients_, most_kept_, nodes_ = 0, clients_ = 0, elsewhere_ = 0;
     bool shared_ = false;
 };
 
--- a/tests/resp_test.cpp
+++ b/tests/resp_test.cpp
@@ -400,6 +400,28 @@
     assert(program.memory_kb() < early + 2 * 1024);
 }
 
+// Guards against clients that ask once and stay: clients hold a bounded number of connections, and would have
+// none left to ask on. Those in use stay.
+void those_who_asked_once_make_room() {
+    RespNode node([](const auto &, int) { return RespNode::served("v"); });
+    const Discovery discovery(member("s-1", node.server.port, 0));
+    const Program program(discovery); // told of 256 descriptors, of which clients hold 85 for requests
+    std::list<Socket> stay;
+    Socket busy = program.client();
+    for (int n = 0; n < 100; ++n) {
+        stay.push_back(program.client());
+        for (Socket *s : {&stay.back(), &busy}) {
+            s->send(get(kPiece));
+            assert(s->value()->text == "v");
+        }
+    }
+    int left = 0;
+    for (Socket &s : stay) left += s.silent_for(0);
+    assert(left >= 50 && left < 85);
+    busy.send(get(kPiece));
+    assert(busy.value()->text == "v");
+}
+
 // Guards against room made by closing a client that has just come, its first request unread, when all others
 // have asked before.
 void newcomers_are_not_closed_for_each_other() {
@@ -465,6 +487,7 @@
     spoilt_answers_are_told_from_good_ones();
     long_values_come_whole();
     nodes_that_are_gone_are_forgotten();
+    those_who_asked_once_make_room();
     newcomers_are_not_closed_for_each_other();
     a_bad_configuration_is_named();
 }
