Idle NVMe associations stay when idle askers are thinned out

Seen by reading: thin_out() in src/net/clients.cpp serves both fronts, and an NVMe host keeps its queues open however idle; with 80 idle connections of 256 descriptors the first hosts were ended. A front now says which connections last. The new test in nvme_test fails without it (checked).

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -140,7 +140,7 @@
     int kept = 0;
     Client *first = nullptr;
     for (Client &client : clients_) {
-        if (!client.asked || client.closing) continue;
+        if (!client.asked || client.lasting || client.closing) continue;
         ++kept;
         if (client.idle() && (!first || client.used < first->used)) first = &client;
     }
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -27,6 +27,7 @@
     Micros accepted = 0;
     Micros used = 0;                  // when something last came or went on it
     bool asked = false;               // it has asked for something, or made itself known
+    bool lasting = false;             // its protocol keeps it open for good, idle or not
     std::size_t owed = 0;             // requests taken on it and not yet answered whole
     bool partial = false;             // part of a request has come
     bool closing = false;             // takes no more
--- a/src/net/nvme/front.cpp
+++ b/src/net/nvme/front.cpp
@@ -305,7 +305,7 @@
             controller_ = asked;
         }
         if (!controller_) return complete(c.cid(), wrong);
-        client_.asked = true;
+        client_.asked = client_.lasting = true;
         complete(c.cid(), {}, controller_);
     }
 
--- a/tests/nvme_test.cpp
+++ b/tests/nvme_test.cpp
@@ -209,6 +209,17 @@
     assert(target.server.accepted == 2); // one association
 }
 
+// Guards against an association ended because others came: a host keeps its queues open, however idle.
+void idle_associations_stay() {
+    RespNode node([](const auto &, int) { return RespNode::served("v"); });
+    const Discovery discovery(member("s-1", node.server.port, 0));
+    const int port = free_port();
+    const Program program(discovery, operators(port, false)); // told of 256 descriptors
+    std::list<Host> hosts;
+    for (int n = 0; n < 40; ++n) hosts.emplace_back(port);
+    for (Host &host : hosts) assert(host.read(0).status.ok());
+}
+
 void hosts_are_served_by_resp_nodes() {
     RespNode node([](const auto &words, int) {
         if (words[1] == "0000000000000101") return std::string("-ERR failed\r\n");
@@ -426,6 +437,7 @@
 int main() {
     the_bytes_are_the_specifications();
     hosts_and_resp_clients_share_an_nvme_node();
+    idle_associations_stay();
     hosts_are_served_by_resp_nodes();
     long_values_are_not_cut_to_a_block();
     a_command_cancelled_half_way();
