--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -144,7 +144,8 @@
         ++kept;
         if (client.idle() && (!first || client.used < first->used)) first = &client;
     }
-    if (kept < budget_.most_kept() || !first) return;
+    // At a handover a connection closed as its next request comes would turn that back.
+    if (kept < budget_.most_kept() || !first || budget_.shared()) return;
     first->closing = true;
     if (first->nudge) first->nudge();
 }
--- a/src/net/sockets.hpp
+++ b/src/net/sockets.hpp
@@ -46,6 +46,7 @@
         elsewhere_ = clients_elsewhere;
     }
     void came_over() { elsewhere_ = std::max(0, elsewhere_ - 1); }
+    bool shared() const { return shared_; }
     int clients() const { return clients_; }
     // Connections that have asked. For requests, clients hold a third of the descriptors at the most: they
     // must have some left for what comes next.
