Cells: map, placement and moves as pure state machines, in all orders

Need: one volume in a surge, or one bad release, must harm only few. The users' first wish.

Change: src/cells/ (map by weighted rendezvous hashing on XXH3 with pins, placement and evacuation, the broker's part and the keeper's part of a move), protobuf messages and sealed state files in src/net/link/, the design note. Nothing of it is wired into the broker yet.

--- /dev/null
+++ b/tests/cells_test.cpp
@@ -0,0 +1,215 @@
+// The map of cells, placement, and what of both goes over the wire.
+#include "cells_world.hpp"
+
+using namespace test;
+
+namespace {
+
+Map many_cells(int cells, int brokers, int spread = 2) {
+    Map map;
+    map.spread = spread;
+    for (int c = 0; c < cells; ++c) {
+        Cell cell{fmt::format("cell-{}", c), 1000, {}, {}, false, false};
+        for (int b = 0; b < brokers; ++b)
+            cell.brokers.push_back({fmt::format("broker-{}-{}", c, b), "127.0.0.1:6379", "127.0.0.1:7000"});
+        for (int n = 0; n < 4; ++n) cell.nodes.insert(fmt::format("s-{:02}{:02}", c, n));
+        map.cells.push_back(std::move(cell));
+    }
+    return map;
+}
+VolumeId nth(std::uint64_t n) { return VolumeId{n * 0x9e3779b97f4a7c15}; }
+
+} // namespace
+
+TEST(CellMap, AJoiningCellTakesItsShareAndMovesNothingElse) {
+    constexpr int kVolumes = 20'000;
+    for (const int cells : {2, 5, 9}) {
+        const Map before = many_cells(cells, 2), after = many_cells(cells + 1, 2);
+        const std::string joined = fmt::format("cell-{}", cells);
+        int moved = 0;
+        for (int n = 1; n <= kVolumes; ++n) {
+            const std::string &from = before.home(nth(n))->name, &to = after.home(nth(n))->name;
+            if (from == to) continue;
+            EXPECT_EQ(to, joined); // none between old cells
+            ++moved;
+        }
+        const double share = static_cast<double>(moved) / kVolumes, wanted = 1.0 / (cells + 1);
+        EXPECT_NEAR(share, wanted, 4 * std::sqrt(wanted * (1 - wanted) / kVolumes)) << cells;
+    }
+}
+
+TEST(CellMap, CapacityWeighs) {
+    Map map = many_cells(2, 1);
+    map.cells[0].capacity = 3000;
+    int first = 0;
+    for (int n = 1; n <= 10'000; ++n) first += map.home(nth(n)) == &map.cells[0];
+    EXPECT_NEAR(first, 7500, 4 * std::sqrt(10'000 * 0.75 * 0.25));
+}
+
+TEST(CellMap, TwoVolumesRarelyShareAllTheirBrokers) {
+    const Map map = many_cells(1, 6, 2); // 15 pairs of brokers
+    int same = 0;
+    constexpr int kPairs = 6000;
+    for (int n = 1; n <= kPairs; ++n) {
+        std::set<std::string> a, b;
+        for (const Broker *x : map.brokers_of(nth(2 * n), map.cells[0])) a.insert(x->name);
+        for (const Broker *x : map.brokers_of(nth(2 * n + 1), map.cells[0])) b.insert(x->name);
+        ASSERT_EQ(a.size(), 2u);
+        same += a == b;
+    }
+    EXPECT_NEAR(same, kPairs / 15.0, 5 * std::sqrt(kPairs / 15.0));
+}
+
+TEST(CellMap, PinsStandOverTheHashAndEvacuatedCellsTakeNothingNew) {
+    Map map = many_cells(3, 1);
+    const VolumeId volume = nth(1);
+    const std::string home = map.home(volume)->name;
+    map.pins[volume] = home == "cell-0" ? "cell-1" : "cell-0";
+    EXPECT_EQ(map.home(volume)->name, map.pins[volume]);
+    for (Cell &cell : map.cells) cell.evacuated = cell.name == home;
+    EXPECT_NE(map.hashed(volume)->name, home);
+}
+
+TEST(CellMap, WhatIsWrongIsNamed) {
+    const auto why = [](auto change) {
+        Map map = many_cells(2, 2);
+        change(map);
+        try {
+            check(map);
+        } catch (const std::invalid_argument &error) {
+            return std::string(error.what());
+        }
+        return std::string();
+    };
+    EXPECT_EQ(why([](Map &) {}), "");
+    EXPECT_NE(why([](Map &m) { m.cells[1].name = "cell-0"; }).find("cell 'cell-0'"), std::string::npos);
+    EXPECT_NE(why([](Map &m) { m.cells[1].nodes.insert("s-0000"); }).find("node 's-0000'"),
+              std::string::npos);
+    EXPECT_NE(why([](Map &m) { m.spare.insert("s-0101"); }).find("node 's-0101'"), std::string::npos);
+    EXPECT_NE(why([](Map &m) { m.cells[0].brokers[0].name = "broker-1-0"; }).find("broker-1-0"),
+              std::string::npos);
+    EXPECT_NE(why([](Map &m) { m.cells[0].capacity = 0; }).find("capacity"), std::string::npos);
+    EXPECT_NE(why([](Map &m) { m.pins[nth(1)] = "x"; }).find("cell 'x'"), std::string::npos);
+    EXPECT_NE(why([](Map &m) { m.spread = 0; }).find("spread"), std::string::npos);
+    EXPECT_NE(why([](Map &m) { m.cells.clear(); }).find("no cell"), std::string::npos);
+}
+
+// Thousands of volumes: 4,000 of them pinned in a map of 8 cells.
+TEST(CellMap, StaysSmallOnTheWire) {
+    Map map = many_cells(8, 4);
+    const auto bytes = [&] { return net::link::encode(net::link::Frame{"", Message(News{map, {}})}).size(); };
+    const std::size_t bare = bytes();
+    for (std::uint64_t n = 1; n <= 4000; ++n) map.pins[nth(n)] = fmt::format("cell-{}", n % 8);
+    const std::size_t full = bytes();
+    fmt::print("map of 8 cells: {} bytes, with 4,000 pins {} bytes\n", bare, full);
+    EXPECT_LT(bare, 4096u);
+    EXPECT_LE(full - bare, 4000 * 8 + 8 * 32u);
+    const auto back = net::link::decode(net::link::encode(net::link::Frame{"x", Message(News{map, {}})}));
+    const Map &read = std::get<News>(std::get<Message>(back.body)).map;
+    EXPECT_EQ(read.pins, map.pins);
+    EXPECT_EQ(read.cells, map.cells);
+}
+
+TEST(Placement, TakesTheFirstCellThatHasRoom) {
+    Map map = many_cells(3, 1);
+    const VolumeId volume = nth(7);
+    const auto order = preference(map, volume);
+    Promised promised;
+    EXPECT_EQ(place(map, volume, 800, promised), order[0]->name);
+    promised[order[0]->name] = 100;
+    EXPECT_EQ(place(map, volume, 800, promised), order[1]->name); // 850 may be promised
+    EXPECT_EQ(place(map, volume, 800, promised, {order[1]->name}), order[2]->name);
+    EXPECT_EQ(place(map, volume, 851, {}), std::nullopt);
+    for (Cell &cell : map.cells) cell.frozen = true;
+    EXPECT_EQ(place(map, volume, 1, {}), std::nullopt);
+}
+
+TEST(Placement, AnEvacuationTakesWhatIsWorthMostAndNeverOverfills) {
+    const Map map = many_cells(3, 1);
+    std::mt19937_64 random(11);
+    for (int round = 0; round < 200; ++round) {
+        std::vector<Tenant> tenants;
+        double asked = 0;
+        for (std::uint64_t n = 1; n <= 40; ++n) {
+            const double reserve = static_cast<double>(random() % 90);
+            tenants.push_back({nth(n), reserve, static_cast<double>(random() % 100),
+                               1 + static_cast<double>(random() % 3)});
+            asked += reserve;
+        }
+        Promised promised{{"cell-1", static_cast<double>(random() % 850)},
+                          {"cell-2", static_cast<double>(random() % 850)}};
+        const auto plan = evacuate(map, "cell-0", tenants, promised);
+        EXPECT_EQ(plan.moves.size() + plan.left.size(), tenants.size());
+        for (const auto &[volume, to] : plan.moves) {
+            EXPECT_NE(to, "cell-0");
+            const auto t = std::find_if(tenants.begin(), tenants.end(),
+                                        [&, v = volume](const Tenant &x) { return x.volume == v; });
+            promised[to] += t->reserve > 0 ? t->reserve : t->rate;
+        }
+        for (const auto &[cell, units] : promised) EXPECT_LE(units, 850 + 1e-9);
+        for (const VolumeId volume : plan.left) { // it had no room
+            const auto t = std::find_if(tenants.begin(), tenants.end(),
+                                        [&](const Tenant &x) { return x.volume == volume; });
+            const double room = t->reserve > 0 ? t->reserve : t->rate;
+            EXPECT_GT(promised["cell-1"] + room, 850);
+            EXPECT_GT(promised["cell-2"] + room, 850);
+        }
+    }
+}
+
+// A cell whose nodes all drain: by rule, what fits moves away, and home again once it is taken back.
+TEST(Evacuation, ByRuleAndHomeAgain) {
+    Map map = many_cells(2, 1, 1);
+    Keeper::Timing timing;
+    Keeper keeper(map, 5, timing);
+    std::vector<KeeperAction> actions;
+    std::vector<Hello::Volume> here;
+    for (std::uint64_t n = 1; here.size() < 6; ++n)
+        if (map.home(nth(n))->name == "cell-0") here.push_back({nth(n), 200, 100, 1});
+    Micros now = 1'000'000;
+    const auto hello = [&](const std::string &broker, std::uint32_t ready,
+                           std::vector<Hello::Volume> volumes) {
+        keeper.handle(now, broker, Hello{keeper.map().epoch, 0, std::move(volumes), 0, ready}, actions);
+    };
+    hello("broker-0-0", 0, here);
+    hello("broker-1-0", 3, {});
+    ASSERT_TRUE(keeper.settled());
+    for (int n = 0; n < 4; ++n) now += 400'000, hello("broker-0-0", 0, here), keeper.tick(now, actions);
+    EXPECT_TRUE(keeper.map().cell("cell-0")->evacuated);
+    EXPECT_EQ(keeper.moves().size(), 4u); // 850 of capacity take four of 200
+    for (const auto &[volume, move] : keeper.moves()) EXPECT_EQ(move.to, "cell-1");
+    std::vector<KeeperAction> more;
+    EXPECT_FALSE(keeper.evacuate("cell-1", more).ok); // no other cell is left
+    EXPECT_TRUE(keeper.restore_cell("cell-0", more).ok);
+    EXPECT_FALSE(keeper.map().cell("cell-0")->evacuated);
+    for (const auto &v : here)
+        EXPECT_EQ(keeper.map().home(v.volume)->name, "cell-0"); // none was opened elsewhere
+}
+
+TEST(Codec, RefusesWhatIsSpoilt) {
+    World world(two_cells(1, 1));
+    ASSERT_TRUE(world.move("b").ok);
+    const std::string keeper = net::link::encode(world.keeper.state());
+    const std::string broker = net::link::encode(world.brokers.at("a1").state());
+    EXPECT_EQ(net::link::encode(net::link::decode_keeper(keeper)), keeper);
+    EXPECT_EQ(net::link::encode(net::link::decode_resident(broker)), broker);
+    std::mt19937_64 random(3);
+    for (int n = 0; n < 2000; ++n) {
+        std::string bad = n % 2 ? keeper : broker;
+        if (n % 3 == 0)
+            bad.resize(random() % bad.size());
+        else
+            bad[random() % bad.size()] ^= static_cast<char>(1 + random() % 255);
+        try {
+            if (n % 2)
+                EXPECT_EQ(net::link::encode(net::link::decode_keeper(bad)), keeper);
+            else
+                EXPECT_EQ(net::link::encode(net::link::decode_resident(bad)), broker);
+        } catch (const net::link::Unreadable &) { // as it should be
+        }
+        try {
+            net::link::decode(bad);
+        } catch (const net::link::Unreadable &) {
+        }
+    }
+}
