Brokers apply the map of cells, and a keeper holds it; off by default

Fronts hand requests to a core::Taker; a planner tells when nothing of a request is out any more. The operator's file is checked against a JSON Schema by valijson.

--- a/include/marblewood/scheduler.hpp
+++ b/include/marblewood/scheduler.hpp
@@ -184,11 +184,13 @@
     std::string data;
 };
 
-// What one process leaves to its successor, so that limits, bounds and the guards on cold nodes hold over both.
+// What one process leaves to its successor, so that limits, bounds and the guards on cold nodes hold over
+// both. The stores of a volume that is known are set to what is told.
 struct Legacy {
-    struct Store { // what this host may still send for a volume within its plan's limit
+    struct Store { // what this host may still send for a volume within its plan's limit, and its reserve
         VolumeId volume{};
         double units = 0;
+        std::optional<double> reserve = {}; // empty: as for a volume never seen
     };
     struct Spent {
         Micros at = 0;
@@ -280,8 +282,9 @@
     std::optional<double> bound(NodeId node) const;
     // Whether a node that is known gets no requests as things stand, or only trials.
     bool avoids(NodeId node) const;
-    // For a successor; a Retire belongs right behind it.
-    Legacy legacy() const;
+    // For a successor; a Retire belongs right behind it. With a volume: its stores alone, as far as they are
+    // known.
+    Legacy legacy(std::optional<VolumeId> only = {}) const;
 
 private:
     struct State;
--- /dev/null
+++ b/src/app/app.hpp
@@ -0,0 +1,23 @@
+// The program's commands, each of which wires the parts that it needs.
+#pragma once
+
+#include "config/config.hpp"
+#include "net/address.hpp"
+
+#include <fmt/format.h>
+
+namespace marblewood::app {
+
+// An address of the settings; throws config::Error naming the field.
+template <typename Endpoint> Endpoint address(const std::string &text, const char *field) {
+    if (const auto found = net::endpoint<Endpoint>(text)) return *found;
+    throw config::Error(fmt::format("field '{}': '{}' is not an address and port", field, text));
+}
+
+// Each returns the process's exit code; what is wrong with the settings is thrown as config::Error.
+int serve(const std::string &path, config::Config config, const config::Operator &added);
+int keep(const config::Operator &added);
+// One call to the operators' address of a keeper or broker. 0: yes, 1: no, 2: no answer.
+int call_cells(const std::string &control, const std::string &call, const std::vector<std::string> &words);
+
+} // namespace marblewood::app
--- /dev/null
+++ b/src/app/serve.cpp
@@ -0,0 +1,337 @@
+#include "app/app.hpp"
+
+#include "core/planner.hpp"
+#include "net/address.hpp"
+#include "net/cells/residence.hpp"
+#include "net/clients.hpp"
+#include "net/control/control.hpp"
+#include "net/fleet.hpp"
+#include "net/handover/handover.hpp"
+#include "net/nvme/front.hpp"
+#include "net/otlp/exporter.hpp"
+#include "net/peers/peers.hpp"
+#include "net/resp/front.hpp"
+
+#include <boost/asio/signal_set.hpp>
+#include <charconv>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+#include <random>
+#include <sys/resource.h>
+
+namespace marblewood::app {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr Micros kLook = 1'000;      // us between looks at what is still to go over to a successor
+constexpr int kLinkSockets = 32;     // descriptors for brokers and keeper, where there are cells
+constexpr std::size_t kHeldPart = 4; // a quarter of the memory is for what clients send and are owed
+
+// Reads the file again, whole: what is wrong with any of it leaves the broker as it is. Discovery moves; all
+// else is bound to what runs already and is taken up at the next start.
+void reload(const std::string &path, config::Config &config, core::Figures &figures,
+            const std::function<void(const tcp::endpoint &, const std::string &)> &move) {
+    try {
+        config::Config fresh = config::load(path);
+        const auto discovery = address<tcp::endpoint>(fresh.discovery, "discovery");
+        address<tcp::endpoint>(fresh.listen, "listen");
+        if (!fresh.known.isNull()) { // must be readable, but is older than what discovery has told
+            config::Names nodes, zones;
+            net::discovery::read(fresh.known, nodes, zones);
+        }
+        for (const std::string &name : fresh.file.getMemberNames())
+            if (name != "discovery" && name != "known" && name != "seed" &&
+                fresh.file[name] != config.file[name])
+                core::log("configuration: field '{}' has changed, which counts from the next start", name);
+        core::log("configuration read again: discovery at {}", fresh.discovery);
+        if (fresh.discovery != config.discovery) move(discovery, fresh.discovery);
+        config.discovery = fresh.discovery;
+        ++figures.loaded;
+    } catch (const std::exception &error) {
+        ++figures.invalid;
+        core::log("configuration not taken: {}", error.what());
+    }
+}
+
+// The clients' listening socket that the platform holds for every process of this broker.
+net::Descriptor passed_socket() {
+    const char *const text = std::getenv("BALANCER_PASSED_SOCKET");
+    if (!text || !*text) return net::Descriptor();
+    int fd = -1;
+    const auto [end, error] = std::from_chars(text, text + std::strlen(text), fd);
+    if (error != std::errc() || *end || fd < 3)
+        throw config::Error(fmt::format("$BALANCER_PASSED_SOCKET: '{}' is not a descriptor", text));
+    return net::Descriptor(fd);
+}
+
+// The platform's socket, or the predecessor's, or one of our own.
+tcp::acceptor listener(asio::io_context &io, net::Descriptor platform, net::Descriptor predecessor,
+                       const tcp::endpoint &at) {
+    if (platform.get() >= 0) return net::listen_with(io, std::move(platform));
+    if (predecessor.get() >= 0) return net::listen_with(io, std::move(predecessor));
+    return net::listen_at(io, at);
+}
+
+} // namespace
+
+int serve(const std::string &path, config::Config config, const config::Operator &added) {
+    rlimit files{};
+    int sockets = config.sockets; // the lower of what we are told and what the system allows
+    if (getrlimit(RLIMIT_NOFILE, &files) == 0)
+        sockets = static_cast<int>(std::min<rlim_t>(static_cast<rlim_t>(sockets), files.rlim_cur));
+
+    asio::io_context io(1);
+    core::Clock clock;
+    std::optional<net::cells::Layout> layout;
+    if (!added.cells.isNull()) layout = net::cells::read_layout(added.cells);
+    core::Deadlines deadlines(io, clock);
+    net::SocketBudget budget(layout ? std::max(64, sockets - kLinkSockets) : sockets);
+    core::Memory memory((config.memory_mb << 20) / kHeldPart);
+    config::Names nodes, zones;
+    const net::nvme::Mapping mapping = net::nvme::read_mapping(added.nvme, config.settings);
+    net::resp::NodePort resp_port(io.get_executor(), deadlines, memory, budget, config.settings);
+    net::nvme::NodePort nvme_port(io.get_executor(), deadlines, budget, config.settings, mapping.block_bytes);
+    net::Ports ports(resp_port);
+    std::mt19937_64 random(std::random_device{}());
+
+    std::optional<tcp::acceptor> control_listener; // all that may fail comes before a predecessor is asked
+    if (!config.control.empty())
+        control_listener = net::listen_at(io, address<tcp::endpoint>(config.control, "control"));
+    const char *const folder = std::getenv("TMPDIR");
+    const std::string meeting = folder && *folder ? std::string(folder) + "/marblewood.handover" : "";
+    std::optional<net::handover::Inheritance> legacy;
+    if (!meeting.empty()) legacy = net::handover::inherit(meeting);
+    const auto inherited = [&](const char *name) {
+        if (!legacy || legacy->channel.get() < 0) return net::Descriptor();
+        const auto found = legacy->sockets.find(name);
+        return found == legacy->sockets.end() ? net::Descriptor() : std::move(found->second);
+    };
+
+    std::optional<net::discovery::Discovery> discovery;
+    std::optional<net::peers::Peers> peers;
+    core::Surroundings around;
+    around.watch_list = [&](bool on) { discovery ? discovery->watch(on) : void(); };
+    around.fetch_list = [&] { discovery ? discovery->fetch() : void(); };
+    around.tell_peers = [&](std::optional<int> peer, const std::string &data) {
+        if (peers) peers->tell(peer, data);
+    };
+    // Each planner is a host of its own to the module, so that what hosts share out is shared out once more.
+    net::Fleet::Planners planners;
+    core::Figures figures(config.settings.classes.size());
+    std::optional<net::otlp::Exporter> exporter;
+    if (!added.otlp.isNull())
+        exporter.emplace(io, deadlines, net::otlp::read_endpoint(added.otlp), config.name, config.settings,
+                         figures, random());
+    for (int n = 0; n < added.planners; ++n) {
+        Settings own = config.settings;
+        own.hosts = config.settings.hosts * added.planners;
+        own.position = config.settings.position * added.planners + n;
+        own.seed = config.settings.seed + static_cast<std::uint64_t>(n) * 0x9e3779b97f4a7c15;
+        planners.push_back(std::make_unique<core::Planner>(io.get_executor(), deadlines, memory, figures, own,
+                                                           ports, around,
+                                                           exporter ? &exporter->observer() : nullptr));
+    }
+    bool away = false; // quiesced
+    const auto usual =
+        [&](const core::Request &r) -> core::Planner & { // a volume always goes through the same one
+        return *planners[static_cast<std::uint64_t>(r.facts.volume) % planners.size()];
+    };
+    std::optional<net::cells::Residence> residence;
+    if (layout) {
+        const marblewood::cells::Broker *const own = layout->map.broker(config.name);
+        if (!own) throw config::Error(fmt::format("field 'cells': no broker is called '{}'", config.name));
+        residence.emplace(io, deadlines, memory, budget, config.settings, *layout, config.name,
+                          net::listen_at(io, address<tcp::endpoint>(own->link, "cells")), random(), usual);
+    }
+    const core::Desk desk{[&](const core::Request &r) -> core::Taker & {
+                              return residence ? static_cast<core::Taker &>(*residence) : usual(r);
+                          },
+                          [&] { return random(); },
+                          config.settings,
+                          deadlines,
+                          memory,
+                          away};
+
+    net::Fleet fleet(nodes, zones, mapping, resp_port, nvme_port, ports, planners);
+    const auto told = [&](const net::discovery::Reading &reading) {
+        fleet.told(reading);
+        if (residence) residence->ready_nodes(fleet.ready());
+    };
+    if (residence) {
+        residence->confined = [&] {
+            fleet.confine([&](const std::string &id) { return residence->allows(id); });
+            residence->ready_nodes(fleet.ready());
+        };
+        residence->confined();
+    }
+    if (!config.discovery.empty())
+        discovery.emplace(
+            io, deadlines, address<tcp::endpoint>(config.discovery, "discovery"), config.discovery,
+            config.known.isNull() ? 0 : config::need_integer(config.known, "revision"), nodes, zones, told);
+    if (!config.peer_listen.empty() && config.settings.peers) {
+        std::vector<asio::ip::udp::endpoint> others;
+        for (const std::string &peer : config.peers)
+            others.push_back(address<asio::ip::udp::endpoint>(peer, "peers"));
+        std::optional<asio::ip::udp::endpoint> all;
+        if (!config.peers_all.empty()) all = address<asio::ip::udp::endpoint>(config.peers_all, "peers_all");
+        const auto at = address<asio::ip::udp::endpoint>(config.peer_listen, "peer_listen");
+        asio::ip::udp::socket socket(io);
+        if (auto kept = inherited("peers"); kept.get() >= 0)
+            socket.assign(at.protocol(), kept.release());
+        else
+            socket = asio::ip::udp::socket(io, at);
+        peers.emplace(std::move(socket), others, all, [&](const PeerMessage &message) {
+            for (const auto &planner : planners) planner->peer_message(message);
+        });
+    }
+    net::discovery::Reading saved;
+    if (!config.known.isNull()) saved = net::discovery::read(config.known, nodes, zones);
+    saved.update.kind = ListUpdate::Kind::Saved;
+    told(saved);
+    if (legacy) {
+        try {
+            fleet.inherit(config::need(legacy->state, "fleet"));
+            away = config::flag_or(legacy->state, "quiesced", false);
+        } catch (const config::Error &error) { // nothing of it is taken; the predecessor serves on
+            core::log("handover: {}", error.what());
+            legacy->channel = net::Descriptor();
+        }
+    }
+
+    net::resp::OpenIds open;
+    net::Clients clients(
+        io, deadlines, budget,
+        listener(io, passed_socket(), inherited("clients"), address<tcp::endpoint>(config.listen, "listen")),
+        [&](net::Client &client) { return net::resp::serve(client, desk, open); });
+    net::nvme::Controllers controllers;
+    std::optional<net::Clients> nvme_clients;
+    if (!mapping.listen.empty())
+        nvme_clients.emplace(
+            io, deadlines, budget,
+            listener(io, net::Descriptor(), inherited("nvme"),
+                     address<tcp::endpoint>(mapping.listen, "nvme.listen")),
+            [&](net::Client &client) { return net::nvme::serve(client, desk, mapping, controllers); });
+    net::control::Operations operations;
+    operations.stats = [&] {
+        return net::control::spell(figures, config.settings, {fleet.open(), fleet.size(), fleet.avoided()});
+    };
+    operations.cordon = [&](const std::string &id) {
+        const bool known = fleet.cordon(id);
+        if (residence) residence->ready_nodes(fleet.ready());
+        return known;
+    };
+    operations.uncordon = [&](const std::string &id) {
+        const bool known = fleet.uncordon(id);
+        if (residence) residence->ready_nodes(fleet.ready());
+        return known;
+    };
+    if (residence)
+        operations.cells = [&](std::string what, std::string body,
+                               bool) -> asio::awaitable<std::pair<int, std::string>> {
+            if (what == "here") co_return std::pair(200, residence->spell());
+            const auto reply = co_await residence->ask_keeper(std::move(what), std::move(body));
+            if (!reply) co_return std::pair(503, std::string("the keeper does not answer\n"));
+            co_return std::pair(reply->ok ? 200 : 409, reply->text);
+        };
+    operations.quiesce = [&](bool on) {
+        away = on;
+        clients.quiesce(on);
+        if (nvme_clients) nvme_clients->quiesce(on);
+    };
+    std::optional<net::handover::Handover> handover;
+    operations.acts = [&] { return !handover || !handover->yielded(); };
+    std::optional<net::control::Control> control;
+    if (control_listener) control.emplace(io, deadlines, std::move(*control_listener), std::move(operations));
+    if (away) {
+        clients.quiesce(true);
+        if (nvme_clients) nvme_clients->quiesce(true);
+    }
+
+    // From one process to the next: see docs/design.md.
+    const auto share = [&](bool shared, int clients_elsewhere) {
+        budget.share(shared, clients_elsewhere);
+        memory.share(shared);
+    };
+    const auto accept = [&](bool on) {
+        for (net::Clients *part : {&clients, nvme_clients ? &*nvme_clients : nullptr})
+            if (part) on ? part->resume() : part->pause();
+        if (peers) peers->listen(on);
+    };
+    net::handover::Handover::Program program;
+    program.yield = [&] {
+        net::handover::Inheritance all;
+        accept(false);
+        all.state["quiesced"] = away;
+        all.state["clients"] = budget.clients();
+        all.state["fleet"] = fleet.state();
+        const auto give = [&](const char *name, int socket) {
+            all.sockets[name] = net::Descriptor(::dup(socket));
+        };
+        give("clients", clients.listener());
+        if (nvme_clients) give("nvme", nvme_clients->listener());
+        if (peers) give("peers", peers->descriptor());
+        fleet.retire(true);
+        share(true, 0);
+        return all;
+    };
+    program.pass = [&] {
+        clients.hand_over([&](net::Passed passed) { handover->client(std::move(passed)); });
+    };
+    program.recover = [&] {
+        clients.hand_over(nullptr);
+        fleet.retire(false);
+        share(false, 0);
+        accept(true);
+    };
+    program.adopt = [&](net::Passed passed) { clients.adopt(std::move(passed)); };
+    program.alone = [&] { share(false, 0); };
+    if (!meeting.empty()) handover.emplace(io, deadlines, meeting, std::move(program));
+    if (legacy && legacy->channel.get() >= 0) {
+        share(true, static_cast<int>(config::integer_or(legacy->state, "clients", 0)));
+        handover->follow(std::move(legacy->channel));
+        core::log("took over from a predecessor");
+    }
+    if (residence) residence->start();
+    core::log("{} serves at {}", config.name, config.listen);
+
+    asio::signal_set hangups(io, SIGHUP);
+    const std::function<void()> await_hangup = [&] {
+        hangups.async_wait([&](const boost::system::error_code &error, int) {
+            if (error) return;
+            reload(path, config, figures, [&](const tcp::endpoint &at, const std::string &host) {
+                if (!discovery) discovery.emplace(io, deadlines, at, host, 0, nodes, zones, told);
+                discovery->move(at, host);
+            });
+            await_hangup();
+        });
+    };
+    await_hangup();
+    core::Deadlines::Entry last_look;
+    const std::function<void()> stop = [&] { // once all that goes over has gone
+        if (!handover || handover->sent()) return io.stop();
+        last_look = deadlines.in(kLook, stop);
+    };
+    asio::signal_set signals(io, SIGTERM, SIGINT);
+    signals.async_wait([&](const boost::system::error_code &error, int) {
+        if (error) return;
+        core::log("draining");
+        const auto done = [&, left = std::make_shared<int>(nvme_clients ? 2 : 1)] {
+            if (--*left == 0) stop();
+        };
+        clients.drain(done);
+        if (nvme_clients) nvme_clients->drain(done);
+    });
+    io.run();
+    core::log("ended");
+    // Watches and idle connections still have coroutines in the io_context, which refer to what stands above.
+    // Neither order of destruction suits both, and there is nothing left to save: leave without it.
+    std::fflush(nullptr);
+    std::quick_exit(0);
+}
+
+} // namespace marblewood::app
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,5 +1,7 @@
 #include "config/config.hpp"
 
+#include "config/schema.hpp"
+
 #include <charconv>
 #include <fstream>
 #include <sstream>
@@ -42,25 +44,28 @@
 }
 
 namespace {
-Json::Value read_file(const std::string &path) {
+std::string read_text(const std::string &path) {
     std::ifstream file(path);
     std::ostringstream text;
     if (!file || !(text << file.rdbuf())) throw Error("cannot read " + path);
-    return parse(text.str());
+    return text.str();
 }
 } // namespace
 
-Config load(const std::string &path) { return read_config(read_file(path)); }
+Config load(const std::string &path) { return read_config(parse(read_text(path))); }
 
 Operator load_operator(const std::string &path) {
     Operator op;
     if (path.empty()) return op;
-    const Json::Value root = read_file(path);
+    const std::string text = read_text(path);
+    const Json::Value root = parse(text);
+    validate(root, text, kOperatorSchema);
     const std::int64_t planners = integer_or(root, "planners", 1);
     if (planners < 1 || planners > 64) throw Error("field 'planners' is not from 1 to 64");
     op.planners = static_cast<int>(planners);
     op.nvme = root["nvme"];
     op.otlp = root["otlp"];
+    op.cells = root["cells"];
     return op;
 }
 
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -19,7 +19,7 @@
 // by those who use it.
 struct Operator {
     int planners = 1;
-    Json::Value nvme, otlp;
+    Json::Value nvme, otlp, cells;
 };
 Operator load_operator(const std::string &path); // an empty path: nothing added
 
--- /dev/null
+++ b/src/config/schema.cpp
@@ -0,0 +1,118 @@
+#include "config/schema.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+#define VALIJSON_USE_EXCEPTIONS 1
+#include <valijson/adapters/jsoncpp_adapter.hpp>
+#include <valijson/schema.hpp>
+#include <valijson/schema_parser.hpp>
+#include <valijson/validation_results.hpp>
+#include <valijson/validator.hpp>
+
+namespace marblewood::config {
+
+const char *const kOperatorSchema = R"({
+  "type": "object",
+  "properties": {
+    "planners": {"type": "integer"},
+    "cells": {
+      "type": "object",
+      "additionalProperties": false,
+      "required": ["keeper", "cells"],
+      "properties": {
+        "keeper": {
+          "type": "object",
+          "additionalProperties": false,
+          "required": ["link", "control"],
+          "properties": {"link": {"type": "string"}, "control": {"type": "string"}}
+        },
+        "state": {"type": "string"},
+        "spread": {"type": "integer", "minimum": 1, "maximum": 64},
+        "forward": {"type": "boolean"},
+        "most_forwarded": {"type": "integer", "minimum": 0, "maximum": 100000},
+        "most_waiting": {"type": "integer", "minimum": 0, "maximum": 100000},
+        "evacuate_drained": {"type": "boolean"},
+        "step_ms": {"type": "number", "minimum": 50, "maximum": 600000},
+        "drain_ms": {"type": "number", "minimum": 50, "maximum": 600000},
+        "moves_at_once": {"type": "integer", "minimum": 1, "maximum": 1000},
+        "spare": {"type": "array", "items": {"type": "string", "minLength": 1}},
+        "cells": {
+          "type": "array",
+          "minItems": 1,
+          "maxItems": 256,
+          "items": {
+            "type": "object",
+            "additionalProperties": false,
+            "required": ["name", "capacity", "brokers", "nodes"],
+            "properties": {
+              "name": {"type": "string", "minLength": 1, "maxLength": 64},
+              "capacity": {"type": "number", "exclusiveMinimum": 0},
+              "nodes": {"type": "array", "items": {"type": "string", "minLength": 1}},
+              "brokers": {
+                "type": "array",
+                "minItems": 1,
+                "items": {
+                  "type": "object",
+                  "additionalProperties": false,
+                  "required": ["name", "clients", "link"],
+                  "properties": {
+                    "name": {"type": "string", "minLength": 1, "maxLength": 64},
+                    "clients": {"type": "string"},
+                    "link": {"type": "string"}
+                  }
+                }
+              }
+            }
+          }
+        }
+      }
+    }
+  }
+})";
+
+namespace {
+
+// The value that valijson's context ("<root>", "[cells]", "[0]", ...) leads to, as far as it leads anywhere.
+const Json::Value &at(const Json::Value &root, const std::vector<std::string> &context, std::string &name) {
+    const Json::Value *here = &root;
+    for (const std::string &step : context) {
+        if (step.size() < 2 || step.front() != '[') continue;
+        const std::string key = step.substr(1, step.size() - 2);
+        const bool digits =
+            !key.empty() && std::all_of(key.begin(), key.end(), [](char c) { return c >= '0' && c <= '9'; });
+        if (here->isArray() && digits && std::stoul(key) < here->size()) {
+            here = &(*here)[static_cast<Json::ArrayIndex>(std::stoul(key))];
+            name += fmt::format("[{}]", key);
+        } else if (here->isObject() && here->isMember(key)) {
+            here = &(*here)[key];
+            name += fmt::format("{}{}", name.empty() ? "" : ".", key);
+        } else {
+            break;
+        }
+    }
+    return *here;
+}
+
+} // namespace
+
+void validate(const Json::Value &root, const std::string &text, const char *schema) {
+    const Json::Value rules = parse(schema);
+    valijson::Schema compiled;
+    valijson::SchemaParser().populateSchema(valijson::adapters::JsonCppAdapter(rules), compiled);
+    valijson::Validator validator;
+    valijson::ValidationResults results;
+    if (validator.validate(compiled, valijson::adapters::JsonCppAdapter(root), &results)) return;
+    valijson::ValidationResults::Error error, deepest;
+    while (results.popError(error)) // what is wrong deep inside makes all around it wrong
+        if (deepest.context.empty() || error.context.size() > deepest.context.size()) deepest = error;
+    std::string name;
+    const Json::Value &value = at(root, deepest.context, name);
+    const auto start =
+        std::min(static_cast<std::size_t>(std::max<std::ptrdiff_t>(value.getOffsetStart(), 0)), text.size());
+    const auto line = 1 + std::count(text.begin(), text.begin() + static_cast<std::ptrdiff_t>(start), '\n');
+    std::string why = deepest.description;
+    std::replace(why.begin(), why.end(), '\n', ' ');
+    throw Error(fmt::format("line {}: field '{}': {}", line, name.empty() ? "(the whole)" : name, why));
+}
+
+} // namespace marblewood::config
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -22,12 +22,14 @@
       settings_(settings), port_(port), surroundings_(std::move(surroundings)), observer_(observer),
       scheduler_(settings) {}
 
-RequestId Planner::submit(std::shared_ptr<const Request> request, Answer answer) {
+RequestId Planner::submit(std::shared_ptr<const Request> request, Answer answer, std::function<void()> over) {
     const RequestId id{next_id_++};
-    auto life = std::make_shared<Life>(executor_, memory_, id, std::move(request), std::move(answer));
+    auto life = std::make_shared<Life>(executor_, memory_, id, std::move(request), std::move(answer),
+                                       std::move(over));
     ++answers_;
     if (memory_.full()) { // no room to hold it: nothing has run, and the client learns so at once
         finish(*life, {Outcome::Kind::Refused, {}, settings_.max_retry_after, true});
+        if (life->over) life->over();
         return id;
     }
     lives_.emplace(static_cast<std::uint64_t>(id), life);
@@ -109,6 +111,7 @@
         }
     }
     lives_.erase(static_cast<std::uint64_t>(life->id));
+    if (life->over) life->over();
 }
 
 // One attempt: run by the node port, until its time is up at the latest.
--- a/src/core/planner.hpp
+++ b/src/core/planner.hpp
@@ -31,20 +31,30 @@
     virtual void request_ended(RequestId id, const Request &request, const Outcome &outcome, Micros to) = 0;
 };
 
-class Planner {
+// Takes requests from a front.
+class Taker {
 public:
     using Answer = std::function<void(Outcome)>;
+    virtual ~Taker() = default;
+    // `answer` is called exactly once, unless the client leaves before; `over`, where given, once nothing of
+    // the request is out any more, whoever has been answered.
+    virtual RequestId submit(std::shared_ptr<const Request> request, Answer answer,
+                             std::function<void()> over = nullptr) = 0;
+    virtual void client_left(RequestId id) = 0;
+};
 
+class Planner : public Taker {
+public:
     Planner(boost::asio::any_io_executor executor, Deadlines &deadlines, Memory &memory, Figures &figures,
             const Settings &settings, NodePort &port, Surroundings surroundings,
             Observer *observer = nullptr);
 
-    // Takes a request; `answer` is called exactly once, unless the client leaves before.
-    RequestId submit(std::shared_ptr<const Request> request, Answer answer);
-    void client_left(RequestId id);
+    RequestId submit(std::shared_ptr<const Request> request, Answer answer,
+                     std::function<void()> over = nullptr) override;
+    void client_left(RequestId id) override;
     void list(const ListUpdate &update);
     void peer_message(PeerMessage message) { tell(std::move(message)); }
-    Legacy legacy() const { return scheduler_.legacy(); }
+    Legacy legacy(std::optional<VolumeId> only = {}) const { return scheduler_.legacy(only); }
     void inherit(const Legacy &legacy) { tell(legacy); }
     void retire(bool on) { tell(Retire{on}); }
     // Whether the node is on the list, or anything is out there.
@@ -64,12 +74,13 @@
     using Step = std::variant<Send, Refuse, Fail, Cancel, Left, Began, Ended>;
     struct Life {
         Life(boost::asio::any_io_executor executor, Memory &memory, RequestId number,
-             std::shared_ptr<const Request> r, Answer a)
-            : id(number), request(std::move(r)), answer(std::move(a)), steps(std::move(executor)),
-              held(memory, request->body.size()) {}
+             std::shared_ptr<const Request> r, Answer a, std::function<void()> o)
+            : id(number), request(std::move(r)), answer(std::move(a)), over(std::move(o)),
+              steps(std::move(executor)), held(memory, request->body.size()) {}
         RequestId id;
         std::shared_ptr<const Request> request;
         Answer answer; // empty once given, or once the client has left
+        std::function<void()> over;
         std::vector<std::shared_ptr<Attempt>> attempts;
         std::shared_ptr<Attempt> streamed; // whose value is being passed on, until that has ended
         std::size_t out = 0;
@@ -106,9 +117,9 @@
     std::size_t answers_ = 0;
 };
 
-// Where a front hands its requests: which planner takes one is the wiring's business.
+// Where a front hands its requests: who takes one is the wiring's business.
 struct Desk {
-    std::function<Planner &(const Request &)> planner;
+    std::function<Taker &(const Request &)> taker;
     std::function<std::uint64_t()> fresh; // a random number, for identifiers
     const Settings &settings;
     Deadlines &deadlines;
--- a/src/core/types.hpp
+++ b/src/core/types.hpp
@@ -38,6 +38,7 @@
     int used = 0;
     double elsewhere = 0;
     std::optional<LoadReport> report;
+    Micros retry_after = 0; // turned away: when to come back, where that was told
 };
 
 // One try at one node. The planner may stop it at any time; the node port then ends it soon.
--- a/src/net/control/control.cpp
+++ b/src/net/control/control.cpp
@@ -84,8 +84,8 @@
     while (out.empty() && !error) {
         error = co_await read_more(socket, in);
         try {
-            if (const auto request = http::read_request(in))
-                out = answer(*request);
+            if (auto request = http::read_request(in))
+                out = co_await answer(std::move(*request));
             else if (in.size() > kMostCall)
                 out = no(413, "Content Too Large");
         } catch (const std::runtime_error &) {
@@ -103,7 +103,31 @@
     callers_.erase(caller);
 }
 
-std::string Control::answer(const http::Request &request) {
+// Calls about cells may have to wait for the keeper; all others are done at once.
+asio::awaitable<std::string> Control::answer(http::Request request) {
+    static constexpr std::string_view kCells = "/admin/cells";
+    const std::string &target = request.target;
+    const bool cells = do_.cells && target.starts_with(kCells) &&
+                       (target.size() == kCells.size() || target[kCells.size()] == '/');
+    if (!cells) co_return answer_now(request);
+    std::string what = target.size() > kCells.size() ? target.substr(kCells.size() + 1) : "list";
+    const bool reads = what == "list" || what == "here" || what.starts_with("where/");
+    const bool changes = what == "move" || what == "unpin" || what == "freeze" || what == "unfreeze" ||
+                         what == "evacuate" || what == "restore";
+    if (!reads && !changes) co_return no(404, "Not Found");
+    if (request.method != (reads ? "GET" : "POST"))
+        co_return spell(405, "Method Not Allowed", "", reads ? "Allow: GET\r\n" : "Allow: POST\r\n");
+    std::string body = bare(request.body);
+    if (what.starts_with("where/")) {
+        body = what.substr(6);
+        what = "where";
+    }
+    if (changes) core::log("control: cells {} {}", what, body);
+    const auto [status, text] = co_await do_.cells(what, body, changes);
+    co_return spell(status, status == 200 ? "OK" : status == 503 ? "Service Unavailable" : "Conflict", text);
+}
+
+std::string Control::answer_now(const http::Request &request) {
     static constexpr std::string_view kAdmin = "/admin/";
     const std::string_view target = request.target;
     if (!target.starts_with(kAdmin)) return no(404, "Not Found");
@@ -115,6 +139,7 @@
         return spell(405, "Method Not Allowed", "", reads ? "Allow: GET\r\n" : "Allow: POST\r\n");
     if (call == "health") return yes();
     if (call == "stats") return spell(200, "OK", do_.stats());
+    if (!do_.cordon) return no(404, "Not Found");
     if (!do_.acts()) return no(503, "Service Unavailable");
     core::log("control: {} {}", call, bare(request.body));
     if (call == "quiesce" || call == "resume") {
--- a/src/net/control/control.hpp
+++ b/src/net/control/control.hpp
@@ -15,11 +15,16 @@
 // The figures, a line each, in the form of StatsD.
 std::string spell(const core::Figures &figures, const Settings &settings, const State &state);
 
+// What is not set is not found.
 struct Operations {
     std::function<std::string()> stats;
     std::function<bool(const std::string &id)> cordon, uncordon; // false: nobody has the id
     std::function<void(bool)> quiesce;
     std::function<bool()> acts; // false: another process has taken over, and changes belong there
+    // Calls under `cells`: what stands behind it, and the body; the status and the text to answer with.
+    std::function<asio::awaitable<std::pair<int, std::string>>(std::string what, std::string body,
+                                                               bool changes)>
+        cells;
 };
 
 class Control {
@@ -33,7 +38,8 @@
     };
     asio::awaitable<void> accept();
     asio::awaitable<void> hear(std::list<Caller>::iterator caller);
-    std::string answer(const http::Request &request);
+    asio::awaitable<std::string> answer(http::Request request);
+    std::string answer_now(const http::Request &request);
 
     asio::io_context &io_;
     core::Deadlines &deadlines_;
--- a/src/net/fleet.cpp
+++ b/src/net/fleet.cpp
@@ -34,10 +34,30 @@
     });
 }
 
-void Fleet::tell(const ListUpdate &update) {
+void Fleet::tell(ListUpdate update) {
+    std::erase_if(update.entries, [&](const NodeEntry &entry) { return !allowed(entry.node); });
     for (const auto &planner : planners_) planner->list(update);
 }
 
+void Fleet::confine(std::function<bool(const std::string &id)> allows) {
+    allows_ = std::move(allows);
+    ListUpdate all{ListUpdate::Kind::Full, {}};
+    for (const auto &[node, entry] : roster_.entries()) {
+        all.entries.push_back(entry);
+        if (roster_.cordoned(node) && entry.state == NodeState::Ready)
+            all.entries.back().state = NodeState::Draining;
+    }
+    tell(std::move(all));
+}
+
+std::size_t Fleet::ready() const {
+    return static_cast<std::size_t>(
+        std::count_if(roster_.entries().begin(), roster_.entries().end(), [&](const auto &listed) {
+            return listed.second.state == NodeState::Ready && !roster_.cordoned(listed.first) &&
+                   allowed(listed.first);
+        }));
+}
+
 std::optional<NodeId> Fleet::find(const std::string &id) const {
     const auto number = names_.find(id);
     if (!number || !(roster_.listed(NodeId{*number}) || roster_.cordoned(NodeId{*number})))
--- a/src/net/fleet.hpp
+++ b/src/net/fleet.hpp
@@ -21,6 +21,10 @@
           ports_(ports), planners_(planners) {}
 
     void told(const discovery::Reading &reading);
+    // From now on only nodes with an id that `allows` takes are told to the planners. Called again whenever
+    // its answers may have changed.
+    void confine(std::function<bool(const std::string &id)> allows);
+    std::size_t ready() const; // nodes that the planners are told of and may send to
     // By hand. False: nobody has the id.
     bool cordon(const std::string &id);
     bool uncordon(const std::string &id);
@@ -38,7 +42,10 @@
 
 private:
     std::optional<NodeId> find(const std::string &id) const;
-    void tell(const ListUpdate &update);
+    void tell(ListUpdate update);
+    bool allowed(NodeId node) const {
+        return !allows_ || allows_(names_.text(static_cast<std::uint32_t>(node)));
+    }
 
     config::Names &names_, &zones_;
     const nvme::Mapping &mapping_;
@@ -47,6 +54,7 @@
     Ports &ports_;
     Planners &planners_;
     core::Roster roster_;
+    std::function<bool(const std::string &)> allows_;
     std::map<NodeId, std::string> addresses_;
     std::int64_t revision_ = 0;
 };
--- a/src/net/link/codec.cpp
+++ b/src/net/link/codec.cpp
@@ -8,7 +8,7 @@
 namespace marblewood::net::link {
 namespace {
 
-using namespace cells;
+using namespace marblewood::cells;
 
 std::uint64_t number(VolumeId v) { return static_cast<std::uint64_t>(v); }
 template <typename E> E choice(std::uint32_t value, E last, const char *what) {
--- a/src/net/link/codec.hpp
+++ b/src/net/link/codec.hpp
@@ -23,7 +23,7 @@
     bool ok = false;
     std::string text;
 };
-using Body = std::variant<cells::Message, Call, Reply>;
+using Body = std::variant<marblewood::cells::Message, Call, Reply>;
 struct Frame {
     std::string from; // a broker's name; empty: the keeper
     Body body;
@@ -33,9 +33,9 @@
 Frame decode(std::string_view bytes);
 
 // Sealed with a hash, so that a torn or spoilt file is told from a whole one.
-std::string encode(const cells::Resident::State &state);
-std::string encode(const cells::Keeper::State &state);
-cells::Resident::State decode_resident(std::string_view bytes);
-cells::Keeper::State decode_keeper(std::string_view bytes);
+std::string encode(const marblewood::cells::Resident::State &state);
+std::string encode(const marblewood::cells::Keeper::State &state);
+marblewood::cells::Resident::State decode_resident(std::string_view bytes);
+marblewood::cells::Keeper::State decode_keeper(std::string_view bytes);
 
 } // namespace marblewood::net::link
--- a/src/net/nvme/front.cpp
+++ b/src/net/nvme/front.cpp
@@ -45,8 +45,8 @@
         const auto it = commands_.find(cid);
         if (it == commands_.end()) return false;
         bool may_have_run = false;
-        if (it->second.planner) {
-            it->second.planner->client_left(it->second.id); // its outcome is of no use any more
+        if (it->second.taker) {
+            it->second.taker->client_left(it->second.id); // its outcome is of no use any more
             may_have_run = it->second.write;
         }
         complete(cid, {status::kAborted, 0, may_have_run});
@@ -59,7 +59,7 @@
     struct Working { // a command that owes its completion
         bool write = false;
         Micros sent = 0;
-        core::Planner *planner = nullptr; // once it is a request
+        core::Taker *taker = nullptr; // once it is a request
         RequestId id{};
         std::optional<std::uint16_t> tag; // while its data is awaited
         std::uint64_t serial = 0;
@@ -235,11 +235,11 @@
         // The broker's own repeats bear one key; a host's repeat is a new command with a key of its own.
         if (desk_.settings.classes[f.cls].effect == Effect::Keyed)
             r->repeat_key = fmt::format("{:016x}", desk_.fresh());
-        core::Planner &planner = desk_.planner(*r);
-        working.planner = &planner;
+        core::Taker &taker = desk_.taker(*r);
+        working.taker = &taker;
         const std::uint64_t serial = working.serial;
         const std::weak_ptr<Session> weak = weak_from_this();
-        const RequestId id = planner.submit(r, [this, weak, cid = c.cid(), serial](core::Outcome outcome) {
+        const RequestId id = taker.submit(r, [this, weak, cid = c.cid(), serial](core::Outcome outcome) {
             if (const auto self = weak.lock())
                 answer(cid, serial, outcome);
             else if (outcome.stream)
@@ -384,7 +384,7 @@
 
     void left() override {
         for (const auto &[cid, working] : commands_)
-            if (working.planner) working.planner->client_left(working.id);
+            if (working.taker) working.taker->client_left(working.id);
         commands_.clear();
         transfers_.clear();
         keep_alive_ = 0;
--- a/src/net/resp/front.cpp
+++ b/src/net/resp/front.cpp
@@ -67,7 +67,7 @@
     struct Slot {
         std::string bytes;
         bool ready = false;
-        core::Planner *planner = nullptr;
+        core::Taker *taker = nullptr;
         RequestId id{};
         std::string name;                     // the client's id
         std::shared_ptr<core::Stream> stream; // where the rest of its answer comes from
@@ -128,12 +128,12 @@
         client_.asked = true;
         read.sent = deadlines_.clock.now(); // its last byte: however slowly it was written
         auto request = std::make_shared<const core::Request>(std::move(read));
-        core::Planner &planner = desk_.planner(*request);
+        core::Taker &taker = desk_.taker(*request);
         const std::uint64_t number = slot();
-        slots_.back().planner = &planner;
+        slots_.back().taker = &taker;
         slots_.back().name = request->id;
         const std::weak_ptr<Session> weak = weak_from_this();
-        const RequestId id = planner.submit(std::move(request), [this, weak, number](core::Outcome outcome) {
+        const RequestId id = taker.submit(std::move(request), [this, weak, number](core::Outcome outcome) {
             const auto self = weak.lock();
             if (self)
                 answer(number, spell(outcome), outcome.stream);
@@ -157,7 +157,7 @@
         slot.ready = true;
         slot.stream = std::move(stream);
         ready_ += slot.bytes.size();
-        if (slot.planner) open_.erase(slot.name);
+        if (slot.taker) open_.erase(slot.name);
         if (!streaming_) flush();
     }
 
@@ -198,9 +198,9 @@
 
     void left() override {
         for (const Slot &slot : slots_)
-            if (slot.planner && (!slot.ready || slot.stream)) {
+            if (slot.taker && (!slot.ready || slot.stream)) {
                 if (!slot.ready) open_.erase(slot.name);
-                slot.planner->client_left(slot.id);
+                slot.taker->client_left(slot.id);
             }
     }
 
--- a/src/net/resp/node_port.cpp
+++ b/src/net/resp/node_port.cpp
@@ -92,7 +92,7 @@
 }
 
 // What a node's answer means; false: nothing that a node says, and its connection can't be trusted further.
-bool read_answer(Value &&answer, core::AttemptResult &result) {
+bool read_answer(Value &&answer, core::AttemptResult &result, bool of_broker) {
     const auto text = [](const Value &v) { return v.kind == Value::Kind::Bulk && !v.null; };
     const auto says = [&](std::string_view word) {
         return answer.text == word || answer.text.starts_with(std::string(word) + ' ');
@@ -104,10 +104,17 @@
             if (text(answer.elements[n])) read_figures(answer.elements[n].text, result);
         return true;
     }
+    if (of_broker && text(answer)) {
+        result.status = Status::Ok;
+        result.value = std::move(answer.text);
+        return true;
+    }
     result.status = Status::Error;
     if (answer.kind != Value::Kind::Error) return false;
     if (says("BUSY")) {
         result.status = Status::Full;
+        if (of_broker && answer.text.size() > 5)
+            result.retry_after = 1000 * std::clamp(std::atoll(answer.text.c_str() + 5), 0LL, 60'000LL);
         return true;
     }
     std::string_view words = answer.text;
@@ -122,8 +129,8 @@
 } // namespace
 
 NodePort::NodePort(asio::any_io_executor executor, core::Deadlines &deadlines, core::Memory &memory,
-                   SocketBudget &budget, const Settings &settings)
-    : executor_(executor), deadlines_(deadlines), memory_(memory), settings_(settings),
+                   SocketBudget &budget, const Settings &settings, Peers peers)
+    : executor_(executor), deadlines_(deadlines), memory_(memory), settings_(settings), peers_(peers),
       pool_(std::move(executor), deadlines, budget, settings.idle_close) {}
 
 void NodePort::place(NodeId node, const tcp::endpoint &address) {
@@ -193,7 +200,8 @@
         result.status = attempt->broken(whole);
         co_return result;
     }
-    const bool good = read_answer(std::move(*answer.value), result) && !answer.spoilt;
+    const bool good =
+        read_answer(std::move(*answer.value), result, peers_ == Peers::Brokers) && !answer.spoilt;
     if (good && wire->socket.is_open()) give_back(attempt->node, to, wire);
     co_return result;
 }
--- a/src/net/resp/node_port.hpp
+++ b/src/net/resp/node_port.hpp
@@ -1,4 +1,4 @@
-// Runs attempts at nodes that speak RESP2.
+// Runs attempts at nodes that speak RESP2, or at other brokers, which answer as clients are answered.
 #pragma once
 
 #include "core/types.hpp"
@@ -9,8 +9,9 @@
 
 class NodePort : public core::NodePort {
 public:
+    enum class Peers { Nodes, Brokers };
     NodePort(asio::any_io_executor executor, core::Deadlines &deadlines, core::Memory &memory,
-             SocketBudget &budget, const Settings &settings);
+             SocketBudget &budget, const Settings &settings, Peers peers = Peers::Nodes);
     void place(NodeId node, const tcp::endpoint &address);
     void forget(NodeId node); // it is gone, and nothing is out there
 
@@ -27,6 +28,7 @@
     core::Deadlines &deadlines_;
     core::Memory &memory_;
     Settings settings_;
+    Peers peers_;
     Pool pool_;
     std::map<NodeId, tcp::endpoint> addresses_;
 };
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -149,7 +149,7 @@
     std::uint64_t random;
     Micros now = 0, born = kNever, ask_wait = kAskAgain, limited_at = kNever;
     bool listless = false, retired = false;
-    std::map<VolumeId, double> bequest; // of limits' stores, by a predecessor
+    std::map<VolumeId, Legacy::Store> bequest; // of stores, by a predecessor
     std::vector<Action> *acts = nullptr;
     std::map<RequestId, Request> requests;
     std::map<NodeId, Node> nodes;
@@ -433,12 +433,10 @@
         Volume &v = it->second;
         const double part = 1.0 / std::max(1, std::max(in.hosts, 1));
         const double most = set.most_units;
-        if (fresh) {
-            v.stamp = now;
-            v.reserve = (plan.reserve + most) * part;
-            v.share = share_rate(plan) * part;
-            v.limit = bequest[in.volume], bequest.erase(in.volume);
-        }
+        const auto left = bequest.extract(in.volume);
+        if (fresh || left) v.stamp = now;
+        if (fresh) v.reserve = (plan.reserve + most) * part, v.share = share_rate(plan) * part;
+        if (left) v.limit = left.mapped().units, v.reserve = left.mapped().reserve.value_or(v.reserve);
         const double seconds = static_cast<double>(now - v.stamp) / 1e6, keep = decay(v.stamp, now, kAccount);
         v.own *= keep;
         v.others *= keep;
@@ -896,10 +894,13 @@
             if (r.in.volume == volume && r.open && !r.charged && r.plan->limit > 0) units += r.in.units;
         return units;
     }
-    Legacy legacy() const {
+    Legacy legacy(std::optional<VolumeId> only) const {
+        if (const auto left = only ? bequest.find(*only) : bequest.end(); left != bequest.end())
+            return {born, {left->second}, {}};
         Legacy all{born, {}, {}};
         for (const auto &[id, v] : volumes)
-            if (v.limit > 0) all.stores.push_back({id, std::max(0.0, v.limit - kept(id))});
+            if (only ? id == *only : v.limit > 0)
+                all.stores.push_back({id, std::max(0.0, v.limit - kept(id)), v.reserve});
         for (const auto &[id, n] : nodes)
             all.nodes.push_back(
                 {id, n.cold_since, n.declared, {n.spent.begin(), n.spent.end()}, n.sum, n.weight, n.stamp});
@@ -907,7 +908,7 @@
     }
     void on(const Legacy &e) {
         born = std::min(born, e.born);
-        for (const Legacy::Store &s : e.stores) bequest[s.volume] = s.units;
+        for (const Legacy::Store &s : e.stores) bequest[s.volume] = s;
         for (const Legacy::Sight &s : e.nodes)
             if (const auto it = nodes.find(s.node); it != nodes.end()) {
                 Node &n = it->second;
@@ -1009,7 +1010,7 @@
     const auto it = state_->nodes.find(node);
     return it == state_->nodes.end() ? std::nullopt : std::optional(it->second.bound);
 }
-Legacy Scheduler::legacy() const { return state_->legacy(); }
+Legacy Scheduler::legacy(std::optional<VolumeId> only) const { return state_->legacy(only); }
 bool Scheduler::avoids(NodeId node) const {
     const auto it = state_->nodes.find(node);
     return it != state_->nodes.end() && !(it->second.usable && it->second.trusted);
--- a/tests/moves_test.cpp
+++ b/tests/moves_test.cpp
@@ -12,9 +12,9 @@
 // allowed.
 struct Explorer {
     int drops = 0, doubles = 0, waits = 0, deaths = 0;
-    bool disks = true;          // a process that dies finds its file again
-    bool rival = false;         // a second operator moves the volume elsewhere
-    bool whole = true;          // else only as many states as are allowed
+    bool disks = true;  // a process that dies finds its file again
+    bool rival = false; // a second operator moves the volume elsewhere
+    bool whole = true;  // else only as many states as are allowed
     std::size_t most = 40'000;
     std::size_t seen_states = 0, checked_ends = 0;
     std::unordered_set<std::size_t> seen = {};
@@ -113,7 +113,9 @@
 TEST(Moves, AllOrdersWithRepeats) { Explorer{.doubles = 1, .waits = 1, .whole = false}.run(); }
 TEST(Moves, AllOrdersWithWaits) { Explorer{.waits = 2, .whole = false}.run(); }
 TEST(Moves, AllOrdersWithADeath) { Explorer{.waits = 1, .deaths = 1, .whole = false}.run(); }
-TEST(Moves, AllOrdersWithADeathAndALoss) { Explorer{.drops = 1, .waits = 1, .deaths = 1, .whole = false}.run(); }
+TEST(Moves, AllOrdersWithADeathAndALoss) {
+    Explorer{.drops = 1, .waits = 1, .deaths = 1, .whole = false}.run();
+}
 TEST(Moves, AllOrdersWithTwoOperators) { Explorer{.waits = 1, .rival = true, .whole = false}.run(); }
 
 TEST(Moves, CompletesAndHandsOverWhatIsLeft) {
