The laboratory's ground floor: experiments against real brokers

A broker with cells watches the list from its start, and keeps the names of nodes that are listed but not its cell's: they were forgotten, and the next look at the list threw. A cell that never had a node that took requests is not evacuated by rule.

--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -28,9 +28,10 @@
 
 namespace {
 
-constexpr Micros kLook = 1'000;      // us between looks at what is still to go over to a successor
-constexpr int kLinkSockets = 32;     // descriptors for brokers and keeper, where there are cells
-constexpr std::size_t kHeldPart = 4; // a quarter of the memory is for what clients send and are owed
+constexpr Micros kLook = 1'000;        // us between looks at what is still to go over to a successor
+constexpr Micros kListAgain = 500'000; // us until a list that did not come is asked for again
+constexpr int kLinkSockets = 32;       // descriptors for brokers and keeper, where there are cells
+constexpr std::size_t kHeldPart = 4;   // a quarter of the memory is for what clients send and are owed
 
 // Reads the file again, whole: what is wrong with any of it leaves the broker as it is. Discovery moves; all
 // else is bound to what runs already and is taken up at the next start.
@@ -158,9 +159,14 @@
                           away};
 
     net::Fleet fleet(nodes, zones, mapping, resp_port, nvme_port, ports, planners);
+    core::Deadlines::Entry list_again;
     const auto told = [&](const net::discovery::Reading &reading) {
         fleet.told(reading);
-        if (residence) residence->ready_nodes(fleet.ready());
+        if (!residence) return;
+        residence->ready_nodes(fleet.ready());
+        // Which nodes are there must be known before anything is asked: what no node can serve is refused.
+        if (reading.update.kind == ListUpdate::Kind::Failed)
+            list_again = deadlines.in(kListAgain, [&] { discovery->watch(true); });
     };
     if (residence) {
         residence->confined = [&] {
@@ -297,6 +303,7 @@
         core::log("took over from a predecessor");
     }
     if (residence) residence->start();
+    if (residence && discovery) discovery->watch(true);
     core::log("{} serves at {}", config.name, config.listen);
 
     asio::signal_set hangups(io, SIGHUP);
--- a/src/cells/keeper.cpp
+++ b/src/cells/keeper.cpp
@@ -340,14 +340,17 @@
     }
     std::erase_if(known_, [&](const auto &k) { return now - k.second.at > timing_.forget; });
     std::erase_if(rest_, [&](const auto &r) { return r.second <= now; });
-    // By rule: a cell none of whose nodes takes requests, as all its brokers that were heard lately say.
+    // By rule: a cell that had nodes, and none of them takes requests, as all its brokers that were heard
+    // lately say.
     for (const auto &[name, figures] : cells(now)) {
-        const bool drained = figures.brokers_heard > 0 && figures.ready == 0;
+        if (figures.ready > 0) been_ready_.insert(name);
+        const bool drained = been_ready_.contains(name) && figures.brokers_heard > 0 && figures.ready == 0;
         if (!drained || !timing_.evacuate_drained || map_.cell(name)->evacuated || map_.cell(name)->frozen) {
             drained_since_.erase(name);
         } else if (now - drained_since_.try_emplace(name, now).first->second >= timing_.drained_for) {
-            actions.emplace_back(Note{fmt::format("cell '{}' has no node that takes requests", name)});
-            evacuate(name, actions);
+            drained_since_[name] = now;
+            if (evacuate(name, actions).ok)
+                actions.emplace_back(Note{fmt::format("cell '{}' has no node that takes requests", name)});
         }
     }
     evacuations(now, actions);
--- a/src/cells/keeper.hpp
+++ b/src/cells/keeper.hpp
@@ -138,6 +138,7 @@
     std::map<VolumeId, Move> moves_;
     std::map<std::string, Heard> heard_;
     std::map<VolumeId, Known> known_;
+    std::set<std::string> been_ready_; // cells with a node that took requests, since the start
     std::map<std::string, Micros> drained_since_;
     std::map<VolumeId, Micros> rest_; // after a move that went back: no rule tries it until then
     Figures figures_;
--- /dev/null
+++ b/src/lab/experiment.cpp
@@ -0,0 +1,192 @@
+#include "lab/experiment.hpp"
+
+#include "config/schema.hpp"
+
+#include <fmt/format.h>
+
+namespace marblewood::lab {
+namespace {
+
+const char *const kSchema = R"({
+  "type": "object",
+  "additionalProperties": false,
+  "required": ["name", "seconds", "topology", "volumes", "checks", "settings"],
+  "properties": {
+    "name": {"type": "string", "pattern": "^[a-z0-9-]+$"},
+    "about": {"type": "string"},
+    "seconds": {"type": "number", "minimum": 1, "maximum": 3600},
+    "settle": {"type": "number", "minimum": 0, "maximum": 60},
+    "topology": {
+      "type": "object",
+      "additionalProperties": false,
+      "properties": {
+        "cells": {"type": "integer", "minimum": 1, "maximum": 16},
+        "brokers": {"type": "integer", "minimum": 1, "maximum": 16},
+        "nodes": {"type": "integer", "minimum": 1, "maximum": 64},
+        "spread": {"type": "integer", "minimum": 1, "maximum": 16},
+        "forward": {"type": "boolean"}
+      }
+    },
+    "node": {
+      "type": "object",
+      "additionalProperties": false,
+      "properties": {
+        "cores": {"type": "integer", "minimum": 1, "maximum": 64},
+        "unit_ms": {"type": "number", "exclusiveMinimum": 0},
+        "sigma": {"type": "number", "minimum": 0, "maximum": 2},
+        "queue": {"type": "integer", "minimum": 0},
+        "cold_from": {"type": "number", "exclusiveMinimum": 0, "maximum": 1},
+        "cold_s": {"type": "number", "minimum": 0},
+        "put_off": {"type": "number", "minimum": 0, "maximum": 1},
+        "put_off_s": {"type": "number", "minimum": 0}
+      }
+    },
+    "volumes": {
+      "type": "array",
+      "minItems": 1,
+      "items": {
+        "type": "object",
+        "additionalProperties": false,
+        "required": ["plan", "count", "rate"],
+        "properties": {
+          "plan": {"type": "string"},
+          "count": {"type": "integer", "minimum": 1, "maximum": 10000},
+          "rate": {"type": "number", "exclusiveMinimum": 0},
+          "units": {"type": "number", "minimum": 1, "maximum": 8},
+          "writes": {"type": "number", "minimum": 0, "maximum": 1}
+        }
+      }
+    },
+    "surges": {
+      "type": "array",
+      "items": {
+        "type": "object",
+        "additionalProperties": false,
+        "required": ["at", "length", "cell", "plan", "times"],
+        "properties": {
+          "at": {"type": "number", "minimum": 0},
+          "length": {"type": "number", "exclusiveMinimum": 0},
+          "cell": {"type": "integer", "minimum": 0},
+          "plan": {"type": "string"},
+          "times": {"type": "number", "exclusiveMinimum": 0}
+        }
+      }
+    },
+    "faults": {
+      "type": "array",
+      "items": {
+        "type": "object",
+        "additionalProperties": false,
+        "required": ["at", "what"],
+        "properties": {
+          "at": {"type": "number", "minimum": 0},
+          "length": {"type": "number", "minimum": 0},
+          "what": {"enum": ["kill-keeper", "stop-keeper", "stop-broker", "restart-broker", "drain-cell", "restart-node",
+                            "pause-node"]},
+          "cell": {"type": "integer", "minimum": 0},
+          "index": {"type": "integer", "minimum": 0}
+        }
+      }
+    },
+    "moves": {
+      "type": "object",
+      "additionalProperties": false,
+      "required": ["count", "from", "to"],
+      "properties": {
+        "count": {"type": "integer", "minimum": 1, "maximum": 10000},
+        "from": {"type": "number", "minimum": 0},
+        "to": {"type": "number", "minimum": 0}
+      }
+    },
+    "compare_without": {"type": "array", "items": {"enum": ["surges", "faults", "moves"]}},
+    "checks": {
+      "type": "array",
+      "minItems": 1,
+      "items": {
+        "type": "object",
+        "additionalProperties": false,
+        "required": ["name", "metric"],
+        "properties": {
+          "name": {"type": "string"},
+          "metric": {"type": "string"},
+          "least": {"type": "number"},
+          "most": {"type": "number"}
+        }
+      }
+    },
+    "settings": {"type": "object"}
+  }
+})";
+
+} // namespace
+
+Experiment read_experiment(const std::string &text) {
+    using namespace config;
+    const Json::Value root = parse(text);
+    validate(root, text, kSchema);
+    const auto number = [](const Json::Value &of, const char *name, double otherwise) {
+        return number_or(of, name, otherwise);
+    };
+    const auto count = [](const Json::Value &of, const char *name, int otherwise) {
+        return static_cast<int>(integer_or(of, name, otherwise));
+    };
+    Experiment e;
+    e.name = need_text(root, "name");
+    e.seconds = need_number(root, "seconds");
+    e.settle = number(root, "settle", e.settle);
+    const Json::Value &top = root["topology"];
+    e.cells = count(top, "cells", e.cells), e.brokers = count(top, "brokers", e.brokers);
+    e.nodes = count(top, "nodes", e.nodes), e.spread = count(top, "spread", e.spread);
+    e.forward = flag_or(top, "forward", true);
+    if (root.isMember("node")) {
+        const Json::Value &n = root["node"];
+        e.node = {count(n, "cores", e.node.cores),          number(n, "unit_ms", e.node.unit_ms),
+                  number(n, "sigma", e.node.sigma),         count(n, "queue", e.node.queue),
+                  number(n, "cold_from", e.node.cold_from), number(n, "cold_s", e.node.cold_s),
+                  number(n, "put_off", e.node.put_off),     number(n, "put_off_s", e.node.put_off_s)};
+    }
+    for (const Json::Value &v : root["volumes"])
+        e.volumes.push_back({need_text(v, "plan"), count(v, "count", 1), need_number(v, "rate"),
+                             number(v, "units", 2), number(v, "writes", 0.2)});
+    for (const Json::Value &s : root["surges"])
+        e.surges.push_back({need_number(s, "at"), need_number(s, "length"), count(s, "cell", 0),
+                            need_text(s, "plan"), need_number(s, "times")});
+    for (const Json::Value &f : root["faults"])
+        e.faults.push_back({need_number(f, "at"), number(f, "length", 0), need_text(f, "what"),
+                            count(f, "cell", 0), count(f, "index", 0)});
+    if (root.isMember("moves")) {
+        e.moves = count(root["moves"], "count", 0);
+        e.moves_from = need_number(root["moves"], "from"), e.moves_to = need_number(root["moves"], "to");
+    }
+    for (const Json::Value &w : root["compare_without"]) e.without.push_back(w.asString());
+    for (const Json::Value &c : root["checks"]) {
+        Check check{need_text(c, "name"), need_text(c, "metric"), {}, {}};
+        if (c.isMember("least")) check.least = need_number(c, "least");
+        if (c.isMember("most")) check.most = need_number(c, "most");
+        if (!check.least && !check.most)
+            throw Error(fmt::format("field 'checks': '{}' has no bound", check.name));
+        e.checks.push_back(std::move(check));
+    }
+    e.settings = root["settings"];
+    const Settings settings = read_settings(e.settings, 0);
+    const auto has_plan = [&](const std::string &name) {
+        for (const PlanSettings &p : settings.plans)
+            if (p.name == name) return;
+        throw Error(fmt::format("field 'plan': no plan is called '{}'", name));
+    };
+    for (const VolumeKind &v : e.volumes) has_plan(v.plan);
+    for (const Surge &s : e.surges) {
+        has_plan(s.plan);
+        if (s.cell >= e.cells) throw Error("field 'surges': there is no such cell");
+    }
+    for (const Fault &f : e.faults)
+        if (f.cell >= e.cells) throw Error("field 'faults': there is no such cell");
+    if (e.moves > 0 && (e.cells < 2 || e.moves_to <= e.moves_from))
+        throw Error("field 'moves': two cells and some time are needed");
+    if (settings.classes.size() < 2 || settings.classes[0].effect != Effect::Safe ||
+        settings.classes[1].effect != Effect::Keyed)
+        throw Error("field 'settings': wanted are a safe class to read with, then a keyed one to write with");
+    return e;
+}
+
+} // namespace marblewood::lab
--- /dev/null
+++ b/src/lab/experiment.hpp
@@ -0,0 +1,69 @@
+// An experiment: what stands, what is asked of it, what goes wrong, and what must hold. Read from a JSON
+// file, checked against a schema. Times are in seconds from the start of the load.
+#pragma once
+
+#include "config/decode.hpp"
+
+#include <map>
+
+namespace marblewood::lab {
+
+struct NodeModel {
+    int cores = 2;
+    double unit_ms = 2;                   // work of one unit on one core, on the mean
+    double sigma = 0.35;                  // of its logarithm
+    int queue = 64;                       // requests that wait, beyond which it turns away
+    double cold_from = 0.18, cold_s = 17; // part of its speed after a start, and until when it grows to 1
+    double put_off = 0.1;                 // part of the writes whose work is done later
+    double put_off_s = 0.5;
+    double capacity() const { return cores / unit_ms * 1000; } // units a second
+};
+
+struct VolumeKind {
+    std::string plan;
+    int count = 1;
+    double rate = 10;    // requests a second of each
+    double units = 2;    // of a request, on the mean
+    double writes = 0.2; // part of the requests
+};
+
+struct Surge {
+    double at = 0, length = 0;
+    int cell = 0; // one of the volumes that live there at the start
+    std::string plan;
+    double times = 5; // the whole cell's usual rate
+};
+
+struct Fault {
+    double at = 0, length = 0;
+    std::string
+        what; // kill-keeper, stop-keeper, stop-broker, restart-broker, drain-cell, restart-node, pause-node
+    int cell = 0, index = 0;
+};
+
+struct Check {
+    std::string name, metric;
+    std::optional<double> least, most;
+};
+
+struct Experiment {
+    std::string name;
+    double seconds = 10, settle = 5; // of load; before the first of it that counts
+    int cells = 3, brokers = 2, nodes = 2, spread = 2;
+    bool forward = true;
+    NodeModel node;
+    std::vector<VolumeKind> volumes;
+    std::vector<Surge> surges;
+    std::vector<Fault> faults;
+    int moves = 0;
+    double moves_from = 0, moves_to = 0;
+    std::vector<std::string>
+        without; // of a first run to compare with: surges, faults, moves; empty: no such run
+    std::vector<Check> checks;
+    Json::Value settings; // the brokers'
+};
+
+// Throws config::Error naming field and line.
+Experiment read_experiment(const std::string &text);
+
+} // namespace marblewood::lab
--- /dev/null
+++ b/src/lab/world.cpp
@@ -0,0 +1,581 @@
+#include "lab/world.hpp"
+
+#include "net/http.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/random/bernoulli_distribution.hpp>
+#include <boost/random/exponential_distribution.hpp>
+#include <boost/random/uniform_int_distribution.hpp>
+#include <csignal>
+#include <cstring>
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <fstream>
+#include <sstream>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+
+namespace marblewood::lab {
+namespace {
+
+constexpr Micros kPatience = 300'000; // us beyond a client's time, after which no answer comes any more
+constexpr Micros kKeepIdle = 1'500'000;
+constexpr int kMostTries = 6;
+
+Micros micros(double seconds) { return static_cast<Micros>(seconds * 1e6); }
+
+int free_port() {
+    static int last = 20'000 + ::getpid() * 53 % 11'000;
+    for (;;) {
+        last = last < 32'000 ? last + 1 : 20'000;
+        const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in at{};
+        at.sin_family = AF_INET;
+        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        at.sin_port = htons(static_cast<std::uint16_t>(last));
+        const bool good = ::bind(fd, reinterpret_cast<const sockaddr *>(&at), sizeof at) == 0;
+        ::close(fd);
+        if (good) return last;
+    }
+}
+tcp::endpoint local(int port) { return {asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(port)}; }
+
+// A stream of random numbers of its own for each purpose, so that what one draws changes nothing for the
+// others.
+std::mt19937_64 stream(std::uint64_t seed, std::uint32_t purpose, std::uint32_t number = 0) {
+    std::seed_seq seeds{static_cast<std::uint32_t>(seed), static_cast<std::uint32_t>(seed >> 32), purpose,
+                        number};
+    return std::mt19937_64(seeds);
+}
+
+void reraise(const std::exception_ptr &error) {
+    if (error) std::rethrow_exception(error);
+}
+
+} // namespace
+
+void Process::start() {
+    std::vector<char *> argv;
+    for (std::string &word : command) argv.push_back(word.data());
+    argv.push_back(nullptr);
+    const pid_t parent = ::getpid();
+    pid = ::fork();
+    if (pid != 0) return;
+    const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    if (out < 0 || ::dup2(out, 2) < 0 || ::dup2(out, 1) < 0) ::_exit(127);
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (::getppid() != parent) ::_exit(127);
+    for (int fd = 3; fd < 1024; ++fd) ::close(fd);
+    ::execv(argv[0], argv.data());
+    ::_exit(127);
+}
+void Process::signal(int number) const {
+    if (pid > 0) ::kill(pid, number);
+}
+void Process::kill() {
+    if (pid <= 0) return;
+    ::kill(pid, SIGKILL);
+    ::waitpid(std::exchange(pid, -1), nullptr, 0);
+}
+
+World::World(const Experiment &experiment, std::uint64_t seed, std::filesystem::path folder, bool surges,
+             bool faults, bool moves)
+    : experiment_(experiment), settings_(config::read_settings(experiment.settings, 0)), seed_(seed),
+      folder_(std::move(folder)), surges_(surges), faults_(faults), moves_(moves) {
+    std::filesystem::create_directories(folder_ / "state");
+    for (const auto &file : std::filesystem::directory_iterator(folder_ / "state"))
+        std::filesystem::remove(file);
+    lay_out();
+    draw();
+    write_settings();
+}
+void World::lay_out() {
+    const Experiment &e = experiment_;
+    map_.spread = e.spread;
+    keys_.resize(static_cast<std::size_t>(e.cells));
+    keeper_link_ = free_port(), keeper_control_ = free_port();
+    discovery_.emplace(io_, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    discovery_port_ = discovery_->local_endpoint().port();
+    for (int c = 0; c < e.cells; ++c) {
+        cells::Cell cell{fmt::format("c{}", c), e.node.capacity() * e.nodes, {}, {}, false, false};
+        for (int b = 0; b < e.brokers; ++b) {
+            Broker broker;
+            broker.name = fmt::format("c{}-b{}", c, b);
+            broker.cell = c, broker.port = free_port(), broker.link = free_port();
+            cell.brokers.push_back({broker.name, fmt::format("127.0.0.1:{}", broker.port),
+                                    fmt::format("127.0.0.1:{}", broker.link)});
+            brokers_.push_back(std::move(broker));
+        }
+        for (int n = 0; n < e.nodes; ++n) {
+            const std::string name = fmt::format("s-{}-{}", c, n);
+            cell.nodes.insert(name);
+            EmulatedNode::Surroundings around{
+                [this](const std::string &id, std::uint64_t volume, double units) {
+                    const auto at = volume_numbers_.find(volume);
+                    if (at != volume_numbers_.end() && charged_.insert(id).second)
+                        oracle_->at_node(clock_.now(), at->second, units);
+                },
+                [this, c](const std::string &key) { oracle_->ran(key, c); },
+                keys_[static_cast<std::size_t>(c)], settings_.classes[1].repeat_window};
+            nodes_.push_back(std::make_unique<EmulatedNode>(
+                io_, deadlines_, name, e.node, settings_.fall_window,
+                stream(seed_, 3, static_cast<std::uint32_t>(nodes_.size()))(), std::move(around)));
+        }
+        map_.cells.push_back(std::move(cell));
+    }
+}
+
+void World::draw() {
+    const Experiment &e = experiment_;
+    std::uint32_t number = 0;
+    std::vector<double> usual(static_cast<std::size_t>(e.cells));
+    const auto arrivals = [&](int volume, double rate, double from, double to, double units, double writes,
+                              bool surge) {
+        std::mt19937_64 random = stream(seed_, surge ? 2 : 1, static_cast<std::uint32_t>(volume));
+        boost::random::exponential_distribution<double> gap(rate);
+        boost::random::uniform_int_distribution<int> size(1, std::max(1, static_cast<int>(2 * units) - 1)),
+            piece(0, 999);
+        boost::random::bernoulli_distribution<double> write(writes);
+        for (double at = from + gap(random); at < to; at += gap(random)) {
+            Drawn d;
+            d.at = micros(at);
+            d.volume = volume;
+            d.surge = surge;
+            d.write = write(random);
+            d.units = std::min(size(random), 8);
+            d.piece = fmt::format("{:012x}{:04x}",
+                                  static_cast<std::uint64_t>(volumes_[static_cast<std::size_t>(volume)].id) &
+                                      0xffffffffffff,
+                                  piece(random));
+            d.luck = random();
+            if (d.write) d.key = fmt::format("{:016x}", random());
+            drawn_.push_back(std::move(d));
+        }
+    };
+    std::mt19937_64 ids = stream(seed_, 0);
+    for (const VolumeKind &kind : e.volumes)
+        for (int n = 0; n < kind.count; ++n, ++number) {
+            Volume v;
+            v.id = VolumeId{ids()};
+            v.spelt = fmt::format("{:016x}", static_cast<std::uint64_t>(v.id));
+            for (std::size_t p = 0; p < settings_.plans.size(); ++p)
+                if (settings_.plans[p].name == kind.plan) v.plan = static_cast<int>(p);
+            const cells::Cell &home = *map_.home(v.id);
+            v.cell = static_cast<int>(&home - map_.cells.data());
+            for (const cells::Broker *b : map_.brokers_of(v.id, home))
+                for (std::size_t i = 0; i < brokers_.size(); ++i)
+                    if (brokers_[i].name == b->name) v.brokers.push_back(static_cast<int>(i));
+            volume_numbers_[static_cast<std::uint64_t>(v.id)] = static_cast<int>(volumes_.size());
+            usual[static_cast<std::size_t>(v.cell)] += kind.rate;
+            volumes_.push_back(std::move(v));
+            arrivals(static_cast<int>(number), kind.rate, 0, e.seconds, kind.units, kind.writes, false);
+        }
+    if (surges_)
+        for (const Surge &surge : e.surges)
+            for (std::size_t v = 0; v < volumes_.size(); ++v)
+                if (volumes_[v].cell == surge.cell &&
+                    settings_.plans[static_cast<std::size_t>(volumes_[v].plan)].name == surge.plan) {
+                    arrivals(static_cast<int>(v), surge.times * usual[static_cast<std::size_t>(surge.cell)],
+                             surge.at, std::min(surge.at + surge.length, e.seconds), 2, 0.2, true);
+                    break;
+                }
+    std::stable_sort(drawn_.begin(), drawn_.end(),
+                     [](const Drawn &a, const Drawn &b) { return a.at < b.at; });
+}
+
+void World::write_settings() {
+    const std::string program = std::filesystem::read_symlink("/proc/self/exe").parent_path() / "marblewood";
+    Json::Value cells(Json::objectValue);
+    cells["keeper"]["link"] = fmt::format("127.0.0.1:{}", keeper_link_);
+    cells["keeper"]["control"] = fmt::format("127.0.0.1:{}", keeper_control_);
+    cells["state"] = (folder_ / "state").string();
+    cells["spread"] = map_.spread;
+    cells["forward"] = experiment_.forward;
+    for (const cells::Cell &cell : map_.cells) {
+        Json::Value one;
+        one["name"] = cell.name;
+        one["capacity"] = cell.capacity;
+        for (const cells::Broker &b : cell.brokers) {
+            Json::Value row;
+            row["name"] = b.name, row["clients"] = b.clients, row["link"] = b.link;
+            one["brokers"].append(std::move(row));
+        }
+        for (const std::string &node : cell.nodes) one["nodes"].append(node);
+        cells["cells"].append(std::move(one));
+    }
+    Json::Value root;
+    root["cells"] = std::move(cells);
+    const std::string operators = folder_ / "operator.json";
+    std::ofstream(operators) << root.toStyledString();
+    keeper_.command = {program, "keeper", "--operator", operators};
+    keeper_.log = folder_ / "keeper.log";
+    std::map<int, int> position;
+    for (Broker &broker : brokers_) {
+        Json::Value c;
+        c["name"] = broker.name;
+        c["listen"] = fmt::format("127.0.0.1:{}", broker.port);
+        c["discovery"] = fmt::format("127.0.0.1:{}", discovery_port_);
+        c["seed"] = fmt::format("{:x}", stream(seed_, 4, static_cast<std::uint32_t>(broker.port))());
+        c["limits"]["sockets"] = 1024;
+        c["limits"]["memory_mb"] = 192;
+        c["settings"] = experiment_.settings;
+        c["settings"]["instances"] = experiment_.brokers; // that share the cell's nodes
+        c["settings"]["position"] = position[broker.cell]++;
+        const std::string file = folder_ / (broker.name + ".json");
+        std::ofstream(file) << c.toStyledString();
+        broker.process.command = {program, "serve", "--config", file, "--operator", operators};
+        broker.process.log = folder_ / (broker.name + ".log");
+    }
+}
+
+std::string World::listed() const {
+    std::string members;
+    for (std::size_t n = 0; n < nodes_.size(); ++n)
+        members += fmt::format(
+            R"({}{{"id":"{}","host_port":"127.0.0.1:{}","locality":"a","cell":0,"phase":"{}","up_since_ms":{}}})",
+            n ? "," : "", nodes_[n]->name(), nodes_[n]->port(), nodes_[n]->draining() ? "draining" : "up",
+            nodes_[n]->up_since() / 1000);
+    return fmt::format(R"({{"revision":{},"complete":true,"members":[{}]}})", revision_, members);
+}
+
+asio::awaitable<void> World::rest(Micros length) {
+    asio::steady_timer timer(io_, std::chrono::microseconds(std::max<Micros>(length, 0)));
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+asio::awaitable<void> World::discovery() {
+    for (;;) {
+        auto socket = std::make_shared<tcp::socket>(co_await discovery_->async_accept(asio::use_awaitable));
+        asio::co_spawn(io_, discover(std::move(socket)), asio::detached);
+    }
+}
+asio::awaitable<void> World::discover(std::shared_ptr<tcp::socket> socket) {
+    std::string in;
+    boost::system::error_code error;
+    while (!error) {
+        const std::size_t end = in.find("\r\n\r\n");
+        if (end == std::string::npos) {
+            error = co_await net::read_more(*socket, in);
+            continue;
+        }
+        const std::string head = in.substr(0, end);
+        in.erase(0, end + 4);
+        if (const std::size_t since = head.find("since="); since != std::string::npos) {
+            const int seen = std::atoi(head.c_str() + since + 6);
+            for (int n = 0; n < 1000 && revision_ <= seen; ++n) co_await rest(20'000);
+        }
+        const std::string body = listed();
+        const std::string out =
+            fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", body.size(), body);
+        co_await asio::async_write(*socket, asio::buffer(out),
+                                   asio::redirect_error(asio::use_awaitable, error));
+    }
+}
+
+asio::awaitable<std::optional<std::pair<int, std::string>>>
+World::keeper(std::string method, std::string path, std::string body) {
+    tcp::socket socket(io_);
+    const Micros until = clock_.now() + 1'500'000;
+    const std::string text =
+        fmt::format("{} /admin/{} HTTP/1.1\r\nHost: keeper\r\nContent-Length: {}\r\n\r\n{}", method, path,
+                    body.size(), body);
+    const auto error = co_await net::dial(socket, local(keeper_control_), until, deadlines_);
+    if (error) co_return std::nullopt;
+    const auto response = co_await net::http::exchange(socket, text, until, deadlines_);
+    if (!response) co_return std::nullopt;
+    co_return std::pair(response->status, response->body);
+}
+
+// Until every broker serves and the keeper has heard them.
+asio::awaitable<bool> World::ready() {
+    for (int n = 0; n < 300; ++n) {
+        co_await rest(50'000);
+        const auto list = co_await keeper("GET", "cells", "");
+        if (!list || list->second.find("not settled") != std::string::npos) continue;
+        bool all = true;
+        for (Broker &broker : brokers_) {
+            const Got got = co_await ask(broker, "*1\r\n$4\r\nPING\r\n", clock_.now() + 500'000);
+            all = all && got.text == "PONG";
+        }
+        const std::string wanted = fmt::format(" ready nodes {0}/{0}", experiment_.nodes);
+        std::size_t cells = 0;
+        for (std::size_t at = 0; (at = list->second.find(wanted, at)) != std::string::npos; ++at) ++cells;
+        if (all && cells == map_.cells.size()) co_return true;
+    }
+    co_return false;
+}
+
+// One command on a connection of its own, kept for the next.
+asio::awaitable<World::Got> World::ask(Broker &broker, std::string command, Micros until) {
+    const Micros begun = clock_.now();
+    std::unique_ptr<tcp::socket> socket;
+    bool reused = false;
+    while (!broker.idle.empty() && !socket) {
+        auto [used, kept] = std::move(broker.idle.back());
+        broker.idle.pop_back();
+        if (begun - used > kKeepIdle) {
+            broker.idle.clear();
+            break;
+        }
+        char byte;
+        const auto got = ::recv(kept->native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        if (got > 0) oracle_->surplus(); // an answer that nobody asked for
+        if (got < 0) socket = std::move(kept), reused = true;
+    }
+    boost::system::error_code error;
+    if (!socket) {
+        socket = std::make_unique<tcp::socket>(io_);
+        error = co_await net::dial(*socket, local(broker.port), std::min(until, begun + 500'000), deadlines_);
+        if (error) co_return Got{Got::Kind::Refused, {}};
+    }
+    const auto limit = deadlines_.at(until, [raw = socket.get()] {
+        boost::system::error_code ignored;
+        raw->close(ignored);
+    });
+    co_await asio::async_write(*socket, asio::buffer(command),
+                               asio::redirect_error(asio::use_awaitable, error));
+    net::resp::Reader reader(net::resp::kMostAnswer);
+    std::string in;
+    std::optional<net::resp::Value> value;
+    while (!error && !value) {
+        error = co_await net::read_more(*socket, in);
+        std::string_view bytes = in;
+        try {
+            value = reader.take(bytes);
+        } catch (const net::resp::Malformed &) {
+            co_return Got{Got::Kind::Broken, {}};
+        }
+        in.erase(0, in.size() - bytes.size());
+    }
+    if (!value) {
+        if (clock_.now() >= until) co_return Got{Got::Kind::Silent, {}};
+        co_return Got{reused ? Got::Kind::Crossed : Got::Kind::Broken, {}};
+    }
+    if (!in.empty()) oracle_->surplus();
+    broker.idle.emplace_back(clock_.now(), std::move(socket));
+    if (value->kind == net::resp::Value::Kind::Error)
+        co_return Got{value->text.starts_with("BUSY") ? Got::Kind::Busy : Got::Kind::Error, value->text};
+    co_return Got{Got::Kind::Value, value->text};
+}
+
+// A client with one request: its tries, until it is served or has no time left.
+asio::awaitable<void> World::request(const Drawn &drawn) {
+    Asking asking = drawn;
+    asking.at += start_;
+    const Volume &volume = volumes_[static_cast<std::size_t>(drawn.volume)];
+    const ClassSettings &cls = settings_.classes[drawn.write ? 1 : 0];
+    const Micros leaves = asking.at + cls.deadline;
+    std::uint64_t luck = drawn.luck;
+    bool served = false;
+    oracle_->asked(asking);
+    for (int tries = 0; tries < kMostTries && !served; ++tries) {
+        const Micros now = clock_.now(), left = leaves - now;
+        if (left < 5'000) break;
+        Broker &broker = brokers_[static_cast<std::size_t>(volume.brokers[luck++ % volume.brokers.size()])];
+        const std::string id = fmt::format("{:016x}", ++last_id_ * 0x9e3779b97f4a7c15);
+        std::string list =
+            fmt::format("c={},t={},d={}", cls.name,
+                        settings_.plans[static_cast<std::size_t>(volume.plan)].name, left / 1000);
+        if (drawn.write) list += ",k=" + drawn.key;
+        list += fmt::format(",volume={},units={},shard=0,hosts={}", volume.spelt, drawn.units,
+                            volume.brokers.size());
+        const std::string command = drawn.write
+                                        ? net::resp::command({"OBJ.PUT", drawn.piece, id, list, "body"})
+                                        : net::resp::command({"OBJ.GET", drawn.piece, id, list});
+        Got got = co_await ask(broker, command, leaves + kPatience);
+        if (got.kind == Got::Kind::Crossed)
+            got = co_await ask(broker, command, leaves + kPatience); // once more
+        Micros wait = 20'000;
+        switch (got.kind) {
+        case Got::Kind::Value:
+            oracle_->answered();
+            served = true;
+            if (!drawn.write && got.text != "v:" + drawn.piece) oracle_->wrong();
+            break;
+        case Got::Kind::Busy:
+            oracle_->answered();
+            oracle_->refused();
+            wait = got.text.size() > 5 ? 1000 * std::clamp(std::atoll(got.text.c_str() + 5), 1LL, 10'000LL)
+                                       : 50'000;
+            break;
+        case Got::Kind::Error:
+            oracle_->answered();
+            break;
+        case Got::Kind::Refused:
+            break;
+        default:
+            if (broker.killed > 0 && clock_.now() - broker.killed < 3'000'000)
+                oracle_->broken();
+            else
+                oracle_->unanswered();
+        }
+        if (!served) {
+            if (clock_.now() + wait >= leaves) break;
+            co_await rest(wait);
+        }
+    }
+    oracle_->ended(clock_.now(), asking, served);
+    --open_;
+}
+
+asio::awaitable<void> World::fault(Fault f) {
+    co_await rest(start_ + micros(f.at) - clock_.now());
+    const auto broker = [&]() -> Broker & {
+        return brokers_[static_cast<std::size_t>(f.cell * experiment_.brokers +
+                                                 f.index % experiment_.brokers)];
+    };
+    const auto node = [&](int n) -> EmulatedNode & {
+        return *nodes_[static_cast<std::size_t>(f.cell * experiment_.nodes + n % experiment_.nodes)];
+    };
+    fmt::print("  {:6.2f} s {} cell {} index {} for {} s\n", f.at, f.what, f.cell, f.index, f.length);
+    if (f.what == "kill-keeper") {
+        co_await count_moves(); // its counts go with it
+        keeper_.kill();
+        co_await rest(micros(f.length));
+        keeper_.start();
+    } else if (f.what == "stop-keeper") {
+        keeper_.signal(SIGSTOP);
+        co_await rest(micros(f.length));
+        keeper_.signal(SIGCONT);
+    } else if (f.what == "stop-broker") {
+        broker().process.signal(SIGSTOP);
+        co_await rest(micros(f.length));
+        broker().process.signal(SIGCONT);
+    } else if (f.what == "restart-broker") {
+        broker().killed = clock_.now();
+        broker().process.kill();
+        broker().idle.clear();
+        co_await rest(micros(f.length));
+        broker().process.start();
+        broker().killed = clock_.now();
+    } else if (f.what == "drain-cell") {
+        for (int n = 0; n < experiment_.nodes; ++n) node(n).drain(true);
+        changed();
+        co_await rest(micros(f.length));
+        for (int n = 0; n < experiment_.nodes; ++n) { // back, and cold
+            node(n).restart(0);
+            node(n).drain(false);
+        }
+        changed();
+        for (int n = 0; n < 20; ++n) {
+            const auto reply = co_await keeper("POST", "cells/restore", fmt::format("c{}", f.cell));
+            if (reply && reply->first == 200) break;
+            co_await rest(200'000);
+        }
+    } else if (f.what == "restart-node") {
+        node(f.index).restart(micros(f.length));
+        changed();
+    } else if (f.what == "pause-node") {
+        node(f.index).pause(micros(f.length));
+    }
+    --busy_;
+}
+
+asio::awaitable<void> World::count_moves() {
+    const auto stats = co_await keeper("GET", "stats", "");
+    if (!stats) co_return;
+    const auto figure = [&](const char *name) {
+        const std::size_t at = stats->second.find(name);
+        return at == std::string::npos ? 0.0 : std::atof(stats->second.c_str() + at + std::strlen(name));
+    };
+    completed_before_ += figure("moves_completed:");
+    undone_before_ += figure("moves_undone:");
+}
+
+asio::awaitable<void> World::move(double at, std::uint64_t luck) {
+    co_await rest(start_ + micros(at) - clock_.now());
+    bool begun = false;
+    for (int tries = 0; tries < 20 && !begun; ++tries) {
+        const Volume &volume = volumes_[luck % volumes_.size()];
+        const std::string to = fmt::format("c{}", (luck >> 32) % map_.cells.size());
+        luck = luck * 6364136223846793005u + 1442695040888963407u;
+        const auto reply = co_await keeper("POST", "cells/move", volume.spelt + " " + to);
+        begun = reply && reply->first == 200 && reply->second.find("begun") != std::string::npos;
+        if (!reply) co_await rest(100'000);
+        if (!begun) ++moves_refused_;
+    }
+    if (!begun) ++moves_lost_;
+    --busy_;
+}
+
+asio::awaitable<void> World::play() {
+    asio::co_spawn(io_, discovery(), asio::detached);
+    for (auto &node : nodes_) node->start();
+    keeper_.start();
+    for (Broker &broker : brokers_) broker.process.start();
+    std::vector<int> cell_of, plan_of;
+    for (const Volume &v : volumes_) cell_of.push_back(v.cell), plan_of.push_back(v.plan);
+    oracle_.emplace(experiment_, settings_, cell_of, plan_of, clock_.now());
+    if (!co_await ready())
+        throw std::runtime_error("brokers and keeper are not ready: see the logs in " + folder_.string());
+    start_ = clock_.now() + 50'000;
+    oracle_.emplace(experiment_, settings_, cell_of, plan_of, start_);
+    if (faults_)
+        for (const Fault &f : experiment_.faults) ++busy_, asio::co_spawn(io_, fault(f), reraise);
+    if (moves_) {
+        std::mt19937_64 random = stream(seed_, 5);
+        for (int n = 0; n < experiment_.moves; ++n) {
+            const double part = (n + 0.5) / experiment_.moves;
+            const double at = experiment_.moves_from + part * (experiment_.moves_to - experiment_.moves_from);
+            ++busy_, asio::co_spawn(io_, move(at, random()), reraise);
+        }
+    }
+    Micros late = 0;
+    for (const Drawn &drawn : drawn_) {
+        const Micros wait = start_ + drawn.at - clock_.now();
+        if (wait > 0) co_await rest(wait);
+        late = std::max(late, clock_.now() - start_ - drawn.at);
+        ++open_;
+        asio::co_spawn(io_, request(drawn), reraise);
+    }
+    while (open_ > 0 || busy_ > 0) co_await rest(20'000);
+    metrics_ = oracle_->metrics();
+    metrics_["lab.late_ms"] = static_cast<double>(late) / 1000;
+    metrics_["moves.refused"] = moves_refused_;
+    metrics_["moves.not_begun"] = moves_lost_;
+    double cold = 0;
+    for (const auto &node : nodes_) cold = std::max(cold, node->cold_worst());
+    metrics_["cold.worst"] = cold;
+    // What the keeper says, once it has no move under way; a move whose broker was killed may take a while.
+    for (int n = 0; n < 200; ++n) {
+        co_await rest(100'000);
+        const auto stats = co_await keeper("GET", "stats", "");
+        if (!stats) continue;
+        std::map<std::string, double> told;
+        std::istringstream lines(stats->second);
+        for (std::string line; std::getline(lines, line);) {
+            const std::size_t colon = line.find(':');
+            if (colon != std::string::npos && line.starts_with("keeper."))
+                told[line.substr(7, colon - 7)] = std::atof(line.c_str() + colon + 1);
+        }
+        metrics_["moves.left"] = told["moving"];
+        metrics_["moves.completed"] = told["moves_completed"] + completed_before_;
+        metrics_["moves.undone"] = told["moves_undone"] + undone_before_;
+        if (told["moving"] == 0) break;
+    }
+    std::uint64_t forwarded = 0;
+    for (Broker &broker : brokers_) {
+        std::ifstream log(broker.process.log);
+        for (std::string line; std::getline(log, line);)
+            forwarded += line.find("limit reached") != std::string::npos;
+    }
+    metrics_["log.limit_reached"] = static_cast<double>(forwarded);
+    io_.stop();
+}
+
+std::map<std::string, double> World::run() {
+    asio::co_spawn(io_, play(), reraise);
+    io_.run();
+    end();
+    return metrics_;
+}
+
+void World::end() {
+    for (Broker &broker : brokers_) broker.process.signal(SIGCONT), broker.process.kill();
+    keeper_.signal(SIGCONT), keeper_.kill();
+}
+
+} // namespace marblewood::lab
--- /dev/null
+++ b/src/lab/world.hpp
@@ -0,0 +1,159 @@
+// What stands round the brokers in an experiment, all on one loop: emulated nodes, discovery, clients; and
+// the brokers and the keeper themselves, as processes.
+#pragma once
+
+#include "cells/map.hpp"
+#include "core/deadlines.hpp"
+#include "lab/oracle.hpp"
+#include "net/resp/parser.hpp"
+#include "net/sockets.hpp"
+
+#include <filesystem>
+#include <list>
+#include <memory>
+#include <random>
+#include <sys/types.h>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace marblewood::lab {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+// One storage node. Its cores take requests in the order of arrival; what waits beyond its queue is turned
+// away.
+class EmulatedNode {
+public:
+    struct Surroundings { // what nodes of an experiment share
+        std::function<void(const std::string &id, std::uint64_t volume, double units)> taken;
+        std::function<void(const std::string &key)> ran; // a keyed write has begun
+        std::map<std::string, Micros> &keys;             // of its group: when they were first sent
+        Micros window = 0;
+    };
+    EmulatedNode(asio::io_context &io, core::Deadlines &deadlines, std::string name, const NodeModel &model,
+                 Micros fall_window, std::uint64_t seed, Surroundings around);
+    void start();
+    void drain(bool on) { draining_ = on; }
+    void pause(Micros length);
+    // Ends all connections, answers nothing for this long, then is cold.
+    void restart(Micros down);
+
+    const std::string &name() const { return name_; }
+    int port() const { return port_; }
+    bool draining() const { return draining_; }
+    Micros up_since() const { return up_since_; }
+    double cold_worst() const { return cold_.worst(); }
+
+private:
+    asio::awaitable<void> accept();
+    asio::awaitable<void> serve(std::list<tcp::socket>::iterator client);
+    asio::awaitable<std::string> answer(const net::resp::Value &command);
+    asio::awaitable<void> until(Micros when);
+
+    asio::io_context &io_;
+    core::Deadlines &deadlines_;
+    std::string name_;
+    NodeModel model_;
+    tcp::acceptor acceptor_;
+    int port_ = 0;
+    std::mt19937_64 random_;
+    Surroundings around_;
+    ColdWatch cold_;
+    std::vector<Micros> cores_; // when each is free
+    std::list<tcp::socket> clients_;
+    int held_ = 0;
+    bool draining_ = false;
+    Micros down_until_ = 0, paused_until_ = 0, up_since_ = 0;
+    std::uint64_t generation_ = 0;
+};
+
+struct Process {
+    std::vector<std::string> command;
+    std::string log;
+    pid_t pid = -1;
+    void start();
+    void kill(); // outright, and waits for its end
+    void signal(int number) const;
+};
+
+struct Drawn : Asking { // drawn ahead of the run
+    std::string piece, key;
+    std::uint64_t luck = 0;
+};
+
+// Its coroutines refer to it for as long as its loop exists, so it is never destroyed: end() ends its
+// processes.
+class World {
+public:
+    World(const Experiment &experiment, std::uint64_t seed, std::filesystem::path folder, bool surges,
+          bool faults, bool moves);
+    std::map<std::string, double> run(); // takes the experiment's time
+    void end();
+    const std::map<int, std::vector<double>> &series() const { return oracle_->series(); }
+
+private:
+    struct Broker {
+        std::string name;
+        int cell = 0, port = 0, link = 0;
+        Process process;
+        Micros killed = 0;
+        std::list<std::pair<Micros, std::unique_ptr<tcp::socket>>> idle;
+    };
+    struct Volume {
+        VolumeId id{};
+        int plan = 0, cell = 0;
+        std::vector<int> brokers;
+        std::string spelt;
+    };
+
+    void lay_out();
+    void draw();
+    void write_settings();
+    std::string listed() const;
+    void changed() { ++revision_; }
+    asio::awaitable<void> discovery();
+    asio::awaitable<void> discover(std::shared_ptr<tcp::socket> socket);
+    asio::awaitable<void> play();
+    asio::awaitable<bool> ready();
+    asio::awaitable<void> request(const Drawn &drawn);
+    asio::awaitable<void> fault(Fault fault);
+    asio::awaitable<void> move(double at, std::uint64_t luck);
+    asio::awaitable<std::optional<std::pair<int, std::string>>> keeper(std::string method, std::string path,
+                                                                       std::string body);
+    asio::awaitable<void> rest(Micros length);
+    asio::awaitable<void> count_moves();
+    struct Got {
+        enum class Kind { Value, Busy, Error, Refused, Broken, Crossed, Silent } kind = Kind::Silent;
+        std::string text;
+    };
+    asio::awaitable<Got> ask(Broker &broker, std::string command, Micros until);
+
+    const Experiment &experiment_;
+    const Settings settings_;
+    std::uint64_t seed_;
+    std::filesystem::path folder_;
+    bool surges_, faults_, moves_;
+    asio::io_context io_{1};
+    core::Clock clock_;
+    core::Deadlines deadlines_{io_, clock_};
+    cells::Map map_;
+    std::vector<Broker> brokers_;
+    Process keeper_;
+    int keeper_link_ = 0, keeper_control_ = 0, discovery_port_ = 0;
+    std::optional<tcp::acceptor> discovery_;
+    std::vector<std::map<std::string, Micros>> keys_; // by cell
+    std::vector<std::unique_ptr<EmulatedNode>> nodes_;
+    std::vector<Volume> volumes_;
+    std::unordered_map<std::uint64_t, int> volume_numbers_;
+    std::vector<Drawn> drawn_;
+    std::unordered_set<std::string> charged_; // ids that have reached a node
+    std::optional<Oracle> oracle_;
+    Micros start_ = 0;
+    int revision_ = 1, open_ = 0, moves_refused_ = 0, moves_lost_ = 0, busy_ = 0;
+    double completed_before_ = 0, undone_before_ = 0; // by keepers that were killed
+    std::uint64_t last_id_ = 0;
+    std::map<std::string, double> metrics_;
+};
+
+} // namespace marblewood::lab
--- a/src/net/fleet.cpp
+++ b/src/net/fleet.cpp
@@ -23,7 +23,7 @@
     // forgotten. One that is out by hand stays so if it is listed again.
     names_.forget_if([&](std::uint32_t number) {
         const NodeId node{number};
-        if (roster_.cordoned(node)) return false;
+        if (roster_.cordoned(node) || roster_.listed(node)) return false;
         for (const auto &planner : planners_)
             if (planner->knows(node)) return false;
         resp_port_.forget(node);
