--- a/src/lab/oracle.cpp
+++ b/src/lab/oracle.cpp
@@ -7,6 +7,7 @@
 void LimitWatch::spend(Micros now, double units) {
     store_ = std::min(burst_, store_ + rate_ * static_cast<double>(now - at_) / 1e6) - units;
     at_ = now;
+    sum_ += units;
     least_ = std::min(least_, store_);
 }
 
@@ -42,7 +43,10 @@
     }
 }
 
-void Oracle::asked(const Asking &) { ++taken_; }
+void Oracle::asked(const Asking &asking) {
+    ++taken_;
+    if (asking.surge) surged_.insert(asking.volume);
+}
 
 void Oracle::ended(Micros now, const Asking &a, bool served) {
     const auto volume = static_cast<std::size_t>(a.volume);
@@ -118,7 +122,7 @@
     for (const auto &[cls, share] : classes_)
         m["service.class." + settings_.classes[static_cast<std::size_t>(cls)].name] = share.part();
     // What is asked within its reserve, second by second; by the cell where the volume lived at the start.
-    std::map<int, Share> reserves;
+    std::map<int, Share> reserves, others;
     for (const auto &[at, share] : seconds_) {
         const auto volume = static_cast<std::size_t>(at.first);
         const double promised = settings_.plans[static_cast<std::size_t>(plan_of_[volume])].reserve;
@@ -126,12 +130,17 @@
         reserve.asked += due, reserve.served += std::min(due, share.served);
         Share &cell = reserves[cell_of_[volume]];
         cell.asked += due, cell.served += std::min(due, share.served);
+        if (surged_.contains(at.first)) continue;
+        Share &other = others[cell_of_[volume]];
+        other.asked += due, other.served += std::min(due, share.served);
     }
     m["reserve"] = reserve.part();
     for (const auto &[cell, share] : reserves) m[fmt::format("reserve.cell.{}", cell)] = share.part();
-    double worst = 0;
+    for (const auto &[cell, share] : others) m[fmt::format("reserve.others.cell.{}", cell)] = share.part();
+    double worst = 0, used = 0;
     for (const auto &limit : limits_)
-        if (limit) worst = std::max(worst, limit->worst());
+        if (limit) worst = std::max(worst, limit->worst()), used = std::max(used, limit->used());
+    m["limit.used"] = used;
     m["limit.worst"] = worst;
     m["gap_ms"] = static_cast<double>(gap_) / 1000;
     std::uint64_t doubled = 0;
--- a/src/lab/oracle.hpp
+++ b/src/lab/oracle.hpp
@@ -14,15 +14,20 @@
 class LimitWatch {
 public:
     LimitWatch(double rate, double burst, double slack, Micros now)
-        : rate_(rate), burst_(burst), slack_(slack), store_(burst), at_(now) {}
+        : rate_(rate), burst_(burst), slack_(slack), store_(burst), begun_(now), at_(now) {}
     void spend(Micros now, double units);
     double worst() const {
         return slack_ > 0 ? std::max(0.0, -least_) / slack_ : least_ < 0 ? 1e9 : 0;
     } // 1: at the bound
 
+    // Units taken, of what the rate alone gave.
+    double used() const {
+        return at_ > begun_ ? sum_ / (rate_ * static_cast<double>(at_ - begun_) / 1e6) : 0;
+    }
+
 private:
-    double rate_, burst_, slack_, store_, least_ = 0;
-    Micros at_;
+    double rate_, burst_, slack_, store_, least_ = 0, sum_ = 0;
+    Micros begun_, at_;
 };
 
 // Units that reach a cold node within any window, against `multiple` times what it can do then.
@@ -92,6 +97,7 @@
     std::vector<std::optional<LimitWatch>> limits_;
     std::vector<std::optional<Micros>> gap_from_;
     Micros gap_ = 0;
+    std::set<int> surged_; // volumes
     std::map<std::string, std::set<int>> groups_;
     Latencies latencies_;
     std::uint64_t taken_ = 0, answers_ = 0, twice_ = 0, never_ = 0, broken_ = 0, wrong_ = 0, refused_ = 0,
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -488,13 +488,14 @@
 asio::awaitable<void> World::move(double at, std::uint64_t luck) {
     co_await rest(start_ + micros(at) - clock_.now());
     bool begun = false;
-    for (int tries = 0; tries < 20 && !begun; ++tries) {
+    const Micros until = clock_.now() + 15'000'000; // the keeper may be away for a while
+    while (!begun && clock_.now() < until) {
         const Volume &volume = volumes_[luck % volumes_.size()];
         const std::string to = fmt::format("c{}", (luck >> 32) % map_.cells.size());
         luck = luck * 6364136223846793005u + 1442695040888963407u;
         const auto reply = co_await keeper("POST", "cells/move", volume.spelt + " " + to);
         begun = reply && reply->first == 200 && reply->second.find("begun") != std::string::npos;
-        if (!reply) co_await rest(100'000);
+        if (!reply || reply->second.starts_with("not yet")) co_await rest(100'000);
         if (!begun) ++moves_refused_;
     }
     if (!begun) ++moves_lost_;
--- a/tests/helper.hpp
+++ b/tests/helper.hpp
@@ -275,14 +275,66 @@
     R"("usual_units":2.18},"instances":1,"membership_mode":"on_request","period":2.0,"policies":[)"
     R"({"name":"standard","nominal":700.0,"parts":1.0,"pays":1.2,"reserve":800.0}],"position":0})";
 
+// A process of the program, with what it says in a file; it goes with its holder.
+class Child {
+public:
+    ~Child() { kill(); }
+    void start(std::vector<std::string> words, const std::string &log, const std::string &folder,
+               int control) {
+        words.insert(words.begin(), MARBLEWOOD_PROGRAM);
+        pid_ = ::fork();
+        if (pid_ != 0) return;
+        if (std::freopen(log.c_str(), "a", stderr) == nullptr) ::_exit(127);
+        ::setenv("TMPDIR", folder.c_str(), 1);
+        if (control) ::setenv("BALANCER_CONTROL", fmt::format("127.0.0.1:{}", control).c_str(), 1);
+        ::setenv("ASAN_OPTIONS", "quarantine_size_mb=1", 1); // freed memory is free, where tests measure it
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);                  // a test that fails leaves no program behind
+        std::vector<char *> argv;
+        for (std::string &word : words) argv.push_back(word.data());
+        argv.push_back(nullptr);
+        ::execv(argv[0], argv.data());
+        ::_exit(127);
+    }
+    void signal(int number) const { ::kill(pid_, number); }
+    void kill() {
+        if (pid_ <= 0) return;
+        ::kill(pid_, SIGKILL);
+        exit_code();
+    }
+    int exit_code() { // waits for its end
+        int status = 0;
+        ::waitpid(std::exchange(pid_, -1), &status, 0);
+        return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+    }
+    bool running() const { return ::waitpid(pid_, nullptr, WNOHANG) == 0; }
+    pid_t pid() const { return pid_; }
+
+private:
+    pid_t pid_ = -1;
+};
+
+// A call to an operators' address: the status and the body; 0 where nobody is there.
+inline std::pair<int, std::string> operators_call(int port, const std::string &method,
+                                                  const std::string &what, const std::string &body = "") {
+    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    const sockaddr_in at = local(port);
+    Socket caller(fd);
+    if (::connect(fd, reinterpret_cast<const sockaddr *>(&at), sizeof at) != 0) return {0, ""};
+    caller.send(fmt::format("{} /admin/{} HTTP/1.1\r\nHost: broker\r\nContent-Length: {}\r\n\r\n{}", method,
+                            what, body.size(), body));
+    caller.ended();
+    if (!caller.in.starts_with("HTTP/1.1 ")) return {0, ""};
+    return {std::atoi(caller.in.c_str() + 9), caller.in.substr(caller.in.find("\r\n\r\n") + 4)};
+}
+
 // The real program, with a configuration of its own in a folder that goes with it.
 class Program {
 public:
     int port = 0, control = 0;
     explicit Program(const Discovery &discovery, const std::string &operators = "",
                      const std::string &settings = kSettings, const std::filesystem::path &folder = {},
-                     int listen = 0)
-        : port(listen ? listen : free_port()), control(free_port()),
+                     int listen = 0, std::string name = "n0")
+        : port(listen ? listen : free_port()), control(free_port()), name_(std::move(name)),
           folder_(folder.empty() ? make_folder() : folder) {
         configure(discovery, settings);
         if (!operators.empty()) write("operator.json", operators);
@@ -316,19 +368,16 @@
         assert(!"the successor does not say yes");
     }
     ~Program() {
-        if (pid_ > 0) {
-            ::kill(pid_, SIGKILL);
-            exit_code();
-        }
+        child_.kill();
         if (!successor_) std::filesystem::remove_all(folder_);
     }
     void configure(const Discovery &discovery, const std::string &settings = kSettings) const {
         write(
             "config.json",
             fmt::format(
-                R"({{"name":"n0","listen":"127.0.0.1:{}","control":"127.0.0.1:{}","discovery":"127.0.0.1:{}",)"
+                R"({{"name":"{}","listen":"127.0.0.1:{}","control":"127.0.0.1:{}","discovery":"127.0.0.1:{}",)"
                 R"("seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":16,"sockets":256}},"known":{},"settings":{}}})",
-                port, control, discovery.port(), discovery.known(), settings));
+                name_, port, control, discovery.port(), discovery.known(), settings));
     }
     void write(const std::string &name, const std::string &text) const {
         std::ofstream(folder_ / name) << text;
@@ -344,29 +393,22 @@
         assert(log().find(words) != std::string::npos);
     }
     std::size_t memory_kb() const { // resident
-        std::ifstream status(fmt::format("/proc/{}/status", pid_));
+        std::ifstream status(fmt::format("/proc/{}/status", child_.pid()));
         for (std::string word; status >> word;)
             if (word == "VmRSS:" && status >> word) return std::stoul(word);
         assert(!"no such process");
         return 0;
     }
-    void signal(int number) const { ::kill(pid_, number); }
-    int exit_code() { // waits for its end
-        int status = 0;
-        ::waitpid(std::exchange(pid_, -1), &status, 0);
-        return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
-    }
-    bool running() const { return ::waitpid(pid_, nullptr, WNOHANG) == 0; }
+    void signal(int number) const { child_.signal(number); }
+    int exit_code() { return child_.exit_code(); }
+    bool running() const { return child_.running(); }
     Socket client() const { return Socket::to(port); }
     // A call of an operator: the status and the body.
     std::pair<int, std::string> call(const std::string &method, const std::string &what,
                                      const std::string &body = "") const {
-        Socket caller = Socket::to(control);
-        caller.send(fmt::format("{} /admin/{} HTTP/1.1\r\nHost: broker\r\nContent-Length: {}\r\n\r\n{}",
-                                method, what, body.size(), body));
-        caller.ended();
-        assert(caller.in.starts_with("HTTP/1.1 "));
-        return {std::atoi(caller.in.c_str() + 9), caller.in.substr(caller.in.find("\r\n\r\n") + 4)};
+        const auto reply = operators_call(control, method, what, body);
+        assert(reply.first != 0);
+        return reply;
     }
     std::map<std::string, long> figures() const { // by their names behind `balancer.`
         const auto [status, body] = call("GET", "stats");
@@ -383,20 +425,9 @@
 
 private:
     void start(const std::vector<std::string> &more) {
-        std::vector<std::string> words{MARBLEWOOD_PROGRAM, "--config", folder_ / "config.json"};
+        std::vector<std::string> words{"--config", folder_ / "config.json"};
         words.insert(words.end(), more.begin(), more.end());
-        pid_ = ::fork();
-        if (pid_ != 0) return;
-        if (std::freopen(log_path().c_str(), "w", stderr) == nullptr) ::_exit(127);
-        ::setenv("TMPDIR", folder_.c_str(), 1);
-        ::setenv("BALANCER_CONTROL", fmt::format("127.0.0.1:{}", control).c_str(), 1);
-        ::setenv("ASAN_OPTIONS", "quarantine_size_mb=1", 1); // freed memory is free, where tests measure it
-        ::prctl(PR_SET_PDEATHSIG, SIGKILL);                  // a test that fails leaves no program behind
-        std::vector<char *> argv;
-        for (std::string &word : words) argv.push_back(word.data());
-        argv.push_back(nullptr);
-        ::execv(argv[0], argv.data());
-        ::_exit(127);
+        child_.start(std::move(words), log_path(), folder_, control);
     }
     static std::filesystem::path make_folder() {
         std::string name = std::filesystem::temp_directory_path() / "marblewood-XXXXXX";
@@ -404,9 +435,10 @@
         return name;
     }
     std::string log_path() const { return folder_ / (successor_ ? "log-2" : "log"); }
+    const std::string name_;
     const std::filesystem::path folder_;
     bool successor_ = false;
-    pid_t pid_ = -1;
+    Child child_;
 };
 
 inline std::string fresh_id() { // every request bears its own
