Tell brokers only the pins that changed; relieve cells that promised too much

Need: each move sent the whole map to every broker (34 kB with 4,000 pins); a cell whose reserves no longer fitted stayed so; the laboratory's checks were not shown to fail.

--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -224,7 +224,10 @@
             [&](net::Client &client) { return net::nvme::serve(client, desk, mapping, controllers); });
     net::control::Operations operations;
     operations.stats = [&] {
-        return net::control::spell(figures, config.settings, {fleet.open(), fleet.size(), fleet.avoided()});
+        std::string text =
+            net::control::spell(figures, config.settings, {fleet.open(), fleet.size(), fleet.avoided()});
+        if (residence) text += residence->stats();
+        return text;
     };
     operations.cordon = [&](const std::string &id) {
         const bool known = fleet.cordon(id);
--- a/src/cells/keeper.cpp
+++ b/src/cells/keeper.cpp
@@ -49,18 +49,42 @@
     counter_ = std::max(counter_, map.epoch.number);
 }
 
+// To brokers that hold the last map, and where only some pins have changed, just these.
 void Keeper::publish(std::vector<KeeperAction> &actions) {
+    constexpr std::size_t kMostChanged = 256;
     map_.epoch = {next(), origin_};
     actions.emplace_back(Save{});
+    Change change{published_.epoch, map_.epoch, {}, moving()};
+    for (const auto &[volume, cell] : map_.pins)
+        if (const auto was = published_.pins.find(volume);
+            was == published_.pins.end() || was->second != cell)
+            change.pins.emplace_back(volume, cell);
+    for (const auto &[volume, cell] : published_.pins)
+        if (!map_.pins.contains(volume)) change.pins.emplace_back(volume, "");
+    const bool small = published_.cells == map_.cells && change.pins.size() <= kMostChanged;
     for (const Cell &cell : map_.cells)
-        for (const Broker &broker : cell.brokers) news_to(broker.name, actions);
+        for (const Broker &broker : cell.brokers) {
+            const auto heard = heard_.find(broker.name);
+            if (small && heard != heard_.end() && heard->second.map == published_.epoch) {
+                actions.emplace_back(Post{broker.name, change});
+            } else {
+                news_to(broker.name, actions);
+            }
+            if (heard != heard_.end())
+                heard->second.map = map_.epoch; // if it is lost, the next Hello will tell
+        }
+    published_ = map_;
 }
 
-void Keeper::news_to(const std::string &broker, std::vector<KeeperAction> &actions) const {
-    News news{map_, {}};
+std::vector<News::Moving> Keeper::moving() const {
+    std::vector<News::Moving> all;
     for (const auto &[volume, move] : moves_)
-        news.moving.push_back({volume, move.epoch, move.from, move.to, move.teller});
-    actions.emplace_back(Post{broker, std::move(news)});
+        all.push_back({volume, move.epoch, move.from, move.to, move.teller});
+    return all;
+}
+
+void Keeper::news_to(const std::string &broker, std::vector<KeeperAction> &actions) const {
+    actions.emplace_back(Post{broker, News{map_, moving()}});
 }
 
 // No number is given out before a majority of the brokers has told the greatest it knows: whatever an earlier
@@ -106,7 +130,9 @@
     }
     settle(actions);
     // A newer map than ours comes with the answer to our news.
-    if (!(hello.map == map_.epoch)) news_to(from, actions);
+    if (hello.map == map_.epoch) return;
+    news_to(from, actions);
+    heard.map = map_.epoch;
 }
 
 void Keeper::on(const std::string &, const Behind &behind, std::vector<KeeperAction> &actions) {
@@ -354,6 +380,7 @@
         }
     }
     evacuations(now, actions);
+    relieve(now, actions);
 }
 
 // Volumes that are known stay where they are until they are moved, whatever the hash says from now on.
@@ -408,6 +435,36 @@
         if (free()) start(now, volume, to, false, actions);
 }
 
+// A cell that has promised more than it may: those of its volumes that it took last in the order of their
+// preference go where there is room. They come home once their reserve fits again.
+void Keeper::relieve(Micros now, std::vector<KeeperAction> &actions) {
+    Promised given = promised();
+    for (const Cell &cell : map_.cells) {
+        double over = given[cell.name] - kReserved * cell.capacity;
+        if (over <= 0 || cell.frozen || cell.evacuated) continue;
+        std::vector<Tenant> all = tenants(cell.name);
+        std::erase_if(all, [&](const Tenant &t) {
+            return t.reserve <= 0 || moves_.contains(t.volume) || rest_.contains(t.volume) ||
+                   by_operator_.contains(t.volume);
+        });
+        // The fewest that are enough: the smallest that alone suffices, else the largest.
+        std::sort(all.begin(), all.end(), [](const Tenant &a, const Tenant &b) {
+            return a.reserve != b.reserve ? a.reserve < b.reserve : a.volume < b.volume;
+        });
+        while (over > 0 && !all.empty() && moves_.size() < timing_.at_once) {
+            auto pick =
+                std::find_if(all.begin(), all.end(), [&](const Tenant &t) { return t.reserve >= over; });
+            if (pick == all.end()) --pick;
+            const Tenant tenant = *pick;
+            all.erase(pick);
+            const auto to = place(map_, tenant.volume, tenant.reserve, given, {cell.name});
+            if (!to || start(now, tenant.volume, *to, false, actions)) continue;
+            over -= tenant.reserve;
+            given[*to] += tenant.reserve;
+        }
+    }
+}
+
 Keeper::Reply Keeper::move(Micros now, VolumeId volume, const std::string &to,
                            std::vector<KeeperAction> &actions) {
     now_ = now;
--- a/src/cells/keeper.hpp
+++ b/src/cells/keeper.hpp
@@ -109,6 +109,7 @@
 
     std::uint64_t next() { return ++counter_; }
     void publish(std::vector<KeeperAction> &actions);
+    std::vector<News::Moving> moving() const;
     void news_to(const std::string &broker, std::vector<KeeperAction> &actions) const;
     void settle(std::vector<KeeperAction> &actions);
     void take_over(const Map &map);
@@ -125,12 +126,13 @@
     void on(Micros now, const std::string &from, const Hello &hello, std::vector<KeeperAction> &actions);
     void on(const std::string &from, const Behind &behind, std::vector<KeeperAction> &actions);
     void pin_tenants(const std::string &cell);
+    void relieve(Micros now, std::vector<KeeperAction> &actions);
     void evacuations(Micros now, std::vector<KeeperAction> &actions);
     Promised promised() const;
     std::vector<Tenant> tenants(const std::string &cell) const;
     static std::vector<std::string> expected(const Move &move);
 
-    Map map_;
+    Map map_, published_; // the second: as the brokers were told last
     std::uint64_t origin_, counter_ = 0;
     std::uint64_t newest_ = 0; // number of the newest map that a broker has told of
     Timing timing_;
--- a/src/cells/messages.hpp
+++ b/src/cells/messages.hpp
@@ -81,6 +81,13 @@
     };
     std::vector<Moving> moving;
 };
+// What has changed since the map before, where only pins have: to brokers that hold that map. Others answer
+// with a Hello, and get the whole.
+struct Change {
+    Epoch base, epoch;
+    std::vector<std::pair<VolumeId, std::string>> pins; // an empty name: no pin any more
+    std::vector<News::Moving> moving;
+};
 struct Behind { // the answer to News of a number already met: the keeper goes on above it
     Epoch map;
     std::uint64_t greatest = 0;
@@ -98,6 +105,6 @@
     bool opened = false; // else: it never will be
 };
 
-using Message = std::variant<Order, Answer, Hello, News, Behind, Ask, Told>;
+using Message = std::variant<Order, Answer, Hello, News, Change, Behind, Ask, Told>;
 
 } // namespace marblewood::cells
--- a/src/cells/resident.cpp
+++ b/src/cells/resident.cpp
@@ -164,6 +164,7 @@
         if (from.empty()) vouched_ = true;
         on(now, *news, actions);
     }
+    if (const auto *change = std::get_if<Change>(&message)) on(now, *change, actions);
     if (const auto *ask = std::get_if<Ask>(&message)) on(*ask, from, actions);
     if (const auto *told = std::get_if<Told>(&message)) on(now, *told, actions);
     if (const auto *hello = std::get_if<Hello>(&message)) // another broker's map is older than ours
@@ -265,6 +266,21 @@
     }
 }
 
+void Resident::on(Micros now, const Change &change, std::vector<Action> &actions) {
+    meet(change.epoch);
+    if (map_ && change.epoch == map_->epoch) return;
+    if (!map_ || !(change.base == map_->epoch)) return hello(now, actions); // the whole is needed
+    News news{*map_, change.moving};
+    news.map.epoch = change.epoch;
+    for (const auto &[volume, cell] : change.pins) {
+        if (cell.empty())
+            news.map.pins.erase(volume);
+        else if (news.map.cell(cell))
+            news.map.pins[volume] = cell;
+    }
+    on(now, news, actions);
+}
+
 void Resident::on(Micros now, const News &news, std::vector<Action> &actions) {
     meet(news.map.epoch);
     if (map_ && news.map.epoch == map_->epoch) return;
@@ -334,10 +350,13 @@
 
 void Resident::hello(Micros now, std::vector<Action> &actions) {
     Hello h{map_ ? map_->epoch : Epoch{}, greatest_, {}, 0, ready_};
-    const double seconds = static_cast<double>(std::max<Micros>(now - greeted_, 1)) / 1e6;
+    const bool roll = now - greeted_ >= timing_.hello_every / 2; // else too short a time to tell a rate by
+    const double seconds = static_cast<double>(now - greeted_) / 1e6;
     for (auto &[id, v] : volumes_) {
-        v.rate = greeted_ > 0 ? 0.5 * v.rate + 0.5 * v.units / seconds : 0;
-        v.units = 0;
+        if (roll) {
+            v.rate = greeted_ > 0 ? 0.5 * v.rate + 0.5 * v.units / seconds : 0;
+            v.units = 0;
+        }
         if (home(VolumeId{id}) == cell()) h.volumes.push_back({VolumeId{id}, v.reserve, v.rate, v.worth});
     }
     std::sort(h.volumes.begin(), h.volumes.end(), [](const auto &a, const auto &b) {
@@ -347,7 +366,7 @@
         h.others = h.volumes.size() - kMostReported;
         h.volumes.resize(kMostReported);
     }
-    greeted_ = now;
+    if (roll) greeted_ = now;
     actions.emplace_back(Post{"", std::move(h)});
 }
 
--- a/src/cells/resident.hpp
+++ b/src/cells/resident.hpp
@@ -50,7 +50,7 @@
     struct Timing {
         Micros keep_keys = 0;         // us that a key counts after its request's end
         Micros vouch_after = 0;       // us after the start from which all keys that count are known
-        Micros ask_after = 3'000'000; // us of silence after which a fenced source asks the teller
+        Micros ask_after = 1'000'000; // us of silence after which a fenced source asks the teller
         Micros hello_every = 1'000'000;
     };
     static constexpr int kMostHops = 3;
@@ -122,6 +122,7 @@
     bool stands(const Record &record) const; // over the map
     void on(Micros now, const std::string &from, const Order &order, std::vector<Action> &actions);
     void on(Micros now, const News &news, std::vector<Action> &actions);
+    void on(Micros now, const Change &change, std::vector<Action> &actions);
     void on(const Ask &ask, const std::string &from, std::vector<Action> &actions);
     void on(Micros now, const Told &told, std::vector<Action> &actions);
     void drain(Micros now, VolumeId volume, std::vector<Action> &actions);
--- a/src/lab/experiment.hpp
+++ b/src/lab/experiment.hpp
@@ -36,8 +36,9 @@
 
 struct Fault {
     double at = 0, length = 0;
-    std::string
-        what; // kill-keeper, stop-keeper, stop-broker, restart-broker, drain-cell, restart-node, pause-node
+    // kill-keeper, stop-keeper, stop-broker, restart-broker, drain-cell, restart-node, pause-node;
+    // move-surging: the first surge's volume moves to `cell`
+    std::string what;
     int cell = 0, index = 0;
 };
 
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -468,6 +468,14 @@
     } else if (f.what == "restart-node") {
         node(f.index).restart(micros(f.length));
         changed();
+    } else if (f.what == "move-surging") {
+        for (const Drawn &d : drawn_) {
+            if (!d.surge) continue;
+            const std::string &volume = volumes_[static_cast<std::size_t>(d.volume)].spelt;
+            const auto reply = co_await keeper("POST", "cells/move", fmt::format("{} c{}", volume, f.cell));
+            if (!reply || reply->first != 200) ++moves_lost_;
+            break;
+        }
     } else if (f.what == "pause-node") {
         node(f.index).pause(micros(f.length));
     }
--- a/src/net/cells/residence.cpp
+++ b/src/net/cells/residence.cpp
@@ -349,4 +349,14 @@
         counts_.refused);
 }
 
+std::string Residence::stats() const {
+    const auto held = resident_.held();
+    return fmt::format(
+        "balancer.cells.forwarded:{}|c\nbalancer.cells.waited:{}|c\nbalancer.cells.refused:{}|c\n"
+        "balancer.cells.waiting:{}|g\nbalancer.cells.volumes:{}|g\nbalancer.cells.fenced:{}|g\n"
+        "balancer.cells.keys:{}|g\nbalancer.cells.epoch:{}|g\n",
+        counts_.forwarded, counts_.waited, counts_.refused, waiting_, held.volumes, held.fenced,
+        held.keys + held.afar, resident_.map() ? resident_.map()->epoch.number : 0);
+}
+
 } // namespace marblewood::net::cells
--- a/src/net/cells/residence.hpp
+++ b/src/net/cells/residence.hpp
@@ -39,8 +39,7 @@
     asio::awaitable<std::optional<link::Reply>> ask_keeper(std::string what, std::string body);
     // What this broker knows by itself, a line each.
     std::string spell() const;
-    const Counts &counts() const { return counts_; }
-    std::size_t waiting() const { return waiting_; }
+    std::string stats() const; // figures, a line each, in the form of StatsD
 
 private:
     struct Entry {
--- a/src/net/link/codec.cpp
+++ b/src/net/link/codec.cpp
@@ -104,16 +104,36 @@
     }
     out->set_others(h.others), out->set_ready(h.ready);
 }
-void put(wire::Frame &f, const News &n) {
-    auto *out = f.mutable_news();
-    put(out->mutable_map(), n.map);
-    for (const News::Moving &m : n.moving) {
+template <typename Out> void put_moving(Out *out, const std::vector<News::Moving> &moving) {
+    for (const News::Moving &m : moving) {
         auto *one = out->add_moving();
         one->set_volume(number(m.volume));
         put(one->mutable_move(), m.move);
         one->set_from(m.from), one->set_to(m.to), one->set_teller(m.teller);
     }
 }
+template <typename In> std::vector<News::Moving> get_moving(const In &in) {
+    std::vector<News::Moving> moving;
+    for (const auto &m : in.moving())
+        moving.push_back({VolumeId{m.volume()}, get(m.move()), m.from(), m.to(), m.teller()});
+    return moving;
+}
+void put(wire::Frame &f, const News &n) {
+    put(f.mutable_news()->mutable_map(), n.map);
+    put_moving(f.mutable_news(), n.moving);
+}
+void put(wire::Frame &f, const Change &c) {
+    auto *out = f.mutable_change();
+    put(out->mutable_base(), c.base), put(out->mutable_epoch(), c.epoch);
+    std::map<std::string, std::vector<VolumeId>> by_cell;
+    for (const auto &[volume, cell] : c.pins) by_cell[cell].push_back(volume);
+    for (const auto &[cell, volumes] : by_cell) {
+        auto *pins = out->add_pins();
+        pins->set_cell(cell);
+        for (const VolumeId volume : volumes) pins->add_volumes(number(volume));
+    }
+    put_moving(out, c.moving);
+}
 void put(wire::Frame &f, const Behind &b) {
     auto *out = f.mutable_behind();
     put(out->mutable_map(), b.map);
@@ -165,10 +185,13 @@
         return Message(std::move(h));
     }
     case Frame::kNews: {
-        News n{get(f.news().map()), {}};
-        for (const auto &m : f.news().moving())
-            n.moving.push_back({VolumeId{m.volume()}, get(m.move()), m.from(), m.to(), m.teller()});
-        return Message(std::move(n));
+        return Message(News{get(f.news().map()), get_moving(f.news())});
+    }
+    case Frame::kChange: {
+        Change c{get(f.change().base()), get(f.change().epoch()), {}, get_moving(f.change())};
+        for (const auto &pins : f.change().pins())
+            for (const auto volume : pins.volumes()) c.pins.emplace_back(VolumeId{volume}, pins.cell());
+        return Message(std::move(c));
     }
     case Frame::kBehind:
         return Message(Behind{get(f.behind().map()), f.behind().greatest(), get(f.behind().own())});
--- a/tests/cells_test.cpp
+++ b/tests/cells_test.cpp
@@ -110,6 +110,45 @@
     EXPECT_EQ(read.cells, map.cells);
 }
 
+// One volume moved: each broker is told of that alone. One that holds another map gets the whole.
+TEST(CellMap, AChangeIsToldByItself) {
+    Map map = two_cells(2, 2);
+    for (std::uint64_t n = 1; n <= 4000; ++n) map.pins[nth(n)] = n % 2 ? "a" : "b";
+    World world(map);
+    ASSERT_TRUE(world.move("b").ok);
+    std::size_t told = 0, whole = 0;
+    while (!world.flights.empty()) {
+        const Message &m = world.flights[0].message;
+        if (std::holds_alternative<Change>(m)) ++told;
+        whole += std::holds_alternative<News>(m);
+        if (std::holds_alternative<Change>(m)) {
+            const std::size_t bytes = net::link::encode(net::link::Frame{"", m}).size();
+            fmt::print("a change: {} bytes\n", bytes);
+            EXPECT_LT(bytes, 200u);
+        }
+        world.deliver(0);
+    }
+    EXPECT_EQ(told, 4u);
+    EXPECT_EQ(whole, 0u);
+    for (const auto &[name, broker] : world.brokers) {
+        EXPECT_EQ(broker.map()->epoch, world.keeper.map().epoch) << name;
+        EXPECT_EQ(broker.map()->pins, world.keeper.map().pins) << name;
+    }
+    // A change that is lost: the next finds the broker on another map, and it is given the whole.
+    ASSERT_TRUE(world.move("a").ok);
+    for (std::size_t n = 0; !world.flights.empty();) {
+        if (world.flights[0].to == "b2" && std::holds_alternative<Change>(world.flights[0].message) &&
+            n++ == 0)
+            world.flights.erase(world.flights.begin());
+        else
+            world.deliver(0);
+    }
+    EXPECT_NE(world.brokers.at("b2").map()->epoch, world.keeper.map().epoch);
+    ASSERT_TRUE(world.move("b").ok);
+    EXPECT_EQ(world.ends_well(), std::nullopt);
+    EXPECT_EQ(world.brokers.at("b2").map()->pins, world.keeper.map().pins);
+}
+
 TEST(Placement, TakesTheFirstCellThatHasRoom) {
     Map map = many_cells(3, 1);
     const VolumeId volume = nth(7);
@@ -188,6 +227,35 @@
         EXPECT_EQ(keeper.map().home(v.volume)->name, "cell-0"); // none was opened elsewhere
 }
 
+// More promised than a cell may give: just so much goes elsewhere, and comes home once it fits.
+TEST(Placement, AFullCellIsRelieved) {
+    Keeper keeper(many_cells(2, 1, 1), 5, {});
+    std::vector<KeeperAction> actions;
+    std::vector<Hello::Volume> here;
+    for (std::uint64_t n = 1; here.size() < 5; ++n)
+        if (keeper.map().home(nth(n))->name == "cell-0") here.push_back({nth(n), 200, 100, 1});
+    Micros now = 1'000'000;
+    const auto hello = [&] {
+        keeper.handle(now, "broker-0-0", Hello{keeper.map().epoch, 0, here, 0, 2}, actions);
+        keeper.handle(now, "broker-1-0", Hello{keeper.map().epoch, 0, {}, 0, 2}, actions);
+    };
+    hello();
+    keeper.tick(now, actions);
+    ASSERT_EQ(keeper.moves().size(), 1u); // 1,000 of 850: one of 200 is enough
+    EXPECT_EQ(keeper.moves().begin()->second.to, "cell-1");
+    keeper.tick(now + 100'000, actions);
+    EXPECT_EQ(keeper.moves().size(), 1u);
+}
+
+// Volumes of a cell without a node that takes requests learn at once that they must come again.
+TEST(Evacuation, WhatStaysIsRefusedAtOnce) {
+    World world(two_cells(1, 1));
+    world.brokers.at("a1").ready_nodes(0);
+    EXPECT_EQ(world.brokers.at("a1").route(world.now, world.asked()).kind, Route::Kind::Refuse);
+    world.brokers.at("a1").ready_nodes(1);
+    EXPECT_EQ(world.brokers.at("a1").route(world.now, world.asked()).kind, Route::Kind::Serve);
+}
+
 TEST(Codec, RefusesWhatIsSpoilt) {
     World world(two_cells(1, 1));
     ASSERT_TRUE(world.move("b").ok);
--- /dev/null
+++ b/tests/lab_test.cpp
@@ -0,0 +1,115 @@
+// The laboratory's own rules and distributions: a check that can't fail is none.
+#include "lab/oracle.hpp"
+#include "lab/report.hpp"
+
+#include <fstream>
+#include <gtest/gtest.h>
+#include <sstream>
+
+using namespace marblewood;
+using namespace marblewood::lab;
+
+namespace {
+
+std::string demo() {
+    std::ostringstream text;
+    text << std::ifstream(MARBLEWOOD_LAB_FOLDER "/demo.json").rdbuf();
+    return text.str();
+}
+std::string why(std::string text, const std::string &from, const std::string &to) {
+    const std::size_t at = text.find(from);
+    EXPECT_NE(at, std::string::npos) << from;
+    text.replace(at, from.size(), to);
+    try {
+        read_experiment(text);
+    } catch (const config::Error &error) {
+        return error.what();
+    }
+    return "";
+}
+
+} // namespace
+
+TEST(LimitWatch, SeesABurstBeyondTheSlack) {
+    LimitWatch watch(100, 50, 10, 0);
+    watch.spend(0, 50);
+    EXPECT_EQ(watch.worst(), 0);
+    watch.spend(0, 5);
+    EXPECT_DOUBLE_EQ(watch.worst(), 0.5);
+    watch.spend(200'000, 20); // 20 came, 5 were owed
+    EXPECT_DOUBLE_EQ(watch.worst(), 0.5);
+    watch.spend(200'000, 6);
+    EXPECT_GT(watch.worst(), 1);
+    LimitWatch rested(100, 50, 10, 0);
+    rested.spend(10'000'000, 61); // it holds no more than its burst, however long it rests
+    EXPECT_GT(rested.worst(), 1);
+}
+
+TEST(ColdWatch, CountsAgainstWhatTheNodeCanDoThen) {
+    NodeModel model;
+    model.cores = 1, model.unit_ms = 1, model.cold_from = 0.1,
+    model.cold_s = 10; // 1,000 units a second when warm
+    ColdWatch watch(model, 1'000'000);
+    watch.sent(0, 1e6); // not started anew: warm
+    EXPECT_EQ(watch.worst(), 0);
+    watch.started(0);
+    watch.sent(0, 200); // of 4 x 100
+    EXPECT_DOUBLE_EQ(watch.worst(), 0.5);
+    watch.sent(500'000, 300); // 500 of 4 x 145 in the window
+    EXPECT_DOUBLE_EQ(watch.worst(), 500 / 580.0);
+    watch.sent(1'600'000, 800); // alone in its window: 4 x 244
+    EXPECT_DOUBLE_EQ(watch.worst(), 500 / 580.0);
+    watch.sent(1'600'000, 800);
+    EXPECT_GT(watch.worst(), 1);
+}
+
+TEST(OracleRules, WhatIsBrokenIsCounted) {
+    const Experiment e = read_experiment(demo());
+    const Settings settings = config::read_settings(e.settings, 0);
+    Oracle oracle(e, settings, {0, 1}, {0, 2}, 0);
+    const Asking good{3'000'000, 0, false, false, 2}, bad{3'100'000, 0, true, false, 4};
+    oracle.asked(good), oracle.asked(bad);
+    oracle.answered(), oracle.unanswered(), oracle.surplus(), oracle.wrong();
+    oracle.ended(3'010'000, good, true);
+    oracle.ended(4'700'000, bad, false);
+    oracle.ran("k", 0), oracle.ran("k", 0), oracle.ran("l", 0), oracle.ran("l", 1);
+    oracle.at_node(3'000'000, 1, 1000);
+    const auto m = oracle.metrics();
+    EXPECT_EQ(m.at("answers.never"), 1);
+    EXPECT_EQ(m.at("answers.twice"), 1);
+    EXPECT_EQ(m.at("answers.wrong"), 1);
+    EXPECT_EQ(m.at("writes.doubled"), 1);
+    EXPECT_GT(m.at("limit.worst"), 1);
+    EXPECT_DOUBLE_EQ(m.at("service.cell.0"), 2.0 / 6);
+    EXPECT_DOUBLE_EQ(m.at("reserve"), 2.0 / 6);
+    EXPECT_NEAR(m.at("latency_ms.p50"), 10, 0.5);
+    auto checked = e;
+    checked.checks = {
+        {"a", "answers.never", {}, 0.0}, {"b", "no.such", 0.0, {}}, {"c", "service.cell.0", 0.3, 0.4}};
+    const auto verdicts = judge(checked, m);
+    EXPECT_FALSE(verdicts[0].holds);
+    EXPECT_FALSE(verdicts[1].holds); // a figure that is missing proves nothing
+    EXPECT_TRUE(verdicts[2].holds);
+}
+
+TEST(Experiments, AllThatAreKeptAreInOrder) {
+    int read = 0;
+    for (const auto &file : std::filesystem::directory_iterator(MARBLEWOOD_LAB_FOLDER)) {
+        std::ostringstream text;
+        text << std::ifstream(file.path()).rdbuf();
+        EXPECT_EQ(read_experiment(text.str()).name, file.path().stem()) << file.path();
+        ++read;
+    }
+    EXPECT_GE(read, 4);
+}
+
+TEST(Experiments, WhatIsWrongIsNamed) {
+    EXPECT_EQ(why(demo(), "demo", "demo"), "");
+    EXPECT_NE(why(demo(), "\"seconds\": 8", "\"seconds\": -8").find("line 4: field 'seconds'"),
+              std::string::npos);
+    EXPECT_NE(why(demo(), "\"plan\": \"basic\"", "\"plan\": \"gold\"").find("gold"), std::string::npos);
+    EXPECT_NE(why(demo(), "\"topology\"", "\"topologie\"").find("topolog"), std::string::npos);
+    EXPECT_NE(why(demo(), "\"cell\": 0", "\"cell\": 7").find("'surges'"), std::string::npos);
+    EXPECT_NE(why(demo(), "\"most\": 0", "\"mist\": 0").find("checks"), std::string::npos);
+    EXPECT_NE(why(demo(), "{", "").find("malformed JSON"), std::string::npos);
+}
