Bound what waits or is forwarded; no crash where its client has left

Cause, found by reading: the coroutine that forwards a request looked the request up once it ran, and a host that aborts its command in the same turn of the loop has it gone by then; the exception would have ended the program. Bodies of requests that wait for a move or are forwarded were counted against nothing. A disk that failed for a minute left states unwritten for good, and the messages that waited for them without bound.

Change: the coroutine is given what it needs; bodies count as the clients' memory, beyond which requests are refused; a state is tried again until it or a newer one is on disk; the outbox holds 8,192 messages. A broker reports its 2,048 heaviest volumes. The laboratory tells the longest gap of volumes without a limit apart.

--- a/src/cells/resident.hpp
+++ b/src/cells/resident.hpp
@@ -54,7 +54,7 @@
         Micros hello_every = 1'000'000;
     };
     static constexpr int kMostHops = 3;
-    static constexpr std::size_t kMostReported = 512; // volumes in a Hello
+    static constexpr std::size_t kMostReported = 2048; // volumes in a Hello
 
     Resident(std::string name, Stores &stores, Timing timing, Micros now);
 
--- a/src/lab/oracle.cpp
+++ b/src/lab/oracle.cpp
@@ -61,7 +61,9 @@
         if (!served) {
             from = std::min(from.value_or(a.at), a.at);
         } else {
-            gap_ = std::max(gap_, now - (from && *from < a.at ? *from : a.at));
+            const Micros gap = now - (from && *from < a.at ? *from : a.at);
+            gap_ = std::max(gap_, gap);
+            if (!limits_[volume]) gap_unlimited_ = std::max(gap_unlimited_, gap);
             from.reset();
         }
     }
@@ -143,6 +145,7 @@
     m["limit.used"] = used;
     m["limit.worst"] = worst;
     m["gap_ms"] = static_cast<double>(gap_) / 1000;
+    m["gap_ms.unlimited"] = static_cast<double>(gap_unlimited_) / 1000;
     std::uint64_t doubled = 0;
     for (const auto &[key, groups] : groups_) doubled += groups.size() > 1;
     count("writes.doubled", doubled);
--- a/src/lab/oracle.hpp
+++ b/src/lab/oracle.hpp
@@ -96,7 +96,7 @@
     std::map<int, std::vector<double>> series_;
     std::vector<std::optional<LimitWatch>> limits_;
     std::vector<std::optional<Micros>> gap_from_;
-    Micros gap_ = 0;
+    Micros gap_ = 0, gap_unlimited_ = 0;
     std::set<int> surged_; // volumes
     std::map<std::string, std::set<int>> groups_;
     Latencies latencies_;
--- a/src/net/cells/residence.cpp
+++ b/src/net/cells/residence.cpp
@@ -50,7 +50,7 @@
 Residence::Residence(asio::io_context &io, core::Deadlines &deadlines, core::Memory &memory,
                      SocketBudget &budget, const Settings &settings, Layout layout, std::string name,
                      tcp::acceptor listener, std::uint64_t seed, Usual usual)
-    : io_(io), deadlines_(deadlines), settings_(settings), layout_(std::move(layout)),
+    : io_(io), deadlines_(deadlines), memory_(memory), settings_(settings), layout_(std::move(layout)),
       usual_(std::move(usual)), resident_(name, *this, timing(settings), deadlines.clock.now()),
       link_(io, deadlines, name, std::move(listener), seed,
             [this](const link::Frame &frame) { heard(frame); }),
@@ -190,11 +190,14 @@
         return refuse(id);
     case mc::Route::Kind::Forward: {
         const mc::Cell *const to = resident_.map()->cell_of_broker(way.broker);
-        if (!layout_.forward || !to || out_[to->name] >= layout_.most_forwarded) return refuse(id);
+        if (!layout_.forward || !to || memory_.full() || out_[to->name] >= layout_.most_forwarded)
+            return refuse(id);
         ++counts_.forwarded;
-        asio::co_spawn(io_, forward(id, way.broker), [](const std::exception_ptr &error) {
-            if (error) std::rethrow_exception(error);
-        });
+        entry.held = std::make_unique<core::Memory::Share>(memory_, entry.request->body.size());
+        asio::co_spawn(io_, forward(id, way.broker, to->name, entry.request, entry.asked),
+                       [](const std::exception_ptr &error) {
+                           if (error) std::rethrow_exception(error);
+                       });
     }
     }
 }
@@ -206,6 +209,7 @@
     own->facts.hosts = way.hosts;
     std::erase_if(own->extra, [](const auto &pair) { return pair.first == kHops; });
     entry.request = own;
+    entry.held = nullptr; // the planner counts it
     entry.planner = &usual_(*own);
     resident_.began(deadlines_.clock.now(), entry.asked);
     const mc::Asked about = entry.asked;
@@ -233,7 +237,9 @@
     const Micros now = deadlines_.clock.now();
     const Micros until =
         entry.request->sent + static_cast<Micros>(kHeld * static_cast<double>(entry.request->wait));
-    if (now >= until || waiting_ >= static_cast<std::size_t>(layout_.most_waiting)) return refuse(id);
+    if (now >= until || memory_.full() || waiting_ >= static_cast<std::size_t>(layout_.most_waiting))
+        return refuse(id);
+    entry.held = std::make_unique<core::Memory::Share>(memory_, entry.request->body.size());
     ++counts_.waited;
     ++waiting_;
     entry.waits = true;
@@ -261,12 +267,11 @@
 
 // At another broker, as a client of it. Nothing is repeated that may have run: what is to be repeated, and
 // where, is for the broker that serves it.
-asio::awaitable<void> Residence::forward(Id id, std::string broker) {
-    const std::string cell = resident_.map()->cell_of_broker(broker)->name;
+asio::awaitable<void> Residence::forward(Id id, std::string broker, std::string cell,
+                                         std::shared_ptr<const core::Request> asked, mc::Asked about) {
     ++out_[cell];
     core::AttemptResult result;
-    const auto request = std::make_shared<core::Request>(*entries_.at(id).request);
-    const mc::Asked about = entries_.at(id).asked;
+    const auto request = std::make_shared<core::Request>(*asked);
     std::erase_if(request->extra, [](const auto &pair) { return pair.first == kHops; });
     request->extra.emplace_back(kHops, std::to_string(about.hops + 1));
     for (int tries = 0; tries < 2; ++tries) {
--- a/src/net/cells/residence.hpp
+++ b/src/net/cells/residence.hpp
@@ -50,8 +50,8 @@
         RequestId there{};
         std::shared_ptr<core::Attempt> attempt; // Forward
         bool waits = false;
-        bool served = false;
         core::Deadlines::Entry patience;
+        std::unique_ptr<core::Memory::Share> held; // Forward, Wait: its body
     };
     using Id = std::uint64_t;
 
@@ -64,7 +64,8 @@
     void hold(Id id);
     void refuse(Id id);
     void finish(Id id, core::Outcome outcome);
-    asio::awaitable<void> forward(Id id, std::string broker);
+    asio::awaitable<void> forward(Id id, std::string broker, std::string cell,
+                                  std::shared_ptr<const core::Request> asked, marblewood::cells::Asked about);
     NodeId number(const std::string &broker);
     void perform(std::vector<marblewood::cells::Action> &actions);
     void take_map();
@@ -73,6 +74,7 @@
 
     asio::io_context &io_;
     core::Deadlines &deadlines_;
+    core::Memory &memory_;
     const Settings &settings_;
     const Layout layout_;
     Usual usual_;
--- a/src/net/link/outbox.hpp
+++ b/src/net/link/outbox.hpp
@@ -8,12 +8,15 @@
 
 class Outbox {
 public:
+    static constexpr std::size_t kMostWaiting = 8192;
+
     Outbox(Link &link, StateFile &file) : link_(link), file_(file) {
         file_.written = [this] { flush(); };
     }
     void save(std::string state) { needed_ = file_.save(std::move(state)); }
     void post(std::string to, Body body) {
         waiting_.push_back({needed_, std::move(to), std::move(body)});
+        if (waiting_.size() > kMostWaiting) waiting_.pop_front(); // as if the network had lost it
         flush();
     }
 
--- a/src/net/link/state_file.cpp
+++ b/src/net/link/state_file.cpp
@@ -15,6 +15,8 @@
 namespace marblewood::net::link {
 namespace {
 
+constexpr std::chrono::milliseconds kRest{200}; // before a disk that failed is tried again
+
 // Empty where it went well.
 std::string write_whole(const std::string &path, const std::string &bytes) {
     const auto trouble = [](const char *what) { return std::string(what) + ": " + std::strerror(errno); };
@@ -61,23 +63,22 @@
 void StateFile::next() {
     if (!waiting_) return;
     busy_ = true;
-    boost::asio::post(pool_,
-                      [this, number = last_, state = std::move(*std::exchange(waiting_, std::nullopt))] {
-                          std::string trouble;
-                          for (int n = 0; n < 600 && !(trouble = write_whole(path_, state)).empty(); ++n) {
-                              if (n % 10 == 0)
-                                  boost::asio::post(io_, [this, trouble] {
-                                      if (failed) failed(trouble);
-                                  });
-                              std::this_thread::sleep_for(std::chrono::milliseconds(100));
-                          }
-                          boost::asio::post(io_, [this, number, good = trouble.empty()] {
-                              busy_ = false;
-                              if (good) done_ = number;
-                              if (good && written) written();
-                              next();
-                          });
-                      });
+    std::string state = std::move(*std::exchange(waiting_, std::nullopt));
+    boost::asio::post(pool_, [this, number = last_, state = std::move(state)] {
+        std::string trouble = write_whole(path_, state);
+        if (!trouble.empty()) std::this_thread::sleep_for(kRest);
+        boost::asio::post(io_, [this, number, state, trouble = std::move(trouble)] {
+            busy_ = false;
+            if (trouble.empty()) {
+                done_ = number;
+                if (written) written();
+            } else {
+                if (failed) failed(trouble);
+                if (!waiting_) waiting_ = state; // unless there is a newer one
+            }
+            next();
+        });
+    });
 }
 
 } // namespace marblewood::net::link
--- a/tests/cells_net_test.cpp
+++ b/tests/cells_net_test.cpp
@@ -1,6 +1,7 @@
 // Cells as clients, nodes and operators meet them: a keeper and two brokers as processes, a node for each.
 #include "helper.hpp"
 
+#include <random>
 #include <set>
 
 using namespace test;
@@ -35,7 +36,7 @@
             R"("evacuate_drained":false,"cells":[)"
             R"({{"name":"a","capacity":1000,"brokers":[{{"name":"n-a","clients":"127.0.0.1:{}","link":"127.0.0.1:{}"}}],"nodes":["s-a"]}},)"
             R"({{"name":"b","capacity":1000,"brokers":[{{"name":"n-b","clients":"127.0.0.1:{}","link":"127.0.0.1:{}"}}],"nodes":["s-b"]}}]}}}})",
-            free_port(), control, folder.string(), port_a, free_port(), port_b, free_port());
+            keeper_link, control, folder.string(), port_a, link_a, port_b, free_port());
         std::ofstream(folder / "operator.json") << operators;
         start_keeper();
         start_a();
@@ -106,6 +107,7 @@
     const Discovery discovery;
     std::filesystem::path folder;
     const int control = free_port(), port_a = free_port(), port_b = free_port();
+    const int keeper_link = free_port(), link_a = free_port();
     std::string operators;
     Child keeper;
     std::optional<Program> broker_a, broker_b;
@@ -221,6 +223,30 @@
     assert(ask(*all.broker_a, get(kPiece)).starts_with("BUSY")); // forwarded there, and no further
 }
 
+// Whatever comes to the links of keeper and brokers: at worst that connection ends.
+void what_makes_no_sense_on_a_link_is_let_go() {
+    Installation all(says("a"), says("b"));
+    std::mt19937_64 random(7);
+    for (const int port : {all.keeper_link, all.link_a}) {
+        for (int n = 0; n < 60; ++n) {
+            Socket caller = Socket::to(port);
+            std::string bytes(1 + random() % 200, '\0');
+            for (char &c : bytes) c = static_cast<char>(random());
+            if (n % 3)
+                bytes.insert(0,
+                             {'\0', '\0', '\0', static_cast<char>(bytes.size())}); // a frame, by its length
+            caller.send(bytes);
+            if (n % 2) caller.shut();
+        }
+        Socket large = Socket::to(port);
+        large.send(std::string("\x7f\xff\xff\xff", 4));
+        assert(large.ended());
+    }
+    assert(ask(*all.broker_a, get(kPiece)) == "a");
+    all.move("b");
+    assert(ask(*all.broker_a, get(kPiece)) == "b");
+}
+
 // What is wrong with the layout is said with field and line, and nothing starts.
 void a_wrong_layout_is_named() {
     const std::filesystem::path folder =
@@ -264,4 +290,5 @@
     what_comes_during_a_move_waits_for_it();
     a_keys_repeat_reaches_its_first_node();
     a_broker_starts_without_its_keeper();
+    what_makes_no_sense_on_a_link_is_let_go();
 }
