The keeper reads its layout again at SIGHUP: cells join, capacities change

Need: an installation grows; a restart of the keeper with another file took a joining cell's volumes over by the hash alone, without a hand-over.

Change: Keeper::relayout pins the known volumes where they are, publishes the new map, and moves them home one by one. A cell goes or changes its brokers only when it is evacuated and empty: a broker that does not hear of its removal would go on serving.

Measured: of 300 volumes in two cells 100 +- 33 are moved when a third of the same size joins, all into it, none by itself; cells_net_test reads a changed and a malformed file.

--- a/src/app/app.hpp
+++ b/src/app/app.hpp
@@ -16,7 +16,7 @@
 
 // Each returns the process's exit code; what is wrong with the settings is thrown as config::Error.
 int serve(const std::string &path, config::Config config, const config::Operator &added);
-int keep(const config::Operator &added);
+int keep(const std::string &operators);
 // One call to the operators' address of a keeper or broker. 0: yes, 1: no, 2: no answer.
 int call_cells(const std::string &control, const std::string &call, const std::vector<std::string> &words);
 
--- a/src/app/keep.cpp
+++ b/src/app/keep.cpp
@@ -16,9 +16,18 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-int keep(const config::Operator &added) {
+namespace {
+
+net::cells::Layout read(const std::string &operators) {
+    const config::Operator added = config::load_operator(operators);
     if (added.cells.isNull()) throw config::Error("missing field 'cells': give --operator a file with cells");
-    const net::cells::Layout layout = net::cells::read_layout(added.cells);
+    return net::cells::read_layout(added.cells);
+}
+
+} // namespace
+
+int keep(const std::string &operators) {
+    const net::cells::Layout layout = read(operators);
     asio::io_context io(1);
     core::Clock clock;
     core::Deadlines deadlines(io, clock);
@@ -40,6 +49,19 @@
         net::listen_at(io, address<tcp::endpoint>(layout.keeper_control, "cells.keeper.control")),
         std::move(operations));
     core::log("keeper of {} cells at {}", layout.map.cells.size(), layout.keeper_link);
+    asio::signal_set hangups(io, SIGHUP); // the file is read again
+    const std::function<void()> await_hangup = [&] {
+        hangups.async_wait([&](const boost::system::error_code &error, int) {
+            if (error) return;
+            try {
+                office.relayout(read(operators));
+            } catch (const std::exception &wrong) {
+                core::log("keeper: layout not taken: {}", wrong.what());
+            }
+            await_hangup();
+        });
+    };
+    await_hangup();
     asio::signal_set signals(io, SIGTERM, SIGINT);
     signals.async_wait([&](const boost::system::error_code &error, int) {
         if (!error) io.stop();
--- a/src/cells/keeper.cpp
+++ b/src/cells/keeper.cpp
@@ -61,7 +61,8 @@
             change.pins.emplace_back(volume, cell);
     for (const auto &[volume, cell] : published_.pins)
         if (!map_.pins.contains(volume)) change.pins.emplace_back(volume, "");
-    const bool small = published_.cells == map_.cells && change.pins.size() <= kMostChanged;
+    const bool small = published_.cells == map_.cells && published_.spare == map_.spare &&
+                       published_.spread == map_.spread && change.pins.size() <= kMostChanged;
     for (const Cell &cell : map_.cells)
         for (const Broker &broker : cell.brokers) {
             const auto heard = heard_.find(broker.name);
@@ -549,6 +550,45 @@
     return {false, fmt::format("there is no cell '{}'", name)};
 }
 
+Keeper::Reply Keeper::relayout(Map fresh, std::vector<KeeperAction> &actions) {
+    if (!settled_) return {false, "not yet: a majority of the brokers has not been heard since the start"};
+    if (!moves_.empty()) return {false, "not while volumes are being moved"};
+    fresh.epoch = {};
+    fresh.pins.clear();
+    check(fresh);
+    // A broker that does not hear of its removal would go on serving: none is removed under a volume.
+    const auto inhabited = [&](const Cell &cell) {
+        const auto lives = [&](const auto &entry) {
+            const Cell *const at = map_.home(entry.first);
+            return at && at->name == cell.name;
+        };
+        return std::any_of(known_.begin(), known_.end(), lives) ||
+               std::any_of(map_.pins.begin(), map_.pins.end(), lives);
+    };
+    for (const Cell &cell : map_.cells) {
+        const Cell *const after = fresh.cell(cell.name);
+        const bool same = after && after->brokers == cell.brokers && fresh.spread == map_.spread;
+        if (!same && (!cell.evacuated || inhabited(cell)))
+            return {false, fmt::format("cell '{}' {}, but is not evacuated", cell.name,
+                                       after ? "would change its brokers" : "would go")};
+    }
+    for (const auto &[volume, known] : known_)
+        if (const Cell *const at = map_.home(volume)) map_.pins.emplace(volume, at->name);
+    for (Cell &cell : fresh.cells)
+        if (const Cell *const before = map_.cell(cell.name))
+            cell.frozen = before->frozen, cell.evacuated = before->evacuated;
+    map_.cells = std::move(fresh.cells);
+    map_.spare = std::move(fresh.spare);
+    map_.spread = fresh.spread;
+    std::erase_if(map_.pins, [&](const auto &pin) { // needless ones
+        const Cell *const hashed = map_.hashed(pin.first);
+        return !by_operator_.contains(pin.first) && hashed && hashed->name == pin.second;
+    });
+    std::erase_if(heard_, [&](const auto &heard) { return !map_.broker(heard.first); });
+    publish(actions);
+    return {true, fmt::format("{} cells", map_.cells.size())};
+}
+
 std::string Keeper::where(VolumeId volume) const {
     const Cell *const at = map_.home(volume);
     if (!at) return "nowhere\n";
--- a/src/cells/keeper.hpp
+++ b/src/cells/keeper.hpp
@@ -43,6 +43,10 @@
     Reply freeze(const std::string &cell, bool on, std::vector<KeeperAction> &actions);
     Reply evacuate(const std::string &cell, std::vector<KeeperAction> &actions);
     Reply restore_cell(const std::string &cell, std::vector<KeeperAction> &actions);
+    // Another layout: cells, brokers, nodes, capacities. Volumes that are known stay where they are and are
+    // then moved, one by one, to where their hash puts them now. Refused, with nothing changed, where a cell
+    // would go or change its brokers while volumes live there: evacuate it first.
+    Reply relayout(Map fresh, std::vector<KeeperAction> &actions);
     // Where a volume is, and why.
     std::string where(VolumeId volume) const;
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -40,7 +40,7 @@
             return 0;
         }
         if (*cells) return app::call_cells(control, call, words);
-        if (*keeper) return app::keep(config::load_operator(operators));
+        if (*keeper) return app::keep(operators);
         if (path.empty()) throw config::Error("no configuration: give --config or set BALANCER_CONFIG");
         config::Config config = config::load(path);
         if (const char *const at = std::getenv("BALANCER_CONTROL"); at && *at) config.control = at;
--- a/src/net/cells/office.cpp
+++ b/src/net/cells/office.cpp
@@ -34,10 +34,23 @@
         core::log("keeper: epoch {} and {} unfinished moves from disk", keeper_.state().counter,
                   keeper_.moves().size());
     }
-    for (const mc::Cell &cell : layout.map.cells)
+    place_brokers();
+    tick();
+}
+
+void Office::place_brokers() {
+    for (const mc::Cell &cell : keeper_.map().cells)
         for (const mc::Broker &broker : cell.brokers)
             link_.place(broker.name, *endpoint<tcp::endpoint>(broker.link));
-    tick();
+}
+
+bool Office::relayout(const Layout &layout) {
+    std::vector<mc::KeeperAction> actions;
+    const auto reply = keeper_.relayout(layout.map, actions);
+    if (reply.ok) place_brokers(); // before they are told
+    perform(actions);
+    core::log("keeper: layout {}: {}", reply.ok ? "taken" : "not taken", reply.text);
+    return reply.ok;
 }
 
 void Office::tick() {
--- a/src/net/cells/office.hpp
+++ b/src/net/cells/office.hpp
@@ -14,6 +14,8 @@
 
     // An operator's call. What a broker passes on comes here, too.
     link::Reply call(const std::string &what, const std::string &body);
+    // A layout read again; what can't be taken is said in the log, and nothing changes.
+    bool relayout(const Layout &layout);
     std::string stats() const; // figures, a line each, in the form of StatsD
 
 private:
@@ -21,6 +23,7 @@
     void perform(std::vector<marblewood::cells::KeeperAction> &actions);
     void tick();
     std::string list() const;
+    void place_brokers();
 
     core::Deadlines &deadlines_;
     marblewood::cells::Keeper keeper_;
--- a/tests/cells_net_test.cpp
+++ b/tests/cells_net_test.cpp
@@ -223,6 +223,29 @@
     assert(ask(*all.broker_a, get(kPiece)).starts_with("BUSY")); // forwarded there, and no further
 }
 
+// The keeper reads its file again: what is wrong changes nothing; another capacity is told to all brokers.
+void the_layout_is_read_again() {
+    Installation all(says("a"), says("b"));
+    const auto said = [&](const std::string &words) {
+        for (int n = 0; n < 1000; ++n, std::this_thread::sleep_for(10ms)) {
+            std::ostringstream text;
+            text << std::ifstream(all.folder / "keeper.log").rdbuf();
+            if (text.str().find(words) != std::string::npos) return true;
+        }
+        return false;
+    };
+    std::string changed = all.operators;
+    changed.replace(changed.find("\"capacity\":1000"), 15, "\"capacity\":2500");
+    std::ofstream(all.folder / "operator.json") << changed.substr(1);
+    all.keeper.signal(SIGHUP);
+    assert(said("layout not taken: malformed JSON"));
+    std::ofstream(all.folder / "operator.json") << changed;
+    all.keeper.signal(SIGHUP);
+    assert(said("layout taken"));
+    assert(all.cells("GET", "list").second.find("a capacity 2500") != std::string::npos);
+    assert(ask(*all.broker_b, get(kPiece)) == "a");
+}
+
 // Whatever comes to the links of keeper and brokers: at worst that connection ends.
 void what_makes_no_sense_on_a_link_is_let_go() {
     Installation all(says("a"), says("b"));
@@ -291,4 +314,5 @@
     a_keys_repeat_reaches_its_first_node();
     a_broker_starts_without_its_keeper();
     what_makes_no_sense_on_a_link_is_let_go();
+    the_layout_is_read_again();
 }
--- a/tests/cells_test.cpp
+++ b/tests/cells_test.cpp
@@ -247,6 +247,39 @@
     EXPECT_EQ(keeper.moves().size(), 1u);
 }
 
+// A cell joins: no volume changes by itself, and about a third is then moved, to the new cell only.
+TEST(Layout, AJoiningCellIsMovedInto) {
+    Keeper::Timing timing;
+    timing.at_once = 1000;
+    Keeper keeper(many_cells(2, 1, 1), 5, timing);
+    std::vector<KeeperAction> actions;
+    std::map<std::string, std::vector<Hello::Volume>> served;
+    for (std::uint64_t n = 1; n <= 300; ++n)
+        served[keeper.map().home(nth(n))->name].push_back({nth(n), 0, 1, 1});
+    Micros now = 1'000'000;
+    const auto hello = [&](int cell) {
+        keeper.handle(now, fmt::format("broker-{}-0", cell),
+                      Hello{keeper.map().epoch, 0, served[fmt::format("cell-{}", cell)], 0, 2}, actions);
+    };
+    hello(0), hello(1);
+    EXPECT_THROW(keeper.relayout(Map(), actions), std::invalid_argument);
+    Map other = many_cells(3, 1, 1);
+    other.cells[0].brokers[0].name = "another";
+    const auto no = keeper.relayout(other, actions); // under volumes that live there
+    EXPECT_FALSE(no.ok);
+    EXPECT_NE(no.text.find("'cell-0' would change its brokers"), std::string::npos) << no.text;
+    EXPECT_FALSE(keeper.relayout(many_cells(1, 1, 1), actions).ok); // cell-1 would go
+    std::map<VolumeId, std::string> before;
+    for (std::uint64_t n = 1; n <= 300; ++n) before[nth(n)] = keeper.map().home(nth(n))->name;
+    ASSERT_TRUE(keeper.relayout(many_cells(3, 1, 1), actions).ok);
+    for (const auto &[volume, cell] : before) EXPECT_EQ(keeper.map().home(volume)->name, cell);
+    hello(0), hello(1), hello(2);
+    keeper.tick(now += 100'000, actions);
+    EXPECT_NEAR(static_cast<double>(keeper.moves().size()), 100, 4 * std::sqrt(300 * 2 / 9.0));
+    for (const auto &[volume, move] : keeper.moves()) EXPECT_EQ(move.to, "cell-2");
+    EXPECT_FALSE(keeper.relayout(many_cells(3, 1, 1), actions).ok); // while they move
+}
+
 // Volumes of a cell without a node that takes requests learn at once that they must come again.
 TEST(Evacuation, WhatStaysIsRefusedAtOnce) {
     World world(two_cells(1, 1));
