Operators pin a volume where it is; 'pin' beside 'move' and 'unpin'

Need: keeping a volume in its cell had no call of its own; a move to where it is did the same by accident.

Change: Keeper::pin, POST /admin/cells/pin, 'marblewood cells pin'.

Measured: cells_net_test calls it through a broker.

--- a/src/cells/keeper.cpp
+++ b/src/cells/keeper.cpp
@@ -470,18 +470,24 @@
                            std::vector<KeeperAction> &actions) {
     now_ = now;
     const Cell *const at = map_.home(volume);
-    if (settled_ && at && at->name == to && !moves_.contains(volume)) { // it is there: from now on by hand
-        if (map_.pins.contains(volume) && by_operator_.contains(volume))
-            return {true, "it is pinned there already"};
-        map_.pins[volume] = to;
-        by_operator_.insert(volume);
-        publish(actions);
-        return {true, "pinned where it is"};
-    }
+    if (at && at->name == to && !moves_.contains(volume)) return pin(volume, actions); // it is there
     if (const auto no = start(now, volume, to, true, actions)) return {false, *no};
     return {true, fmt::format("move {} has begun", moves_.at(volume).epoch.number)};
 }
 
+Keeper::Reply Keeper::pin(VolumeId volume, std::vector<KeeperAction> &actions) {
+    if (!settled_) return {false, "not yet: a majority of the brokers has not been heard since the start"};
+    const Cell *const at = map_.home(volume);
+    if (!at) return {false, "the volume has no cell"};
+    if (moves_.contains(volume)) return {false, "it is being moved"};
+    if (map_.pins.contains(volume) && by_operator_.contains(volume))
+        return {true, "it is pinned there already"};
+    map_.pins[volume] = at->name;
+    by_operator_.insert(volume);
+    publish(actions);
+    return {true, fmt::format("pinned in '{}'", at->name)};
+}
+
 Keeper::Reply Keeper::unpin(Micros now, VolumeId volume, std::vector<KeeperAction> &actions) {
     now_ = now;
     if (!settled_) return {false, "not yet: a majority of the brokers has not been heard since the start"};
--- a/src/cells/keeper.hpp
+++ b/src/cells/keeper.hpp
@@ -39,6 +39,7 @@
 
     // Operators.
     Reply move(Micros now, VolumeId volume, const std::string &to, std::vector<KeeperAction> &actions);
+    Reply pin(VolumeId volume, std::vector<KeeperAction> &actions); // where it is
     Reply unpin(Micros now, VolumeId volume, std::vector<KeeperAction> &actions);
     Reply freeze(const std::string &cell, bool on, std::vector<KeeperAction> &actions);
     Reply evacuate(const std::string &cell, std::vector<KeeperAction> &actions);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -29,7 +29,9 @@
     std::string control, call;
     std::vector<std::string> words;
     cells->add_option("--control", control, "its operators' address")->required();
-    cells->add_option("call", call, "list, here, where, move, unpin, freeze, unfreeze, evacuate or restore")
+    cells
+        ->add_option("call", call,
+                     "list, here, where, move, pin, unpin, freeze, unfreeze, evacuate or restore")
         ->required();
     cells->add_option("words", words, "a volume, a cell, or a volume and a cell");
     app.require_subcommand(0, 1);
--- a/src/net/cells/office.cpp
+++ b/src/net/cells/office.cpp
@@ -88,14 +88,16 @@
     mc::Keeper::Reply reply{false, "no such call"};
     const std::size_t space = body.find(' ');
     const auto volume = volume_of(std::string_view(body).substr(0, space));
-    const bool about_volume = what == "where" || what == "move" || what == "unpin";
+    const bool about_volume = what == "where" || what == "move" || what == "pin" || what == "unpin";
     if (about_volume && !volume)
         reply.text = "a volume is up to 16 hexadecimal digits";
     else if (what == "list")
         reply = {true, list()};
     else if (what == "where")
         reply = {true, keeper_.where(*volume)};
-    else if (what == "move")
+    else if (what == "pin" && space == std::string::npos)
+        reply = keeper_.pin(*volume, actions);
+    else if (what == "move" || what == "pin")
         reply = space == std::string::npos ? mc::Keeper::Reply{false, "wanted: VOLUME CELL"}
                                            : keeper_.move(now, *volume, body.substr(space + 1), actions);
     else if (what == "unpin")
--- a/src/net/control/control.cpp
+++ b/src/net/control/control.cpp
@@ -112,8 +112,8 @@
     if (!cells) co_return answer_now(request);
     std::string what = target.size() > kCells.size() ? target.substr(kCells.size() + 1) : "list";
     const bool reads = what == "list" || what == "here" || what.starts_with("where/");
-    const bool changes = what == "move" || what == "unpin" || what == "freeze" || what == "unfreeze" ||
-                         what == "evacuate" || what == "restore";
+    const bool changes = what == "move" || what == "pin" || what == "unpin" || what == "freeze" ||
+                         what == "unfreeze" || what == "evacuate" || what == "restore";
     if (!reads && !changes) co_return no(404, "Not Found");
     if (request.method != (reads ? "GET" : "POST"))
         co_return spell(405, "Method Not Allowed", "", reads ? "Allow: GET\r\n" : "Allow: POST\r\n");
--- a/tests/cells_net_test.cpp
+++ b/tests/cells_net_test.cpp
@@ -144,6 +144,8 @@
     assert(all.broker_a->call("POST", "cells/move", kVolume + " nowhere").first == 409);
     assert(all.broker_a->call("POST", "cells/where/" + kVolume).first == 405);
     assert(all.broker_a->call("GET", "cells/nonsense").first == 404);
+    assert(all.broker_a->call("POST", "cells/pin", kVolume).second.find("already") != std::string::npos);
+    assert(all.broker_a->call("POST", "cells/pin", "nonsense").first == 409);
 }
 
 // A request under way ends where it started; what comes meanwhile waits, and is served by the target.
