The laboratory begins each run with empty logs

Need: logs were appended to, so a second run into the same folder could not be read apart from the first.

--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -87,6 +87,8 @@
     std::filesystem::create_directories(folder_ / "state");
     for (const auto &file : std::filesystem::directory_iterator(folder_ / "state"))
         std::filesystem::remove(file);
+    for (const auto &file : std::filesystem::directory_iterator(folder_)) // logs are of one run
+        if (file.path().extension() == ".log") std::filesystem::remove(file);
     lay_out();
     draw();
     write_settings();
