Drop a setting of the laboratory that did nothing, and a figure that told nothing

Cause, found by reading: put_off_s was read and checked and used nowhere; log.limit_reached counted lines of the log.

--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -37,8 +37,7 @@
         "queue": {"type": "integer", "minimum": 0},
         "cold_from": {"type": "number", "exclusiveMinimum": 0, "maximum": 1},
         "cold_s": {"type": "number", "minimum": 0},
-        "put_off": {"type": "number", "minimum": 0, "maximum": 1},
-        "put_off_s": {"type": "number", "minimum": 0}
+        "put_off": {"type": "number", "minimum": 0, "maximum": 1}
       }
     },
     "volumes": {
@@ -143,7 +142,7 @@
         e.node = {count(n, "cores", e.node.cores),          number(n, "unit_ms", e.node.unit_ms),
                   number(n, "sigma", e.node.sigma),         count(n, "queue", e.node.queue),
                   number(n, "cold_from", e.node.cold_from), number(n, "cold_s", e.node.cold_s),
-                  number(n, "put_off", e.node.put_off),     number(n, "put_off_s", e.node.put_off_s)};
+                  number(n, "put_off", e.node.put_off)};
     }
     for (const Json::Value &v : root["volumes"])
         e.volumes.push_back({need_text(v, "plan"), count(v, "count", 1), need_number(v, "rate"),
--- a/src/lab/experiment.hpp
+++ b/src/lab/experiment.hpp
@@ -14,8 +14,7 @@
     double sigma = 0.35;                  // of its logarithm
     int queue = 64;                       // requests that wait, beyond which it turns away
     double cold_from = 0.18, cold_s = 17; // part of its speed after a start, and until when it grows to 1
-    double put_off = 0.1;                 // part of the writes whose work is done later
-    double put_off_s = 0.5;
+    double put_off = 0.1;                 // part of the writes answered before most of their work
     double capacity() const { return cores / unit_ms * 1000; } // units a second
 };
 
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -567,13 +567,6 @@
         metrics_["moves.undone"] = told["moves_undone"] + undone_before_;
         if (told["moving"] == 0) break;
     }
-    std::uint64_t forwarded = 0;
-    for (Broker &broker : brokers_) {
-        std::ifstream log(broker.process.log);
-        for (std::string line; std::getline(log, line);)
-            forwarded += line.find("limit reached") != std::string::npos;
-    }
-    metrics_["log.limit_reached"] = static_cast<double>(forwarded);
     io_.stop();
 }
 
