Drop a loop that did nothing where a broker with cells starts

Cause, found by reading: Resident::restore set to 0 what is 0 in a new process, and a comment spoke of a parameter that is not there.

Change: both are gone.

--- a/src/cells/resident.cpp
+++ b/src/cells/resident.cpp
@@ -20,8 +20,6 @@
     greatest_ = state.greatest;
     records_ = std::move(state.records);
     moving_ = std::move(state.moving);
-    for (const auto &[volume, r] : records_) // the stores went with the process: nothing comes back by itself
-        if (r.stage == Stage::Drained) volumes_[number(volume)].kept = 0;
 }
 
 const Resident::Record *Resident::record(VolumeId volume) const {
--- a/src/net/cells/layout.hpp
+++ b/src/net/cells/layout.hpp
@@ -19,7 +19,7 @@
     marblewood::cells::Keeper::Timing timing;
 };
 
-// Throws config::Error naming the field. `text` is the file's, for the line.
+// Throws config::Error naming the field.
 Layout read_layout(const Json::Value &cells);
 
 } // namespace marblewood::net::cells
