--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The tasks of the project; CMake does the work. `demo` and `test` do all set-up on a fresh Debian 12 machine.
 CONFIG ?= /run/balancer/config.json
 PACKAGES = g++ cmake make pkg-config libgtest-dev nlohmann-json3-dev libboost1.81-dev libfmt-dev libjsoncpp-dev \
-	libcli11-dev libprotobuf-dev protobuf-compiler libxxhash-dev libvalijson-dev
+	libcli11-dev libprotobuf-dev protobuf-compiler libxxhash-dev libvalijson-dev libseccomp-dev
 SEED ?= 1
 
 .PHONY: setup setup-plots build test demo lint run
--- a/src/app/app.hpp
+++ b/src/app/app.hpp
@@ -14,6 +14,9 @@
     throw config::Error(fmt::format("field '{}': '{}' is not an address and port", field, text));
 }
 
+// The command line, as `marblewood` takes it (README); the process's exit code.
+int command(int argc, char **argv);
+
 // Each returns the process's exit code; what is wrong with the settings is thrown as config::Error.
 int serve(const std::string &path, config::Config config, const config::Operator &added);
 int keep(const std::string &operators);
--- a/tests/helper.hpp
+++ b/tests/helper.hpp
@@ -402,6 +402,7 @@
     void signal(int number) const { child_.signal(number); }
     int exit_code() { return child_.exit_code(); }
     bool running() const { return child_.running(); }
+    pid_t pid() const { return child_.pid(); }
     Socket client() const { return Socket::to(port); }
     // A call of an operator: the status and the body.
     std::pair<int, std::string> call(const std::string &method, const std::string &what,
