Count probes, new connections and discovery calls a broker makes, per 1000 requests

Measured: control_test shows five requests one after another as one connection, no probe where the settings allow none, and the line in the log; all tests pass.

--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -5,6 +5,7 @@
 #include "net/cells/residence.hpp"
 #include "net/clients.hpp"
 #include "net/control/control.hpp"
+#include "net/costs.hpp"
 #include "net/fleet.hpp"
 #include "net/handover/handover.hpp"
 #include "net/nvme/front.hpp"
@@ -222,10 +223,19 @@
             listener(io, net::Descriptor(), inherited("nvme"),
                      address<tcp::endpoint>(mapping.listen, "nvme.listen")),
             [&](net::Client &client) { return net::nvme::serve(client, desk, mapping, controllers); });
+    const auto costs = [&] {
+        net::Costs c;
+        for (std::size_t kind = 0; kind < 3; ++kind) c.requests += figures.sum(kind);
+        c.probes = figures.probes;
+        c.connections = budget.opened();
+        c.list_calls = discovery ? discovery->calls() : 0;
+        return c;
+    };
+    const net::CostLog cost_log(deadlines, costs);
     net::control::Operations operations;
     operations.stats = [&] {
-        std::string text =
-            net::control::spell(figures, config.settings, {fleet.open(), fleet.size(), fleet.avoided()});
+        std::string text = net::control::spell(figures, config.settings,
+                                               {fleet.open(), fleet.size(), fleet.avoided(), costs()});
         if (residence) text += residence->stats();
         return text;
     };
--- a/src/core/figures.hpp
+++ b/src/core/figures.hpp
@@ -12,6 +12,7 @@
     std::vector<std::array<std::uint64_t, 3>> ended; // requests, by class and Outcome::Kind
     std::uint64_t sends = 0;                         // attempts written whole to a node
     std::uint64_t loaded = 0, invalid = 0;           // configurations read again: taken, not taken
+    std::uint64_t probes = 0;                        // asked of nodes
 
     std::uint64_t &of(int cls, Outcome::Kind kind) { return ended[cls][static_cast<std::size_t>(kind)]; }
     std::uint64_t sum(std::size_t kind) const {
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -160,6 +160,7 @@
 
 asio::awaitable<void> Planner::probe(NodeId node) {
     const Micros from = deadlines_.clock.now();
+    ++figures_.probes;
     const ProbeResult result = co_await port_.probe(node);
     tell(ProbeEnded{node, result.status, deadlines_.clock.now() - from, result.report});
 }
--- a/src/net/control/control.cpp
+++ b/src/net/control/control.cpp
@@ -42,6 +42,9 @@
     count("sends", figures.sends);
     count("conf_loaded", figures.loaded);
     count("conf_invalid", figures.invalid);
+    count("probes", state.costs.probes);
+    count("connections", state.costs.connections);
+    count("list_calls", state.costs.list_calls);
     out += fmt::format("balancer.current:{}|g\nbalancer.cluster_size:{}|g\nbalancer.cluster_unhealthy:{}|g\n",
                        state.current, state.nodes, state.avoided);
     return out;
--- /dev/null
+++ b/src/net/costs.hpp
@@ -0,0 +1,40 @@
+// What this broker asks of the fleet beside its requests: probes, new connections to nodes and calls to
+// discovery. Each is cheap for one broker and adds up over hundreds (docs/design/fleet.md), so the broker
+// counts them against the requests it has answered and says so in its log and its figures.
+#pragma once
+
+#include "core/deadlines.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace marblewood::net {
+
+struct Costs { // counts since the start
+    std::uint64_t requests = 0;    // answered, by any outcome
+    std::uint64_t probes = 0;      // asked of nodes
+    std::uint64_t connections = 0; // begun to nodes
+    std::uint64_t list_calls = 0;  // to discovery, watches included
+    bool operator==(const Costs &) const = default;
+};
+
+// "costs: requests=N probes=N connections=N list_calls=N probes_per_k=X connections_per_k=Y
+// list_calls_per_k=Z": the counts, and each a thousand requests.
+std::string spell(const Costs &costs);
+
+// A line in the log each second in which a count has changed, read from `read`.
+class CostLog {
+public:
+    CostLog(core::Deadlines &deadlines, std::function<Costs()> read);
+
+private:
+    void look();
+
+    core::Deadlines &deadlines_;
+    std::function<Costs()> read_;
+    Costs last_;
+    core::Deadlines::Entry next_;
+};
+
+} // namespace marblewood::net
--- a/src/net/discovery/discovery.cpp
+++ b/src/net/discovery/discovery.cpp
@@ -102,6 +102,7 @@
 
 asio::awaitable<std::optional<Reading>> Discovery::call(tcp::socket &socket, std::string path, Micros until) {
     const int moves = moves_;
+    ++calls_; // one a call, whether it comes through or not
     const std::string request =
         fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n", path, host_);
     if (!socket.is_open()) {
--- a/src/net/discovery/discovery.hpp
+++ b/src/net/discovery/discovery.hpp
@@ -27,6 +27,7 @@
     void fetch();
     // Asks at another address from now on. Its versions may be counted otherwise: its whole list comes first.
     void move(tcp::endpoint at, std::string host);
+    std::uint64_t calls() const { return calls_; } // written to discovery since the start, watches included
 
 private:
     asio::awaitable<void> watching();
@@ -44,6 +45,7 @@
     Told told_;
     bool wanted_ = false, watching_ = false, whole_ = false; // whole_: the next call asks for the whole list
     int moves_ = 0;
+    std::uint64_t calls_ = 0;
     tcp::socket *called_ = nullptr; // the watch's connection
 };
 
--- a/src/net/sockets.hpp
+++ b/src/net/sockets.hpp
@@ -51,13 +51,18 @@
     // Connections that have asked. For requests, clients hold a third of the descriptors at the most: they
     // must have some left for what comes next.
     int most_kept() const { return most_kept_; }
-    Lease node() { return Lease(nodes_); }
+    Lease node() {
+        ++opened_;
+        return Lease(nodes_);
+    }
+    std::uint64_t opened() const { return opened_; } // connections begun to nodes since the start
     Lease client() { return Lease(clients_); }
 
 private:
     static constexpr int kSpare =
         40; // listeners, control's callers, discovery, peers, telemetry, timers, the log
     int most_nodes_, most_clients_, most_kept_, nodes_ = 0, clients_ = 0, elsewhere_ = 0;
+    std::uint64_t opened_ = 0;
     bool shared_ = false;
 };
 
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -1,5 +1,6 @@
 // The operators' address, as their calls meet it.
 #include "helper.hpp"
+#include "net/costs.hpp"
 
 using namespace test;
 
@@ -70,6 +71,25 @@
     assert(figures.at("cluster_size") == 2 && figures.at("cluster_unhealthy") == 1);
 }
 
+// What the broker asks of the fleet beside its requests is counted where it is begun, and logged.
+void costs_are_counted() {
+    const auto spelt = marblewood::net::spell({2000, 10, 3, 1});
+    assert(spelt.find("probes_per_k=5.0 connections_per_k=1.5 list_calls_per_k=0.5") != std::string::npos);
+    RespNode node([](const auto &, int) { return RespNode::served("v"); });
+    const Discovery discovery(member("s-1", node.server.port, 0));
+    const Program program(discovery);
+    Socket client = program.client();
+    for (int n = 0; n < 5; ++n) {
+        client.send(get(kPiece));
+        assert(client.value()->text == "v");
+    }
+    const auto figures = program.figures();
+    assert(figures.at("connections") == 1 && node.server.accepted == 1); // one after another: one connection
+    assert(figures.at("probes") == 0);                                    // the settings allow none
+    assert(figures.at("list_calls") >= 1 && discovery.calls >= 1);
+    program.await_log("costs: requests=5 probes=0 connections=1 ");
+}
+
 void a_request_under_way_is_current() {
     std::atomic<bool> go = false;
     RespNode node([&](const auto &, int) {
@@ -153,6 +173,7 @@
     silent_callers_keep_nobody_out();
     a_call_may_come_in_pieces();
     figures_are_what_happened();
+    costs_are_counted();
     a_request_under_way_is_current();
     a_cordoned_node_stays_out();
     clients_are_sent_away_and_taken_again();
