Count failed answers by cause: broken long values, requests turned away unread

Change: Figures counts long values that broke off (planner) and requests the RESP2 front could not read (turned away with an error), logging the reason at the 1st, 2nd, 4th, ... The cost line gains failed, broken and turned_away; the operators' figures broken and turned_away. control_test makes a request without a class and finds it counted and named.

--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -157,7 +157,8 @@
                           config.settings,
                           deadlines,
                           memory,
-                          away};
+                          away,
+                          figures};
 
     net::Fleet fleet(nodes, zones, mapping, resp_port, nvme_port, ports, planners);
     core::Deadlines::Entry list_again;
@@ -229,6 +230,9 @@
         c.probes = figures.probes;
         c.connections = budget.opened();
         c.list_calls = discovery ? discovery->calls() : 0;
+        c.failed = figures.sum(static_cast<std::size_t>(core::Outcome::Kind::Failed));
+        c.broken = figures.broken;
+        c.turned_away = figures.turned_away;
         return c;
     };
     const net::CostLog cost_log(deadlines, costs);
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -88,6 +88,7 @@
             if (life->streamed ==
                 life->attempts[event.attempt]) { // what was begun is whole, or will never be
                 const bool whole = life->streamed->stream->whole();
+                if (!whole) ++figures_.broken;
                 account(*life, {whole ? Outcome::Kind::Served : Outcome::Kind::Failed, {}, 0, true});
                 life->streamed = nullptr;
             } else if (result.status == Status::Ok) { // the first value served is the answer
--- a/src/core/planner.hpp
+++ b/src/core/planner.hpp
@@ -125,6 +125,7 @@
     Deadlines &deadlines;
     Memory &memory;
     const bool &away; // clients are sent away: a front says so to those who ask
+    Figures &figures;
 };
 
 } // namespace marblewood::core
--- a/src/net/control/control.cpp
+++ b/src/net/control/control.cpp
@@ -45,6 +45,8 @@
     count("probes", state.costs.probes);
     count("connections", state.costs.connections);
     count("list_calls", state.costs.list_calls);
+    count("broken", state.costs.broken);
+    count("turned_away", state.costs.turned_away);
     out += fmt::format("balancer.current:{}|g\nbalancer.cluster_size:{}|g\nbalancer.cluster_unhealthy:{}|g\n",
                        state.current, state.nodes, state.avoided);
     return out;
--- a/src/net/costs.hpp
+++ b/src/net/costs.hpp
@@ -16,11 +16,13 @@
     std::uint64_t probes = 0;      // asked of nodes
     std::uint64_t connections = 0; // begun to nodes
     std::uint64_t list_calls = 0;  // to discovery, watches included
+    // How requests failed: all answered as failed; of them long values broken off; apart, those not read.
+    std::uint64_t failed = 0, broken = 0, turned_away = 0;
     bool operator==(const Costs &) const = default;
 };
 
 // "costs: requests=N probes=N connections=N list_calls=N probes_per_k=X connections_per_k=Y
-// list_calls_per_k=Z": the counts, and each a thousand requests.
+// list_calls_per_k=Z failed=N broken=N turned_away=N": the counts, and each a thousand requests.
 std::string spell(const Costs &costs);
 
 // A line in the log each second in which a count has changed, read from `read`.
--- a/src/net/resp/front.cpp
+++ b/src/net/resp/front.cpp
@@ -1,5 +1,6 @@
 #include "net/resp/front.hpp"
 
+#include "core/log.hpp"
 #include "net/session.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -118,6 +119,9 @@
         try {
             ask(read_request(std::move(value), desk_.settings));
         } catch (const Malformed &error) {
+            const std::uint64_t count = ++desk_.figures.turned_away;
+            if ((count & (count - 1)) == 0) // at 1, 2, 4, ...: what it is, without a line for each
+                core::log("a request turned away ({} so far): {}", count, error.what());
             turn_away(error.what());
         }
     }
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -73,7 +73,7 @@
 
 // What the broker asks of the fleet beside its requests is counted where it is begun, and logged.
 void costs_are_counted() {
-    const auto spelt = marblewood::net::spell({2000, 10, 3, 1});
+    const auto spelt = marblewood::net::spell({2000, 10, 3, 1, 0, 0, 0});
     assert(spelt.find("probes_per_k=5.0 connections_per_k=1.5 list_calls_per_k=0.5") != std::string::npos);
     RespNode node([](const auto &, int) { return RespNode::served("v"); });
     const Discovery discovery(member("s-1", node.server.port, 0));
@@ -88,6 +88,11 @@
     assert(figures.at("probes") == 0);                                    // the settings allow none
     assert(figures.at("list_calls") >= 1 && discovery.calls >= 1);
     program.await_log("costs: requests=5 probes=0 connections=1 ");
+    client.send(resp::command({"OBJ.GET", kPiece, fresh_id(), "t=standard,d=300"})); // no class
+    assert(client.value()->text == "ERR c, t and d are needed");
+    assert(program.figures().at("turned_away") == 1 && program.figures().at("broken") == 0);
+    program.await_log("a request turned away (1 so far): c, t and d are needed");
+    program.await_log("failed=0 broken=0 turned_away=1");
 }
 
 void a_request_under_way_is_current() {
