--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -233,6 +233,8 @@
         c.failed = figures.sum(static_cast<std::size_t>(core::Outcome::Kind::Failed));
         c.broken = figures.broken;
         c.turned_away = figures.turned_away;
+        c.refused = figures.sum(static_cast<std::size_t>(core::Outcome::Kind::Refused));
+        c.unsent = figures.unsent;
         return c;
     };
     const net::CostLog cost_log(deadlines, costs);
--- a/src/core/figures.hpp
+++ b/src/core/figures.hpp
@@ -15,6 +15,7 @@
     std::uint64_t probes = 0;                        // asked of nodes
     std::uint64_t turned_away = 0; // requests a front could not read, answered with an error; not in `ended`
     std::uint64_t broken = 0;      // long values that broke off on their way, in `ended` as failed
+    std::uint64_t unsent = 0;      // refused before any attempt, in `ended` as refused
 
     std::uint64_t &of(int cls, Outcome::Kind kind) { return ended[cls][static_cast<std::size_t>(kind)]; }
     std::uint64_t sum(std::size_t kind) const {
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -97,6 +97,7 @@
             event.closed = !life->answer;
             tell(std::move(event));
         } else if (const auto *refuse = std::get_if<Refuse>(&step)) {
+            if (life->attempts.empty() && life->answer) ++figures_.unsent;
             finish(*life,
                    {Outcome::Kind::Refused, {}, settings_.retry_after ? refuse->retry_after : 0, true});
         } else if (std::holds_alternative<Fail>(step)) {
--- a/src/net/control/control.cpp
+++ b/src/net/control/control.cpp
@@ -47,6 +47,7 @@
     count("list_calls", state.costs.list_calls);
     count("broken", state.costs.broken);
     count("turned_away", state.costs.turned_away);
+    count("unsent", state.costs.unsent);
     out += fmt::format("balancer.current:{}|g\nbalancer.cluster_size:{}|g\nbalancer.cluster_unhealthy:{}|g\n",
                        state.current, state.nodes, state.avoided);
     return out;
--- a/src/net/costs.cpp
+++ b/src/net/costs.cpp
@@ -15,10 +15,11 @@
 
 std::string spell(const Costs &c) {
     return fmt::format("costs: requests={} probes={} connections={} list_calls={} probes_per_k={:.1f} "
-                       "connections_per_k={:.1f} list_calls_per_k={:.1f} failed={} broken={} turned_away={}",
+                       "connections_per_k={:.1f} list_calls_per_k={:.1f} failed={} broken={} turned_away={} "
+                       "refused={} unsent={}",
                        c.requests, c.probes, c.connections, c.list_calls, a_thousand(c.probes, c.requests),
                        a_thousand(c.connections, c.requests), a_thousand(c.list_calls, c.requests), c.failed,
-                       c.broken, c.turned_away);
+                       c.broken, c.turned_away, c.refused, c.unsent);
 }
 
 CostLog::CostLog(core::Deadlines &deadlines, std::function<Costs()> read)
--- a/src/net/costs.hpp
+++ b/src/net/costs.hpp
@@ -18,11 +18,13 @@
     std::uint64_t list_calls = 0;  // to discovery, watches included
     // How requests failed: all answered as failed; of them long values broken off; apart, those not read.
     std::uint64_t failed = 0, broken = 0, turned_away = 0;
+    std::uint64_t refused = 0, unsent = 0; // answered -BUSY; of them, before any attempt
     bool operator==(const Costs &) const = default;
 };
 
 // "costs: requests=N probes=N connections=N list_calls=N probes_per_k=X connections_per_k=Y
-// list_calls_per_k=Z failed=N broken=N turned_away=N": the counts, and each a thousand requests.
+// list_calls_per_k=Z failed=N broken=N turned_away=N refused=N unsent=N": the counts, and each a thousand
+// requests.
 std::string spell(const Costs &costs);
 
 // A line in the log each second in which a count has changed, read from `read`.
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -65,6 +65,7 @@
     assert(client.value()->text == "ERR failed");
     const auto figures = program.figures();
     assert(figures.at("answered.read") == 5 && figures.at("deferred.read") == 1);
+    assert(figures.at("unsent") == 1); // the refusal came before any attempt
     assert(figures.at("errored.new-write") == 1 && figures.at("answered.new-write") == 0);
     assert(figures.at("sends") == 9 && static_cast<int>(node.taken().size()) == 9);
     assert(figures.at("current") == 0);
@@ -73,7 +74,7 @@
 
 // What the broker asks of the fleet beside its requests is counted where it is begun, and logged.
 void costs_are_counted() {
-    const auto spelt = marblewood::net::spell({2000, 10, 3, 1, 0, 0, 0});
+    const auto spelt = marblewood::net::spell({2000, 10, 3, 1, 0, 0, 0, 0, 0});
     assert(spelt.find("probes_per_k=5.0 connections_per_k=1.5 list_calls_per_k=0.5") != std::string::npos);
     RespNode node([](const auto &, int) { return RespNode::served("v"); });
     const Discovery discovery(member("s-1", node.server.port, 0));
