--- a/src/core/figures.hpp
+++ b/src/core/figures.hpp
@@ -13,7 +13,7 @@
     std::uint64_t sends = 0;                         // attempts written whole to a node
     std::uint64_t loaded = 0, invalid = 0;           // configurations read again: taken, not taken
     std::uint64_t probes = 0;                        // asked of nodes
-    std::uint64_t turned_away = 0; // requests a front could not read, answered with an error; not in `ended`
+    std::uint64_t turned_away = 0; // requests the RESP2 front could not read, answered -ERR; not in `ended`
     std::uint64_t broken = 0;      // long values that broke off on their way, in `ended` as failed
     std::uint64_t unsent = 0;      // refused before any attempt, in `ended` as refused
 
--- a/src/net/costs.hpp
+++ b/src/net/costs.hpp
@@ -11,7 +11,7 @@
 
 namespace marblewood::net {
 
-struct Costs { // counts since the start
+struct Costs {                     // counts since the start
     std::uint64_t requests = 0;    // answered, by any outcome
     std::uint64_t probes = 0;      // asked of nodes
     std::uint64_t connections = 0; // begun to nodes
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -86,7 +86,7 @@
     }
     const auto figures = program.figures();
     assert(figures.at("connections") == 1 && node.server.accepted == 1); // one after another: one connection
-    assert(figures.at("probes") == 0);                                    // the settings allow none
+    assert(figures.at("probes") == 0);                                   // the settings allow none
     assert(figures.at("list_calls") >= 1 && discovery.calls >= 1);
     program.await_log("costs: requests=5 probes=0 connections=1 ");
     client.send(resp::command({"OBJ.GET", kPiece, fresh_id(), "t=standard,d=300"})); // no class
