--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -228,10 +228,9 @@
         if (list.kind != ListUpdate::Kind::Changes)
             for (auto &[id, node] : nodes)
                 if (!named.count(id)) withdraw(node, "gone");
-        for (auto it = nodes.begin(); it != nodes.end();)
-            it = !it->second.usable && it->second.entry.state == NodeState::Gone && it->second.out.empty()
-                     ? nodes.erase(it)
-                     : std::next(it);
+        std::erase_if(nodes, [](const auto &n) {
+            return !n.second.usable && n.second.entry.state == NodeState::Gone && n.second.out.empty();
+        });
         const bool none = std::none_of(nodes.begin(), nodes.end(), [](auto &n) { return n.second.usable; });
         if (none && !listless) log("no usable node on the list");
         listless = none;
@@ -248,7 +247,8 @@
         const bool restarted = fresh || entry.started > node.entry.started;
         const Micros before = node.entry.started;
         node.id = entry.node;
-        if (fresh || entry.shard != node.entry.shard) place(node, entry.shard);
+        if (fresh || entry.shard != node.entry.shard || node.entry.state == NodeState::Gone) // left its shard
+            place(node, entry.shard);
         node.entry = entry;
         if (entry.returned) chill(node, now, false);
         if (entry.state != NodeState::Ready) {
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -207,6 +207,22 @@
     EXPECT_EQ(b.attempts[id][0], NodeId{7});
 }
 
+// Fleet day zone+vast: a node that goes while work is out at it and comes back under its own shard takes that
+// shard's work again; it was left out of the shard, whose account a sweep then dropped (map::at, exit 1).
+TEST(Nodes, ANodeBackFromGoneWhileWorkWasOutServesItsShardAgain) {
+    Bench b(basic());
+    const RequestId out = b.ask(0);
+    ASSERT_EQ(b.tries(out), 1u);
+    b.give(ListUpdate{ListUpdate::Kind::Changes, {Bench::entry(0, NodeState::Gone)}});
+    b.give(ListUpdate{ListUpdate::Kind::Changes, {Bench::entry(0)}});
+    b.end(out);
+    b.run(3 * kSecond); // sweeps pass
+    EXPECT_NO_THROW(b.ask(-1));
+    const RequestId again = b.ask(0);
+    ASSERT_EQ(b.tries(again), 1u);
+    EXPECT_EQ(b.attempts[again][0], NodeId{0});
+}
+
 TEST(Nodes, AFailedCallForTheListIsRepeatedInTime) {
     Settings s = basic();
     s.ask_for_list = true;
