Test the node table under random orders of lists while work is out, 300 seeds

Change: Nodes.AfterAnyOrderOfListsEveryReadyNodeServesItsShard: three nodes, twelve random steps of changes and full lists (ready, draining, gone), requests asked and ended, time run; then all nodes ready, and each shard's request must go to its own node, with no throw. Seeds 1 to 300, named on failure.

--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -223,6 +223,44 @@
     EXPECT_EQ(b.attempts[again][0], NodeId{0});
 }
 
+// Random lists, in changes and in full, while work is out: once every node is listed ready again, each
+// shard's work goes to that shard's node, and nothing throws on the way.
+TEST(Nodes, AfterAnyOrderOfListsEveryReadyNodeServesItsShard) {
+    for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        std::uint64_t x = seed * 0x9E3779B97F4A7C15ULL;
+        const auto draw = [&x](std::uint64_t n) { return (x ^= x << 13, x ^= x >> 7, x ^= x << 17) % n; };
+        Bench b(basic(), 3);
+        std::vector<RequestId> out;
+        for (int step = 0; step < 12; ++step) {
+            const int node = static_cast<int>(draw(3));
+            const auto state = static_cast<NodeState>(draw(3));
+            if (draw(4) == 0) {
+                ListUpdate full{ListUpdate::Kind::Full, {}};
+                for (int n = 0; n < 3; ++n)
+                    if (n != node) full.entries.push_back(Bench::entry(n, state));
+                b.give(full);
+            } else {
+                b.give(ListUpdate{ListUpdate::Kind::Changes, {Bench::entry(node, state)}});
+            }
+            if (draw(2) == 0) out.push_back(b.ask(static_cast<int>(draw(3))));
+            if (!out.empty() && draw(3) == 0) {
+                const RequestId id = out[draw(out.size())];
+                if (b.tries(id) > 0) b.end(id);
+            }
+            ASSERT_NO_THROW(b.run(static_cast<Micros>(draw(1500)) * kMs)) << "step " << step;
+        }
+        b.give(ListUpdate{ListUpdate::Kind::Full, {Bench::entry(0), Bench::entry(1), Bench::entry(2)}});
+        b.run(2 * kSecond);
+        for (int shard = 0; shard < 3; ++shard) {
+            const RequestId id = b.ask(shard);
+            ASSERT_EQ(b.tries(id), 1u) << "shard " << shard;
+            EXPECT_EQ(b.attempts[id][0], NodeId(shard));
+        }
+        ASSERT_NO_THROW(b.ask(-1));
+    }
+}
+
 TEST(Nodes, AFailedCallForTheListIsRepeatedInTime) {
     Settings s = basic();
     s.ask_for_list = true;
