Watch a pushed list from start to end; begin the watch anew when it fails

The brokers' cost lines said list_calls=0 to the end. Wrong: the module asks to watch only where lists must be asked for (policy.cpp, start()), and nothing in serve.cpp watched an agent's list (cells apart, with a fixed 0.5 s).

Discovery now knows how lists come. Pushed: the watch stands from the start, is renewed by itself after 10 to 100 ms (the agent answers at no cost, and what it has counts as told), and the module is not told of failures. Asked for: as before. The cells' own watch is gone.

--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -30,7 +30,6 @@
 namespace {
 
 constexpr Micros kLook = 1'000;        // us between looks at what is still to go over to a successor
-constexpr Micros kListAgain = 500'000; // us until a list that did not come is asked for again
 constexpr int kLinkSockets = 32;       // descriptors for brokers and keeper, where there are cells
 constexpr std::size_t kHeldPart = 4;   // a quarter of the memory is for what clients send and are owed
 
@@ -161,14 +160,9 @@
                           figures};
 
     net::Fleet fleet(nodes, zones, mapping, resp_port, nvme_port, ports, planners);
-    core::Deadlines::Entry list_again;
     const auto told = [&](const net::discovery::Reading &reading) {
         fleet.told(reading);
-        if (!residence) return;
-        residence->ready_nodes(fleet.ready());
-        // Which nodes are there must be known before anything is asked: what no node can serve is refused.
-        if (reading.update.kind == ListUpdate::Kind::Failed)
-            list_again = deadlines.in(kListAgain, [&] { discovery->watch(true); });
+        if (residence) residence->ready_nodes(fleet.ready());
     };
     if (residence) {
         residence->confined = [&] {
@@ -177,10 +171,14 @@
         };
         residence->confined();
     }
+    const auto delivery =
+        config.settings.ask_for_list ? net::discovery::Delivery::Asked : net::discovery::Delivery::Pushed;
     if (!config.discovery.empty())
         discovery.emplace(
-            io, deadlines, address<tcp::endpoint>(config.discovery, "discovery"), config.discovery,
+            io, deadlines, delivery, address<tcp::endpoint>(config.discovery, "discovery"), config.discovery,
             config.known.isNull() ? 0 : config::need_integer(config.known, "revision"), nodes, zones, told);
+    else
+        core::log("configuration: no 'discovery': the nodes in 'known' are all there are, and none drains");
     if (!config.peer_listen.empty() && config.settings.peers) {
         std::vector<asio::ip::udp::endpoint> others;
         for (const std::string &peer : config.peers)
@@ -322,7 +320,6 @@
         core::log("took over from a predecessor");
     }
     if (residence) residence->start();
-    if (residence && discovery) discovery->watch(true);
     core::log("{} serves at {}", config.name, config.listen);
 
     asio::signal_set hangups(io, SIGHUP);
@@ -330,7 +327,7 @@
         hangups.async_wait([&](const boost::system::error_code &error, int) {
             if (error) return;
             reload(path, config, figures, [&](const tcp::endpoint &at, const std::string &host) {
-                if (!discovery) discovery.emplace(io, deadlines, at, host, 0, nodes, zones, told);
+                if (!discovery) discovery.emplace(io, deadlines, delivery, at, host, 0, nodes, zones, told);
                 discovery->move(at, host);
             });
             await_hangup();
--- a/src/net/discovery/discovery.cpp
+++ b/src/net/discovery/discovery.cpp
@@ -10,6 +10,9 @@
 
 constexpr Micros kWatch = 20'000'000; // us for which a watch may wait for news
 constexpr Micros kAnswer = 1'500'000; // us in which discovery answers beyond that; silent after
+// us until a watch on a pushed list begins anew after a failure: at first, and at most. A watch that is
+// renewed within 200 ms goes on, and an agent that is back counts as heard at once.
+constexpr Micros kPause = 10'000, kLongestPause = 100'000;
 
 } // namespace
 
@@ -28,14 +31,23 @@
     return reading;
 }
 
-Discovery::Discovery(asio::io_context &io, core::Deadlines &deadlines, tcp::endpoint at, std::string host,
-                     std::int64_t revision, config::Names &nodes, config::Names &zones, Told told)
-    : io_(io), deadlines_(deadlines), at_(at), host_(std::move(host)), revision_(revision), nodes_(nodes),
-      zones_(zones), told_(std::move(told)) {}
+Discovery::Discovery(asio::io_context &io, core::Deadlines &deadlines, Delivery delivery, tcp::endpoint at,
+                     std::string host, std::int64_t revision, config::Names &nodes, config::Names &zones,
+                     Told told)
+    : io_(io), deadlines_(deadlines), delivery_(delivery), at_(at), host_(std::move(host)),
+      revision_(revision), nodes_(nodes), zones_(zones), told_(std::move(told)) {
+    if (delivery_ == Delivery::Pushed) begin();
+}
 
 void Discovery::watch(bool on) {
+    if (delivery_ == Delivery::Pushed) return;
     wanted_ = on;
-    if (on && !watching_) asio::co_spawn(io_, watching(), asio::detached);
+    if (on) begin();
+}
+void Discovery::begin() {
+    wanted_ = true;
+    again_.reset();
+    if (!watching_) asio::co_spawn(io_, watching(), asio::detached);
 }
 void Discovery::fetch() { asio::co_spawn(io_, fetching(), asio::detached); }
 
@@ -46,18 +58,23 @@
     ++moves_;
     boost::system::error_code ignored;
     if (called_) called_->close(ignored);
-    watch(true);
+    begin();
 }
 
 void Discovery::failed() {
+    if (delivery_ == Delivery::Pushed) {
+        pause_ = std::clamp(2 * pause_, kPause, kLongestPause);
+        again_ = deadlines_.in(pause_, [this] { begin(); });
+        return;
+    }
     Reading none;
     none.update.kind = ListUpdate::Kind::Failed;
     told_(none);
 }
 
 // Renewed at once after each answer, on the same connection: a gap of over 200 ms would begin a new watch. A
-// failure ends it; when to ask again is the module's choice. What the discovery of before a move still says
-// is not heard.
+// failure ends it, until failed() or the module has it begun again. What the discovery of before a move still
+// says is not heard.
 asio::awaitable<void> Discovery::watching() {
     watching_ = true;
     tcp::socket socket(io_);
@@ -81,6 +98,7 @@
         }
         revision_ = reading->revision;
         whole_ = false;
+        pause_ = 0;
         told_(*reading);
     }
     watching_ = false;
--- a/tests/helper.hpp
+++ b/tests/helper.hpp
@@ -168,25 +168,33 @@
 // Discovery: the list and watches on it.
 class Discovery {
 public:
-    explicit Discovery(std::string members)
-        : members_(std::move(members)), server_([this](Socket &s) { serve(s); }) {}
+    explicit Discovery(std::string members, int at = 0)
+        : members_(std::move(members)), server_([this](Socket &s) { serve(s); }, at) {}
     ~Discovery() {
         over_ = true;
         changed_.notify_all();
     }
-    void change(const std::string &members) {
+    // `entries`, where given, are what a watch is told of it, instead of the whole list.
+    void change(const std::string &members, const std::string &entries = "") {
         const std::lock_guard lock(mutex_);
         members_ = members;
+        entries_ = entries;
         ++revision_;
         changed_.notify_all();
     }
+    // Takes calls and answers none; once it speaks again it answers those, too.
+    void silence(bool on) {
+        const std::lock_guard lock(mutex_);
+        silent_ = on;
+        changed_.notify_all();
+    }
     std::string known() const { return answer(1, members_); }
     int port() const { return server_.port; }
     std::atomic<int> calls = 0, failures = 0; // `failures`: how many calls yet fail with 503
 
 private:
-    static std::string answer(int revision, const std::string &members) {
-        return fmt::format(R"({{"revision":{},"complete":true,"members":[{}]}})", revision, members);
+    static std::string answer(int revision, const std::string &members, bool complete = true) {
+        return fmt::format(R"({{"revision":{},"complete":{},"members":[{}]}})", revision, complete, members);
     }
     void serve(Socket &s) {
         for (;;) {
@@ -202,17 +210,19 @@
                 continue;
             }
             const std::size_t since = head.find("since=");
+            const int seen = since == std::string::npos ? -1 : std::atoi(head.c_str() + since + 6);
             std::unique_lock lock(mutex_);
-            if (since != std::string::npos)
-                changed_.wait(lock, [&] { return over_ || revision_ > std::atoi(head.c_str() + since + 6); });
+            changed_.wait(lock, [&] { return over_ || (!silent_ && revision_ > seen); });
             if (over_) return;
-            const std::string body = answer(revision_, members_);
+            const bool whole = entries_.empty() || seen != revision_ - 1;
+            const std::string body = answer(revision_, whole ? members_ : entries_, whole);
             s.send("HTTP/1.1 103 Early Hints\r\nLink: </v1>\r\n\r\n"); // interim answers may come first
             s.send(fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", body.size(), body));
         }
     }
-    std::string members_;
+    std::string members_, entries_;
     int revision_ = 1;
+    bool silent_ = false;
     std::atomic<bool> over_ = false;
     std::mutex mutex_;
     std::condition_variable changed_;
@@ -382,6 +392,7 @@
     void write(const std::string &name, const std::string &text) const {
         std::ofstream(folder_ / name) << text;
     }
+    std::string path(const std::string &name) const { return folder_ / name; }
     std::string log() const {
         std::ostringstream text;
         text << std::ifstream(log_path()).rdbuf();
