--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -29,9 +29,9 @@
 
 namespace {
 
-constexpr Micros kLook = 1'000;        // us between looks at what is still to go over to a successor
-constexpr int kLinkSockets = 32;       // descriptors for brokers and keeper, where there are cells
-constexpr std::size_t kHeldPart = 4;   // a quarter of the memory is for what clients send and are owed
+constexpr Micros kLook = 1'000;      // us between looks at what is still to go over to a successor
+constexpr int kLinkSockets = 32;     // descriptors for brokers and keeper, where there are cells
+constexpr std::size_t kHeldPart = 4; // a quarter of the memory is for what clients send and are owed
 
 // Reads the file again, whole: what is wrong with any of it leaves the broker as it is. Discovery moves; all
 // else is bound to what runs already and is taken up at the next start.
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -34,16 +34,16 @@
         throw Error("field 'limits.memory_mb' is not from 16 to 1048576");
     if (c.sockets < 64) throw Error("field 'limits.sockets' is under 64, too few to serve");
     if (root.isMember("known")) c.known = root["known"];
-    // Without discovery the nodes in `known` are served, and a reload may name discovery later; with neither
-    // there is nothing to serve from.
-    if (c.discovery.empty() && (!c.known.isObject() || c.known["members"].empty()))
-        throw Error("field 'discovery' is missing, and 'known' names no node to serve from without it");
     c.settings = read_settings(need(root, "settings"), seed);
     try {
         Scheduler probe(c.settings); // what contradicts itself is found now
     } catch (const std::invalid_argument &error) {
         throw Error(std::string("field 'settings': ") + error.what());
     }
+    // Without discovery the nodes in `known` are served, and a reload may name discovery later; with neither
+    // there is nothing to serve from.
+    if (c.discovery.empty() && (!c.known.isObject() || c.known["members"].empty()))
+        throw Error("field 'discovery' is missing, and 'known' names no node to serve from without it");
     return c;
 }
 
