Hold a bounded number of waiting requests; refuse the least worth beyond at once

A probe (open requests and clients ten times a second) showed two of four brokers with 128 of 128 connections held by requests that waited unsent for 0.3 of their client's time while one volume's surge went over the nodes' pace. Wrong: nothing bounded how many requests wait (policy.cpp, on(RequestArrived)).

The module refuses the least worthy waiting request, the latest due among equals, beyond Settings::most_held; serve sets one descriptor in eight. Queue.BeyondWhatMayBeHeldTheLeastWorthIsRefusedAtOnce fails without it.

--- a/include/marblewood/scheduler.hpp
+++ b/include/marblewood/scheduler.hpp
@@ -66,7 +66,8 @@
     std::uint64_t seed = 0;
     std::vector<ClassSettings> classes;
     std::vector<PlanSettings> plans;
-    Micros period = 1000; // shortest gap between two calls' times
+    Micros period = 1000;      // shortest gap between two calls' times
+    std::size_t most_held = 0; // requests that wait here, beyond which the least worth is refused; 0: any
 
     // What is allowed.
     bool ask_for_list = false; // the list comes only when asked for
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -29,8 +29,11 @@
 
 namespace {
 
-constexpr Micros kLook = 1'000;      // us between looks at what is still to go over to a successor
-constexpr int kLinkSockets = 32;     // descriptors for brokers and keeper, where there are cells
+constexpr Micros kLook = 1'000;  // us between looks at what is still to go over to a successor
+constexpr int kLinkSockets = 32; // descriptors for brokers and keeper, where there are cells
+// One descriptor in so many is for a client whose request waits here. Clients have a third of them or more,
+// and at a handover two processes hold requests.
+constexpr std::size_t kHeldSockets = 8;
 constexpr std::size_t kHeldPart = 4; // a quarter of the memory is for what clients send and are owed
 
 // Reads the file again, whole: what is wrong with any of it leaves the broker as it is. Discovery moves; all
@@ -133,6 +136,8 @@
         own.hosts = config.settings.hosts * added.planners;
         own.position = config.settings.position * added.planners + n;
         own.seed = config.settings.seed + static_cast<std::uint64_t>(n) * 0x9e3779b97f4a7c15;
+        own.most_held =
+            std::max<std::size_t>(4, static_cast<std::size_t>(sockets / added.planners) / kHeldSockets);
         planners.push_back(std::make_unique<core::Planner>(io.get_executor(), deadlines, memory, figures, own,
                                                            ports, around,
                                                            exporter ? &exporter->observer() : nullptr));
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -93,12 +93,9 @@
         double tier = 1; // part of the worth
         bool open = true, waiting = false, streaming = false, charged = false;
         std::vector<Attempt> attempts;
-        bool any_out() const {
-            return std::any_of(attempts.begin(), attempts.end(), [](const Attempt &a) { return a.out; });
-        }
+        bool any_out() const { return std::ranges::any_of(attempts, &Attempt::out); }
         const Attempt *first_ran() const {
-            const auto it =
-                std::find_if(attempts.begin(), attempts.end(), [](const Attempt &a) { return a.ran; });
+            const auto it = std::ranges::find_if(attempts, &Attempt::ran);
             return it == attempts.end() ? nullptr : &*it;
         }
     };
@@ -149,6 +146,7 @@
     std::uint64_t random;
     Micros now = 0, born = kNever, ask_wait = kAskAgain, limited_at = kNever;
     bool listless = false, retired = false;
+    std::size_t wait_here = 0;                 // requests
     std::map<VolumeId, Legacy::Store> bequest; // of stores, by a predecessor
     std::vector<Action> *acts = nullptr;
     std::map<RequestId, Request> requests;
@@ -206,8 +204,7 @@
 
     void start() {
         born = now;
-        tightest = set.classes.front().aim;
-        for (const ClassSettings &c : set.classes) tightest = std::min(tightest, c.aim);
+        tightest = std::ranges::min(set.classes, {}, &ClassSettings::aim).aim;
         agenda.emplace(now + kHousekeeping, Due::Sweep, 0);
         if (set.ask_for_list) act(WatchList{true});
     }
@@ -401,9 +398,8 @@
         for (const auto &out : node.out) {
             const Request &r = requests.at(out.first);
             const Micros sent = r.attempts[out.second].sent;
-            const Micros overdue = sent + r.cls->aim;
             oldest = std::min(oldest, sent);
-            next = std::min(next, overdue);
+            next = std::min(next, sent + r.cls->aim);
         }
         if (next < now) {
             rebound(node);
@@ -431,8 +427,7 @@
         const PlanSettings &plan = set.plans[in.plan];
         const auto [it, fresh] = volumes.try_emplace(in.volume);
         Volume &v = it->second;
-        const double part = 1.0 / std::max(1, std::max(in.hosts, 1));
-        const double most = set.most_units;
+        const double part = 1.0 / std::max(1, in.hosts), most = set.most_units;
         const auto left = bequest.extract(in.volume);
         if (fresh || left) v.stamp = now;
         if (fresh) v.reserve = (plan.reserve + most) * part, v.share = share_rate(plan) * part;
@@ -488,6 +483,7 @@
         end_at(r);
         enqueue(r);
         if (now >= r.end) give_up(r);
+        if (set.most_held > 0 && wait_here > set.most_held) shed();
     }
 
     // The end of a request. What was never sent is answered while the client has time to do something about
@@ -531,7 +527,7 @@
         double least = 1e18;
         for (const auto &[id, node] : nodes) {
             if (!node.usable) continue;
-            const double load =
+            const auto load =
                 static_cast<double>(node.out.size() + shards.at(node.entry.shard).waiting.size());
             const double mean = kTarget / 2 + (node.mean() - kTarget / 2) * decay(node.stamp, now, kFades);
             const double cost =
@@ -543,12 +539,12 @@
 
     bool ordered(const Request &r) const { return r.cls->in_order && !r.cls->stream && r.in.key; }
     void enqueue(Request &r) {
-        r.waiting = true;
+        r.waiting = true, ++wait_here;
         shards[r.shard].waiting.push_back(&r);
         touched.insert(r.shard);
     }
     void dequeue(Request &r) {
-        if (r.waiting) std::erase(shards[r.shard].waiting, &r);
+        if (r.waiting) std::erase(shards[r.shard].waiting, &r), --wait_here;
         r.waiting = false;
     }
 
@@ -557,11 +553,21 @@
         return now + static_cast<Micros>(kReach * usual) <= r.due;
     }
 
+    double worth(const Request &r, bool timely) const {
+        return r.cls->worth * r.plan->price * (timely ? r.tier : set.spare_worth * r.cls->late_worth);
+    }
     // Worth a unit of work, in bands; higher goes first.
     double band(const Request &r, const Node &node, bool timely) const {
-        double worth = r.cls->worth * r.plan->price * (timely ? r.tier : set.spare_worth * r.cls->late_worth);
-        if (r.in.key && node.last_key == r.in.key && r.attempts.empty()) worth *= kRepeatGain;
-        return std::floor(kBands * std::log2(std::max(worth, 1e-9)));
+        const bool repeat = r.in.key && node.last_key == r.in.key && r.attempts.empty();
+        return std::floor(kBands * std::log2(std::max(worth(r, timely) * (repeat ? kRepeatGain : 1), 1e-9)));
+    }
+    // Each client that waits here holds a connection, which may be missing to one with better work: beyond
+    // what may be held the least worth goes at once, the latest due first.
+    void shed() {
+        const auto rank = [&](const auto &r) { // some do wait
+            return std::tuple(!r.second.waiting, worth(r.second, now <= r.second.due), -r.second.due);
+        };
+        give_up(std::ranges::min_element(requests, {}, rank)->second);
     }
 
     // Work of less worth must not displace better work that this host cannot see. L tells of the others'
@@ -652,19 +658,19 @@
 
     bool may_send(const Request &r, const Node &node) const {
         if (r.any_out() || static_cast<int>(r.attempts.size()) >= set.max_attempts) return false;
-        if (const Attempt *ran = r.first_ran()) {
-            if (r.cls->effect == Effect::Unsafe) return false;
-            if (r.cls->effect == Effect::Keyed && !same_group(r, *ran, node)) return false;
-        }
+        const Attempt *const ran = r.first_ran(); // a repeat is for those whose class allows it there
+        if (ran && r.cls->effect != Effect::Safe &&
+            (r.cls->effect == Effect::Unsafe || !same_group(r, *ran, node)))
+            return false;
         return cold_layer(node, r.in.units) >= 0 && limit_allows(r) && budget_allows(r) && turn(r);
     }
     bool same_group(const Request &r, const Attempt &ran, const Node &node) const {
         if (now >= ran.sent + r.cls->repeat_window) return false;
         if (r.cls->group == Group::All || ran.node == node.id) return true;
         const auto first = nodes.find(ran.node);
-        if (first == nodes.end()) return false;
-        return r.cls->group == Group::Zone ? first->second.entry.zone == node.entry.zone
-                                           : first->second.entry.shard == node.entry.shard;
+        return first != nodes.end() &&
+               (r.cls->group == Group::Zone ? first->second.entry.zone == node.entry.zone
+                                            : first->second.entry.shard == node.entry.shard);
     }
     bool may_refuse(const Request &r) const {
         return r.cls->effect == Effect::Safe || !r.first_ran() ||
@@ -745,13 +751,10 @@
 
     void heed(const Request &r, const AttemptEnded &e) { // what the answer tells of the volume
         Volume &v = account(r.in);
-        const double span = kAccount / 1e6;
         if (e.status == Status::Ok) v.own += r.in.units;
         if (set.tells_elsewhere && e.status == Status::Ok) v.told = true, v.others += e.elsewhere;
-        if (e.used > 0) {
-            v.told = true;
-            v.others = std::max(0.0, (e.used - 1) / 100.0 * r.plan->rate * span - v.own);
-        }
+        const double all = (e.used - 1) / 100.0 * r.plan->rate * kAccount / 1e6; // of those over kAccount
+        if (e.used > 0) v.told = true, v.others = std::max(0.0, all - v.own);
     }
 
     void again(Request &r, Status status) {
@@ -781,10 +784,7 @@
     }
 
     void give_up(Request &r) {
-        if (may_refuse(r))
-            act(Refuse{r.id, come_back(r)});
-        else
-            act(Fail{r.id});
+        may_refuse(r) ? act(Refuse{r.id, come_back(r)}) : act(Fail{r.id});
         close(r);
         if (set.cancel)
             for (std::size_t k = 0; k < r.attempts.size(); ++k)
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -681,6 +681,32 @@
     EXPECT_EQ(b.refused.size(), 1u);
 }
 
+// manila-store, upgrade+hand+scrape: one volume's surge waited for 0.3 of its clients' time on every
+// connection that clients had, and 1,265 requests of others found none.
+TEST(Queue, BeyondWhatMayBeHeldTheLeastWorthIsRefusedAtOnce) {
+    Settings s = basic();
+    s.spare_worth = 0.1;
+    s.most_held = 2;
+    Bench b(s);
+    const RequestId one = b.ask(0), two = b.ask(0); // out: the bound's places are taken
+    const RequestId first = b.ask(0), second = b.ask(0);
+    EXPECT_TRUE(b.refused.empty());
+    b.run(10 * kMs);
+    const RequestId third = b.ask(0); // worth as much, due last
+    ASSERT_EQ(b.refused, std::vector{third});
+    for (int k = 0; k < 30; ++k) b.ask(0, 0, 4); // spends the volume's reserve and share
+    EXPECT_EQ(b.refused.size(), 31u);
+    EXPECT_FALSE(Bench::has(b.refused, first) || Bench::has(b.refused, second));
+    b.end(one), b.end(two);
+    EXPECT_EQ(b.tries(first) + b.tries(second), 2u);
+    const RequestId spare = b.ask(0, 0, 4), more = b.ask(0, 0, 4);
+    b.volume = 2;
+    const RequestId dear = b.ask(0); // within its reserve: one of what is beyond goes for it
+    EXPECT_FALSE(Bench::has(b.refused, dear));
+    EXPECT_TRUE(Bench::has(b.refused, spare) || Bench::has(b.refused, more));
+    EXPECT_LE(b.scheduler.held().requests, s.most_held + 2); // and what is out
+}
+
 TEST(Queue, EveryRequestIsAnsweredBeforeItsDeadline) {
     Bench b(basic(), 0); // no node at all
     const RequestId id = b.ask(0);
