Serve on after SIGTERM until shortly before the end may be forced

Each restarted broker ended 0.65 s after SIGTERM and was started again 4.38 s after it whenever it ended. Ruled out: refusals (0% to 2%), the connections' budget (0 not taken). Wrong: kServeOn in clients.cpp, a fixed 0.65 s.

A drain now goes on until 0.55 s before the end may be forced (the longest deadline, at most 3 s, and 0.7 s); what is taken in it has its answer before that, and idle connections are neither thinned out nor let go, since their clients can't come anew. a_planned_end_serves_until_it_may_be_forced fails without it.

--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -31,6 +31,11 @@
 
 constexpr Micros kLook = 1'000;  // us between looks at what is still to go over to a successor
 constexpr int kLinkSockets = 32; // descriptors for brokers and keeper, where there are cells
+// After SIGTERM the end is forced no sooner than the longest deadline, counted as kLongest at the most, and
+// kGrace more. What is answered by then is not lost: requests are taken until shortly before.
+constexpr Micros kLongest = 3'000'000, kGrace = 700'000;
+constexpr Micros kSpare = 150'000; // us of it that are left unused
+constexpr Micros kLetGo = 400'000; // us before that end at which connections are let go, between requests
 // One descriptor in so many is for a client whose request waits here. Clients have a third of them or more,
 // and at a handover two processes hold requests.
 constexpr std::size_t kHeldSockets = 8;
@@ -351,8 +356,12 @@
         const auto done = [&, left = std::make_shared<int>(nvme_clients ? 2 : 1)] {
             if (--*left == 0) stop();
         };
-        clients.drain(done);
-        if (nvme_clients) nvme_clients->drain(done);
+        Micros longest = 0;
+        for (const ClassSettings &c : config.settings.classes) longest = std::max(longest, c.deadline);
+        const Micros end = clock.now() + std::min(longest, kLongest) + kGrace - kSpare;
+        for (const auto &planner : planners) planner->end_by(end);
+        clients.drain(end - kLetGo, done);
+        if (nvme_clients) nvme_clients->drain(end - kLetGo, done);
     });
     io.run();
     core::log("ended");
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -42,8 +42,8 @@
     // It arrives. What the network and this process have eaten of the client's time is gone.
     RequestArrived arrived = life->request->facts;
     arrived.id = life->id;
-    arrived.time_left =
-        std::max<Micros>(life->request->sent + life->request->wait - deadlines_.clock.now(), 0);
+    life->until = std::min(life->request->sent + life->request->wait, end_by_);
+    arrived.time_left = std::max<Micros>(life->until - deadlines_.clock.now(), 0);
     tell(arrived);
 
     // The module says what is done, and learns how it went, until it has no more interest in the request.
@@ -54,7 +54,7 @@
             out->request = life->request;
             out->node = send->node;
             out->started = deadlines_.clock.now();
-            out->expires = send->expires > 0 ? send->expires : life->request->sent + life->request->wait;
+            out->expires = send->expires > 0 ? send->expires : life->until;
             out->may_write = [this, life = life.get(), node = out->node, until = out->expires] {
                 return may_write(*life, node, until);
             };
--- a/src/core/planner.hpp
+++ b/src/core/planner.hpp
@@ -57,6 +57,9 @@
     Legacy legacy(std::optional<VolumeId> only = {}) const { return scheduler_.legacy(only); }
     void inherit(const Legacy &legacy) { tell(legacy); }
     void retire(bool on) { tell(Retire{on}); }
+    // The program ends then: a request that is taken from now on has its answer by that time, whatever its
+    // client would wait.
+    void end_by(Micros time) { end_by_ = time; }
     // Whether the node is on the list, or anything is out there.
     bool knows(NodeId node) const { return scheduler_.bound(node).has_value(); }
     bool avoids(NodeId node) const { return scheduler_.avoids(node); }
@@ -84,6 +87,7 @@
         std::vector<std::shared_ptr<Attempt>> attempts;
         std::shared_ptr<Attempt> streamed; // whose value is being passed on, until that has ended
         std::size_t out = 0;
+        Micros until = 0; // when its time is up
         Mailbox<Step> steps;
         Memory::Share held;
     };
@@ -115,6 +119,7 @@
     bool telling_ = false;
     std::uint64_t next_id_ = 1, next_timer_ = 1;
     std::size_t answers_ = 0;
+    Micros end_by_ = INT64_MAX;
 };
 
 // Where a front hands its requests: who takes one is the wiring's business.
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -10,7 +10,6 @@
 constexpr Micros kRest = 10'000;      // us before the next accept after a failed one
 constexpr Micros kStillComing =
     250'000; // us without a new connection after which, at a drain without clients, none is awaited
-constexpr Micros kServeOn = 650'000;      // us for which a drain serves as before
 constexpr Micros kFrontMoves = 1'000'000; // us from quiescing until clients' connections are closed
 constexpr Micros kAwayAgain = 100'000;    // us between looks at who has come since
 
@@ -85,6 +84,7 @@
     client->asked = early.asked;
     client->early = std::move(early);
     client->pass = pass_;
+    client->staying = done_ != nullptr;
     asio::co_spawn(io_, serve(client), asio::detached);
     thin_out();
 }
@@ -144,8 +144,9 @@
         ++kept;
         if (client.idle() && (!first || client.used < first->used)) first = &client;
     }
-    // At a handover a connection closed as its next request comes would turn that back.
-    if (kept < budget_.most_kept() || !first || budget_.shared()) return;
+    // At a handover a connection closed as its next request comes would turn that back; at a drain its client
+    // could not come again.
+    if (kept < budget_.most_kept() || !first || budget_.shared() || done_) return;
     first->closing = true;
     if (first->nudge) first->nudge();
 }
@@ -161,9 +162,14 @@
     if (done_ && clients_.empty() && !acceptor_.is_open()) std::exchange(done_, nullptr)();
 }
 
-void Clients::drain(std::function<void()> done) {
+void Clients::drain(Micros until, std::function<void()> done) {
     done_ = std::move(done);
-    drain_from_ = last_new_ = deadlines_.clock.now();
+    drain_until_ = until;
+    last_new_ = deadlines_.clock.now();
+    for (Client &client : clients_) {
+        client.staying = true;
+        if (client.nudge) client.nudge();
+    }
     drain_turn();
 }
 
@@ -185,9 +191,8 @@
 void Clients::drain_turn() {
     const Micros now = deadlines_.clock.now();
     // Clients go on using what connections they have for as long as those are open, and cannot know of a
-    // broker that has gone. A request that is taken in this time has the whole of its own before the end is
-    // forced.
-    if (now - drain_from_ < kServeOn && (!clients_.empty() || now - last_new_ < kStillComing)) {
+    // broker that has gone.
+    if (now < drain_until_ && (!clients_.empty() || now - last_new_ < kStillComing)) {
         look_ = deadlines_.in(kRest, [this] { drain_turn(); });
         return;
     }
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -31,6 +31,7 @@
     std::size_t owed = 0;             // requests taken on it and not yet answered whole
     bool partial = false;             // part of a request has come
     bool closing = false;             // takes no more
+    bool staying = false;             // may be idle: this broker drains, and it could not come again
     std::function<void()> nudge;      // set by the front: look at `closing` and `pass`
     std::function<void(Passed)> pass; // set while connections are handed to another process
     Passed early;                     // what came with it from there
@@ -53,9 +54,9 @@
 
     Clients(asio::io_context &io, core::Deadlines &deadlines, SocketBudget &budget, tcp::acceptor acceptor,
             Front front);
-    // At a planned end: serves on for a while, new connections too, then lets all go between requests. `done`
-    // is called once none is left.
-    void drain(std::function<void()> done);
+    // At a planned end: serves on until the time given, new connections too, then lets all go between
+    // requests. `done` is called once none is left.
+    void drain(Micros until, std::function<void()> done);
     // Sends all away between requests once those who direct clients have had time to turn to others, or stops
     // doing so. New ones are still taken, and served.
     void quiesce(bool on);
@@ -86,7 +87,7 @@
     std::function<void(Passed)> pass_;
     bool paused_ = false;
     core::Mailbox<bool> resumed_;
-    Micros drain_from_ = 0, last_new_ = 0;
+    Micros drain_until_ = 0, last_new_ = 0;
     core::Deadlines::Entry look_, away_;
 };
 
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -90,7 +90,7 @@
     if (over_) return;
     if (client_.partial)
         patience_ = deadlines_.at(since_ + kWholeWithin, [this] { stop_reading("it does not come whole"); });
-    else if (client_.idle() && (!client_.asked || idle > 0))
+    else if (client_.idle() && (!client_.asked || (idle > 0 && !client_.staying)))
         patience_ =
             deadlines_.at(client_.asked ? client_.used + idle : client_.accepted + kAskWithin, [this] {
                 client_.closing = true;
--- a/tests/resp_test.cpp
+++ b/tests/resp_test.cpp
@@ -216,6 +216,38 @@
     assert(program.exit_code() == 0);
 }
 
+// Clients can't come anew to a broker that is ending: what connections they have are kept, idle or not, and
+// served until shortly before the end may be forced (here 3.2 s after SIGTERM); what is taken last has its
+// answer by then.
+void a_planned_end_serves_until_it_may_be_forced() {
+    RespNode node([](const auto &words, int) {
+        if (words[1] == "00000000000000aa") std::this_thread::sleep_for(4s);
+        return RespNode::served("v");
+    });
+    const Discovery discovery(member("s-1", node.server.port, 0));
+    Program program(discovery);
+    Socket busy = program.client(), idle = program.client(), last = program.client();
+    for (Socket *s : {&busy, &idle, &last}) {
+        s->send(get(kPiece));
+        assert(s->value()->text == "v");
+    }
+    const auto from = std::chrono::steady_clock::now();
+    program.signal(SIGTERM);
+    for (int n = 1; n <= 4; ++n) {
+        std::this_thread::sleep_until(from + n * 500ms);
+        busy.send(get(kPiece));
+        assert(busy.value()->text == "v");
+    }
+    std::this_thread::sleep_until(from + 2200ms);
+    idle.send(get(kPiece));
+    assert(idle.value()->text == "v");
+    last.send(get("00000000000000aa", 0, 1500)); // it would wait until 3.7 s
+    const auto answer = last.value();
+    assert(answer && answer->text.starts_with("BUSY"));
+    assert(idle.ended() && busy.ended() && last.ended() && program.exit_code() == 0);
+    assert(std::chrono::steady_clock::now() - from < 3600ms);
+}
+
 void more_clients_than_sockets_are_survived() {
     RespNode node([](const auto &, int) { return RespNode::served("v"); });
     const Discovery discovery(member("s-1", node.server.port, 0));
@@ -479,6 +511,7 @@
     a_client_that_leaves_harms_nobody();
     a_planned_end_answers_all_it_took();
     a_planned_end_serves_the_connections_in_use();
+    a_planned_end_serves_until_it_may_be_forced();
     more_clients_than_sockets_are_survived();
     a_reload_moves_to_another_discovery();
     silent_and_half_messages_get_an_end();
