--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -80,7 +80,8 @@
         "properties": {
           "at": {"type": "number", "minimum": 0},
           "length": {"type": "number", "minimum": 0},
-          "what": {"enum": ["kill-keeper", "stop-keeper", "stop-broker", "restart-broker", "drain-cell", "restart-node",
+          "what": {"enum": ["kill-keeper", "stop-keeper", "stop-broker", "restart-broker", "drain-cell", "drain-node",
+                            "restart-node", "silence-lists",
                             "pause-node", "move-surging"]},
           "cell": {"type": "integer", "minimum": 0},
           "index": {"type": "integer", "minimum": 0}
@@ -97,6 +98,14 @@
         "to": {"type": "number", "minimum": 0}
       }
     },
+    "lists": {
+      "type": "object",
+      "additionalProperties": false,
+      "properties": {
+        "late_from": {"type": "number", "minimum": 0, "maximum": 30},
+        "late_to": {"type": "number", "minimum": 0, "maximum": 30}
+      }
+    },
     "compare_without": {"type": "array", "items": {"enum": ["surges", "faults", "moves"]}},
     "checks": {
       "type": "array",
@@ -137,6 +146,8 @@
     e.cells = count(top, "cells", e.cells), e.brokers = count(top, "brokers", e.brokers);
     e.nodes = count(top, "nodes", e.nodes), e.spread = count(top, "spread", e.spread);
     e.forward = flag_or(top, "forward", true);
+    e.list_least = number(root["lists"], "late_from", 0), e.list_most = number(root["lists"], "late_to", 0);
+    if (e.list_most < e.list_least) throw Error("field 'lists': 'late_to' is before 'late_from'");
     if (root.isMember("node")) {
         const Json::Value &n = root["node"];
         e.node = {count(n, "cores", e.node.cores),          number(n, "unit_ms", e.node.unit_ms),
@@ -168,6 +179,8 @@
     }
     e.settings = root["settings"];
     const Settings settings = read_settings(e.settings, 0);
+    if (settings.ask_for_list && e.list_most > 0)
+        throw Error("field 'lists': only lists that are pushed come late");
     const auto has_plan = [&](const std::string &name) {
         for (const PlanSettings &p : settings.plans)
             if (p.name == name) return;
--- a/src/lab/experiment.hpp
+++ b/src/lab/experiment.hpp
@@ -35,8 +35,9 @@
 
 struct Fault {
     double at = 0, length = 0;
-    // kill-keeper, stop-keeper, stop-broker, restart-broker, drain-cell, restart-node, pause-node;
-    // move-surging: the first surge's volume moves to `cell`
+    // kill-keeper, stop-keeper, stop-broker, restart-broker, drain-cell, drain-node, restart-node,
+    // pause-node; silence-lists: discovery takes calls and answers none; move-surging: the first surge's
+    // volume moves to `cell`
     std::string what;
     int cell = 0, index = 0;
 };
@@ -51,6 +52,7 @@
     double seconds = 10, settle = 5; // of load; before the first of it that counts
     int cells = 3, brokers = 2, nodes = 2, spread = 2;
     bool forward = true;
+    double list_least = 0, list_most = 0; // until a change reaches a broker's agent, where lists are pushed
     NodeModel node;
     std::vector<VolumeKind> volumes;
     std::vector<Surge> surges;
--- a/src/lab/node.cpp
+++ b/src/lab/node.cpp
@@ -109,6 +109,7 @@
     std::uint64_t number = 0;
     std::from_chars(volume.data(), volume.data() + volume.size(), number, 16);
     cold_.sent(now, units);
+    if (draining_ && drain_told_ > 0 && now > drain_told_) ++after_drain_;
     around_.taken(words[2].text, number, units);
     const std::string done = write ? "OK" : "v:" + words[1].text;
     const std::string good = fmt::format("*3\r\n${}\r\n{}\r\n$-1\r\n$-1\r\n", done.size(), done);
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -22,6 +22,7 @@
 
 constexpr Micros kPatience = 300'000; // us beyond a client's time, after which no answer comes any more
 constexpr Micros kKeepIdle = 1'500'000;
+constexpr Micros kOnItsWay = 50'000; // us from a broker's decision to its node
 constexpr int kMostTries = 6;
 
 Micros micros(double seconds) { return static_cast<Micros>(seconds * 1e6); }
@@ -98,8 +99,9 @@
     map_.spread = e.spread;
     keys_.resize(static_cast<std::size_t>(e.cells));
     keeper_link_ = free_port(), keeper_control_ = free_port();
-    discovery_.emplace(io_, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-    discovery_port_ = discovery_->local_endpoint().port();
+    lists_.emplace(io_, deadlines_,
+                   Lists::Model{!settings_.ask_for_list, micros(e.list_least), micros(e.list_most)},
+                   static_cast<std::size_t>(e.cells * e.brokers), stream(seed_, 6)());
     for (int c = 0; c < e.cells; ++c) {
         cells::Cell cell{fmt::format("c{}", c), e.node.capacity() * e.nodes, {}, {}, false, false};
         for (int b = 0; b < e.brokers; ++b) {
@@ -214,12 +216,15 @@
     keeper_.command = {program, "keeper", "--operator", operators};
     keeper_.log = folder_ / "keeper.log";
     std::map<int, int> position;
-    for (Broker &broker : brokers_) {
+    for (std::size_t number = 0; number < brokers_.size(); ++number) {
+        Broker &broker = brokers_[number];
         Json::Value c;
         c["name"] = broker.name;
         c["listen"] = fmt::format("127.0.0.1:{}", broker.port);
-        c["discovery"] = fmt::format("127.0.0.1:{}", discovery_port_);
+        c["discovery"] = fmt::format("127.0.0.1:{}", lists_->port(number));
         c["seed"] = fmt::format("{:x}", stream(seed_, 4, static_cast<std::uint32_t>(broker.port))());
+        c["known"] =
+            config::parse(R"({"revision":1,"complete":true,"members":[)" + listed() + "]}"); // as last heard
         c["limits"]["sockets"] = 1024;
         c["limits"]["memory_mb"] = 192;
         c["settings"] = experiment_.settings;
@@ -239,7 +244,18 @@
             R"({}{{"id":"{}","host_port":"127.0.0.1:{}","locality":"a","cell":0,"phase":"{}","up_since_ms":{}}})",
             n ? "," : "", nodes_[n]->name(), nodes_[n]->port(), nodes_[n]->draining() ? "draining" : "up",
             nodes_[n]->up_since() / 1000);
-    return fmt::format(R"({{"revision":{},"complete":true,"members":[{}]}})", revision_, members);
+    return members;
+}
+
+void World::changed() {
+    // Grace as the rule says, and what the way there takes.
+    const Micros grace = settings_.drain_grace + kOnItsWay;
+    std::vector<std::pair<EmulatedNode *, int>> drains;
+    for (const auto &node : nodes_)
+        if (node->draining()) drains.emplace_back(node.get(), node->drains());
+    lists_->change(listed(), [grace, drains = std::move(drains)] {
+        for (const auto &[node, drain] : drains) node->told_of_drain(drain, grace);
+    });
 }
 
 asio::awaitable<void> World::rest(Micros length) {
@@ -248,35 +264,6 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
-asio::awaitable<void> World::discovery() {
-    for (;;) {
-        auto socket = std::make_shared<tcp::socket>(co_await discovery_->async_accept(asio::use_awaitable));
-        asio::co_spawn(io_, discover(std::move(socket)), asio::detached);
-    }
-}
-asio::awaitable<void> World::discover(std::shared_ptr<tcp::socket> socket) {
-    std::string in;
-    boost::system::error_code error;
-    while (!error) {
-        const std::size_t end = in.find("\r\n\r\n");
-        if (end == std::string::npos) {
-            error = co_await net::read_more(*socket, in);
-            continue;
-        }
-        const std::string head = in.substr(0, end);
-        in.erase(0, end + 4);
-        if (const std::size_t since = head.find("since="); since != std::string::npos) {
-            const int seen = std::atoi(head.c_str() + since + 6);
-            for (int n = 0; n < 1000 && revision_ <= seen; ++n) co_await rest(20'000);
-        }
-        const std::string body = listed();
-        const std::string out =
-            fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", body.size(), body);
-        co_await asio::async_write(*socket, asio::buffer(out),
-                                   asio::redirect_error(asio::use_awaitable, error));
-    }
-}
-
 asio::awaitable<std::optional<std::pair<int, std::string>>>
 World::keeper(std::string method, std::string path, std::string body) {
     tcp::socket socket(io_);
@@ -467,6 +454,15 @@
             if (reply && reply->first == 200) break;
             co_await rest(200'000);
         }
+    } else if (f.what == "drain-node") {
+        node(f.index).drain(true);
+        changed();
+        co_await rest(micros(f.length));
+        node(f.index).restart(0);
+        node(f.index).drain(false);
+        changed();
+    } else if (f.what == "silence-lists") {
+        lists_->silence(micros(f.length));
     } else if (f.what == "restart-node") {
         node(f.index).restart(micros(f.length));
         changed();
@@ -513,7 +509,7 @@
 }
 
 asio::awaitable<void> World::play() {
-    asio::co_spawn(io_, discovery(), asio::detached);
+    lists_->start(listed());
     for (auto &node : nodes_) node->start();
     keeper_.start();
     for (Broker &broker : brokers_) broker.process.start();
@@ -550,6 +546,9 @@
     double cold = 0;
     for (const auto &node : nodes_) cold = std::max(cold, node->cold_worst());
     metrics_["cold.worst"] = cold;
+    double late_sends = 0;
+    for (const auto &node : nodes_) late_sends += node->sent_after_drain();
+    metrics_["drain.late"] = late_sends;
     // What the keeper says, once it has no move under way; a move whose broker was killed may take a while.
     for (int n = 0; n < 200; ++n) {
         co_await rest(100'000);
--- a/src/lab/world.hpp
+++ b/src/lab/world.hpp
@@ -4,6 +4,7 @@
 
 #include "cells/map.hpp"
 #include "core/deadlines.hpp"
+#include "lab/lists.hpp"
 #include "lab/oracle.hpp"
 #include "net/resp/parser.hpp"
 #include "net/sockets.hpp"
@@ -34,7 +35,13 @@
     EmulatedNode(asio::io_context &io, core::Deadlines &deadlines, std::string name, const NodeModel &model,
                  Micros fall_window, std::uint64_t seed, Surroundings around);
     void start();
-    void drain(bool on) { draining_ = on; }
+    void drain(bool on) { draining_ = on, drain_told_ = 0, drains_ += on; }
+    // Every broker has been told of this drain. What still comes after `grace` is counted.
+    void told_of_drain(int drain, Micros grace) {
+        if (draining_ && drain == drains_ && drain_told_ == 0) drain_told_ = deadlines_.clock.now() + grace;
+    }
+    int drains() const { return drains_; } // so far
+    int sent_after_drain() const { return after_drain_; }
     void pause(Micros length);
     // Ends all connections, answers nothing for this long, then is cold.
     void restart(Micros down);
@@ -64,7 +71,8 @@
     std::list<tcp::socket> clients_;
     int held_ = 0;
     bool draining_ = false;
-    Micros down_until_ = 0, paused_until_ = 0, up_since_ = 0;
+    Micros down_until_ = 0, paused_until_ = 0, up_since_ = 0, drain_told_ = 0;
+    int after_drain_ = 0, drains_ = 0;
     std::uint64_t generation_ = 0;
 };
 
@@ -111,9 +119,7 @@
     void draw();
     void write_settings();
     std::string listed() const;
-    void changed() { ++revision_; }
-    asio::awaitable<void> discovery();
-    asio::awaitable<void> discover(std::shared_ptr<tcp::socket> socket);
+    void changed();
     asio::awaitable<void> play();
     asio::awaitable<bool> ready();
     asio::awaitable<void> request(const Drawn &drawn);
@@ -140,8 +146,8 @@
     cells::Map map_;
     std::vector<Broker> brokers_;
     Process keeper_;
-    int keeper_link_ = 0, keeper_control_ = 0, discovery_port_ = 0;
-    std::optional<tcp::acceptor> discovery_;
+    int keeper_link_ = 0, keeper_control_ = 0;
+    std::optional<Lists> lists_;
     std::vector<std::map<std::string, Micros>> keys_; // by cell
     std::vector<std::unique_ptr<EmulatedNode>> nodes_;
     std::vector<Volume> volumes_;
@@ -150,7 +156,7 @@
     std::unordered_set<std::string> charged_; // ids that have reached a node
     std::optional<Oracle> oracle_;
     Micros start_ = 0;
-    int revision_ = 1, open_ = 0, moves_refused_ = 0, moves_lost_ = 0, busy_ = 0;
+    int open_ = 0, moves_refused_ = 0, moves_lost_ = 0, busy_ = 0;
     double completed_before_ = 0, undone_before_ = 0; // by keepers that were killed
     std::uint64_t last_id_ = 0;
     std::map<std::string, double> metrics_;
