--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -146,7 +146,9 @@
     e.cells = count(top, "cells", e.cells), e.brokers = count(top, "brokers", e.brokers);
     e.nodes = count(top, "nodes", e.nodes), e.spread = count(top, "spread", e.spread);
     e.forward = flag_or(top, "forward", true);
-    e.list_least = number(root["lists"], "late_from", 0), e.list_most = number(root["lists"], "late_to", 0);
+    if (root.isMember("lists"))
+        e.list_least = number(root["lists"], "late_from", 0),
+        e.list_most = number(root["lists"], "late_to", 0);
     if (e.list_most < e.list_least) throw Error("field 'lists': 'late_to' is before 'late_from'");
     if (root.isMember("node")) {
         const Json::Value &n = root["node"];
