Deal cold nodes' turns in src/overload and hand them on between brokers by datagram

The cold deal moves from policy.cpp to overload::ColdTurns, with the bound it promises in its header. A broker that is denied asks a holder, known from clock and places; a holder with nothing queued for the node gives its turn away, counts it as spent, and the gift is good for 4 slots within the turn's own time, once, for the call it names. A fresh instance waits those slots longer. Where hosts talk a turn is held 12 slots, not 32. Nodes are named by a hash of their id. Layer 1 is dealt only where the list tells the start, as the bound says; the code dealt it by a seen start too. Off where peers may not talk, where peers and hosts differ in number, or with several planners.

--- a/include/marblewood/scheduler.hpp
+++ b/include/marblewood/scheduler.hpp
@@ -110,8 +110,9 @@
     ShardId shard{};
     ZoneId zone{};
     NodeState state = NodeState::Ready;
-    Micros started = 0;    // 0: long ago
-    bool returned = false; // put back by hand: it may have started just now, unseen
+    Micros started = 0;      // 0: long ago
+    bool returned = false;   // put back by hand: it may have started just now, unseen
+    std::uint64_t named = 0; // the node, by a number that all hosts have for it, from its id
 };
 
 // Events.
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -141,6 +141,9 @@
         own.hosts = config.settings.hosts * added.planners;
         own.position = config.settings.position * added.planners + n;
         own.seed = config.settings.seed + static_cast<std::uint64_t>(n) * 0x9e3779b97f4a7c15;
+        // Hosts that talk are numbered as the peers are: not where several decide in one process.
+        own.peers = config.settings.peers && added.planners == 1 && !config.peer_listen.empty() &&
+                    config.peers.size() == static_cast<std::size_t>(config.settings.hosts);
         own.most_held =
             std::max<std::size_t>(4, static_cast<std::size_t>(sockets / added.planners) / kHeldSockets);
         planners.push_back(std::make_unique<core::Planner>(io.get_executor(), deadlines, memory, figures, own,
--- a/src/config/decode.cpp
+++ b/src/config/decode.cpp
@@ -1,5 +1,7 @@
 #include "config/decode.hpp"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
 #include <memory>
@@ -167,7 +169,9 @@
 
 NodeEntry read_entry(const Json::Value &row, const EntryWords &words, Names &nodes, Names &zones) {
     NodeEntry entry;
-    entry.node = NodeId{nodes.number(need_text(row, words.id))};
+    const std::string id = need_text(row, words.id);
+    entry.node = NodeId{nodes.number(id)};
+    entry.named = XXH3_64bits(id.data(), id.size());
     entry.zone = ZoneId{zones.number(text_or(row, words.zone, ""))};
     entry.shard = ShardId{integer_or(row, words.cell, 0)};
     entry.state = word(words.states, need_text(row, words.state), words.state);
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -1,6 +1,7 @@
 // marblewood: every decision, in five parts: nodes, bound, queue, attempts, guards.
 // Interface (settings, events, actions): include/marblewood/scheduler.hpp. Reasons: docs/design.md.
 #include "marblewood/scheduler.hpp"
+#include "overload/cold_turns.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -33,9 +34,6 @@
 constexpr double kTrialAims = 1.5;     // aims after which a trial is given up
 constexpr int kOvertaken = 5;          // later ones served, after which an attempt older than
 constexpr double kLostAims = 0.5;      // this many aims was lost on its way
-constexpr int kSlots = 16;     // slots of a cold node's turns to a window; more waste less to rounding
-constexpr int kHold = 32;      // slots for which a turn stays good: a request is likelier to find it
-constexpr int kShardStep = 97; // hosts by which the turns of neighbouring shards are apart
 constexpr Micros kAskAgain = 1'000'000; // us, first wait after a failed call for the list; doubles to 8
 
 // Queue.
@@ -99,8 +97,7 @@
             return it == attempts.end() ? nullptr : &*it;
         }
     };
-    using Spent = Legacy::Spent;
-    struct Node {
+    struct Node : overload::ColdNode {
         NodeId id{};
         NodeEntry entry;
         bool usable = false; // listed as ready
@@ -116,9 +113,7 @@
         // evidence.
         std::optional<LoadReport> report;
         Micros report_since = 0, probed = kNever, next_blind = kNever;
-        Micros cold_since = kNever, refused_at = kNever;
-        bool declared = false; // its start is the list's
-        std::deque<Spent> spent;
+        Micros refused_at = kNever;
         std::optional<DataKey> last_key;
         bool watched = false; // on the agenda for its overdue attempts
         double mean() const { return weight > 0 ? sum / weight : kTarget; }
@@ -140,10 +135,13 @@
         Micros rest = kNever;
     };
 
-    explicit State(const Settings &settings) : set(settings), random(settings.seed * 2 + 1) { validate(); }
+    explicit State(const Settings &settings) : set(settings), random(settings.seed * 2 + 1), turns(settings) {
+        validate();
+    }
 
     Settings set;
     std::uint64_t random;
+    overload::ColdTurns turns;
     Micros now = 0, born = kNever, ask_wait = kAskAgain, limited_at = kNever;
     bool listless = false, retired = false;
     std::size_t wait_here = 0;                 // requests
@@ -246,7 +244,7 @@
         node.id = entry.node;
         if (fresh || entry.shard != node.entry.shard || node.entry.state == NodeState::Gone) // left its shard
             place(node, entry.shard);
-        node.entry = entry;
+        node.entry = entry, node.named = entry.named, node.dealt = entry.shard;
         if (entry.returned) chill(node, now, false);
         if (entry.state != NodeState::Ready) {
             node.entry.started = before; // a start told meanwhile counts once it is ready
@@ -280,7 +278,6 @@
         node.declared = declared;
         log(name(node.id) + " started: held to its cold part");
     }
-    bool cold(const Node &node) const { return now - node.cold_since < set.warm_after; }
 
     void distrust(Node &node, const char *why) {
         if (!node.trusted) return;
@@ -649,6 +646,8 @@
             blind = false;
             Request *r = node ? pick(shard, *node) : nullptr;
             if (node && blind && !r) ask(*node);
+            if (node && !r && turns.cold(*node, now) && !retired)
+                if (auto call = turns.ask(*node, now, born, random + 1)) jitter(1), act(std::move(*call));
             if (!r) return;
             send(*r, *node);
         }
@@ -662,7 +661,8 @@
         if (ran && r.cls->effect != Effect::Safe &&
             (r.cls->effect == Effect::Unsafe || !same_group(r, *ran, node)))
             return false;
-        return cold_layer(node, r.in.units) >= 0 && limit_allows(r) && budget_allows(r) && turn(r);
+        return !(retired && turns.cold(node, now)) && turns.bears(node, r.in.units, now, born) &&
+               limit_allows(r) && budget_allows(r) && turn(r);
     }
     bool same_group(const Request &r, const Attempt &ran, const Node &node) const {
         if (now >= ran.sent + r.cls->repeat_window) return false;
@@ -688,7 +688,7 @@
         if (!r.attempts.empty() && set.budget_window > 0) further.push_back(now);
         if (!r.charged && r.plan->limit > 0) account(r.in).limit -= r.in.units;
         r.charged = true;
-        if (cold(node)) node.spent.push_back({now, r.in.units, cold_layer(node, r.in.units)});
+        turns.spend(node, r.in.units, now);
         if (r.tier < 1 || now > r.due) node.next_blind = now + kBlindGap / 2 + jitter(kBlindGap);
         node.out.emplace(r.id, static_cast<int>(r.attempts.size()));
         watch(node, now + r.cls->aim + 1);
@@ -820,64 +820,18 @@
     void on(const ClientLeft &e) {
         if (const auto it = requests.find(e.id); it != requests.end()) close(it->second), forget(e.id);
     }
-    void on(const PeerMessage &) {}
+    void on(const PeerMessage &e) { // of cold turns: a call for one of this host's, or one given to it
+        const auto word = turns.read(e.data);
+        const auto it = std::ranges::find_if(
+            nodes, [&](const auto &n) { return word && n.second.usable && n.second.named == word->node; });
+        if (it == nodes.end() || retired) return;
+        if (word->gift && turns.take(it->second, *word, now)) touched.insert(it->second.entry.shard);
+        if (!word->gift && shards[it->second.entry.shard].waiting.empty())
+            if (auto gift = turns.give(it->second, *word, e.from, now, born)) act(std::move(*gift));
+    }
 
     // ---- Guards ----
 
-    // Cold nodes. What all hosts together may send a node in any window W is at least C (the stated units),
-    // and from a declared start on C + E(t), growing as slowly as the settings allow. Layer 0 deals out C by
-    // the absolute clock, to hosts that know of the start in whatever way; layer 1 deals out E, counted one
-    // window late, by the listed start, to those whose list has it. So the sum holds whoever knows what. Each
-    // layer is dealt in parts (1 / hosts a window) where such a part holds a usual request of q units; else
-    // in turns: time is cut into slots of W/m, and slot k belongs to the hosts numbered [A(k), A(k+1)),
-    // modulo all, with q units each that stay good for h slots more, and A a running sum of
-    // (total - q) / ((m+2+h) q).
-    // Proof: a window touches m+1 slots, m+2 where clocks differ by up to a slot, and turns that began up to
-    // h slots before. Their hosts number at most A(k+m+2) - A(k-h) + 1 (rounding) <= (total - q) / q + 1 =
-    // total / q, so they send at most the total. Turns follow from the clock and the list alone: a restart
-    // changes none, and a fresh instance sends nothing to a cold node for a window, since its forerunner may
-    // just have. Between turns and parts lies an empty window.
-    double usual() const { return std::ceil(set.mean_units); }
-    double grown_a_slot() const { // how much E grows in a slot, at the least
-        return set.cold_units * (1 / set.cold_from - 1) * static_cast<double>(slot()) /
-               static_cast<double>(set.warm_after);
-    }
-    Micros slot() const { return std::max<Micros>(1, set.fall_window / kSlots); }
-    double total(const Node &node, int layer, Micros at) const {
-        if (layer == 0) return set.cold_units;
-        const Micros age = at - node.cold_since - set.fall_window;
-        return node.declared ? grown_a_slot() * std::max(0.0, static_cast<double>(age / slot() - 2)) : 0;
-    }
-    double turns(int layer, double k) const { // A(k): turns dealt before slot k
-        const double each = (kSlots + 2 + kHold) * usual();
-        if (layer == 0) return std::floor(k * std::max(0.0, set.cold_units - usual()) / each);
-        const double n = std::max(0.0, k - kSlots - 3 - std::ceil(usual() / grown_a_slot()));
-        return std::floor(grown_a_slot() * n * (n - 1) / 2 / each);
-    }
-    int cold_layer(const Node &node, double units) const { // the layer that bears a request; -1: none now
-        if (!cold(node) || set.fall_window <= 0) return 0;
-        if (retired || now - born < set.fall_window) return -1;
-        for (const int layer : {0, 1}) {
-            const double part = total(node, layer, now - set.fall_window) / set.hosts;
-            Micros from = now - set.fall_window;
-            double most = part;
-            if (part < usual()) {
-                if (total(node, layer, now) / set.hosts >= usual()) continue;
-                const Micros k = (layer == 0 ? now : now - node.cold_since) / slot();
-                const auto first = static_cast<std::int64_t>(turns(layer, static_cast<double>(k - kHold)));
-                const auto last = static_cast<std::int64_t>(turns(layer, static_cast<double>(k + 1)));
-                const auto mine = set.position + static_cast<std::int64_t>(node.entry.shard) * kShardStep;
-                if (((mine - first) % set.hosts + set.hosts) % set.hosts >= last - first) continue;
-                from = now - (kHold + 1) * slot();
-                most = usual();
-            }
-            for (const Spent &s : node.spent)
-                if (s.layer == layer && s.at >= from) most -= s.units;
-            if (units <= most) return layer;
-        }
-        return -1;
-    }
-
     bool limit_allows(const Request &r, double spare = 0) const { // spare: units to be left in the store
         if (r.charged || r.plan->limit <= 0) return true;
         const Volume &v = volumes.at(r.in.volume);
@@ -960,10 +914,7 @@
         agenda.emplace(now + kHousekeeping, Due::Sweep, 0);
         while (!taken.empty() && taken.front() <= now - set.budget_window) taken.pop_front();
         while (!further.empty() && further.front() < now - set.budget_window) further.pop_front();
-        for (auto &[id, node] : nodes)
-            while (!node.spent.empty() &&
-                   node.spent.front().at < now - (kHold / kSlots + 2) * set.fall_window)
-                node.spent.pop_front();
+        for (auto &[id, node] : nodes) turns.forget(node, now);
         std::erase_if(volumes, [&](const auto &v) { return !v.second.open && now - v.second.stamp > kIdle; });
         std::erase_if(shards,
                       [](const auto &s) { return s.second.nodes.empty() && s.second.waiting.empty(); });
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -359,6 +359,12 @@
         }
     }
 
+    // Datagrams between the hosts: per cent that are lost, doubled; and us until the latest comes.
+    void talk(int lost, int doubled, int latest) {
+        lost_ = lost, doubled_ = doubled, latest_ = latest;
+        settings_.peers = true;
+        for (std::size_t h = 0; h < hosts_.size(); ++h) boot(h, old_entry());
+    }
     // All hosts always have work for shard 0. The node is down from 2 s to 4 s; its start is listed at each
     // host between 1 s before it (a host that hears early sees it refuse connects) and 4 s after, at some
     // never.
@@ -446,6 +452,7 @@
     }
 
     std::vector<Sent> sent;
+    int words = 0;
 
 private:
     static constexpr Micros kStep = 4000;
@@ -459,8 +466,8 @@
     using Host = Member;
 
     int pick(int from, int to) { return std::uniform_int_distribution<int>(from, to)(random_); }
-    NodeEntry old_entry() const { return {NodeId{0}, ShardId{0}, ZoneId{0}, NodeState::Ready, 0}; }
-    NodeEntry entry() const { return {NodeId{0}, ShardId{0}, ZoneId{0}, NodeState::Ready, start_}; }
+    NodeEntry old_entry() const { return {NodeId{0}, ShardId{0}, ZoneId{0}, NodeState::Ready, 0, false, 7}; }
+    NodeEntry entry() const { return {NodeId{0}, ShardId{0}, ZoneId{0}, NodeState::Ready, start_, false, 7}; }
     bool down() const { return now_ >= down_from_ && now_ < start_; }
 
     void boot(std::size_t h, const NodeEntry &node) {
@@ -522,6 +529,14 @@
                     now_ + took,
                     AttemptEnded{send->id, tries++, status, took, !failing_ && !down(), 0, 0, {}});
                 if (limited_hosts_ == 0 || tries == 1) sent.push_back({now_, units, host.informed});
+            } else if (const auto *word = std::get_if<TellPeers>(&action)) {
+                ++words;
+                for (int copies = pick(0, 99) < lost_      ? 0
+                                  : pick(0, 99) < doubled_ ? 2
+                                                           : 1;
+                     copies > 0; --copies)
+                    hosts_[static_cast<std::size_t>(*word->peer)].coming.emplace(
+                        now_ + pick(1'000, latest_), PeerMessage{static_cast<int>(h), word->data});
             } else if (const auto *log = std::get_if<Log>(&action))
                 host.informed = host.informed || log->text.find("started") != std::string::npos;
         }
@@ -533,7 +548,7 @@
     static constexpr Micros begin_ = 1'000'000'000;
     Micros now_ = begin_, start_ = INT64_MAX / 4, down_from_ = INT64_MAX / 4;
     bool failing_ = false;
-    int limited_hosts_ = 0;
+    int limited_hosts_ = 0, lost_ = 0, doubled_ = 0, latest_ = 0;
     std::uint64_t next_ = 0;
 };
 
@@ -545,6 +560,27 @@
     EXPECT_LE(fleet.worst_cold_window(), 1.0 + 1e-9);
     EXPECT_GT(fleet.units(8'000'000, 20'000'000, true), 80); // and they do send
 }
+// Turns handed on, however datagrams fare: lost, doubled, late beyond the time of a gift, out of order; hosts
+// die and come back as they do above.
+TEST_P(Fleets, HandTurnsOnWithinAColdNodesWindows) {
+    double used[2] = {}, words = 0;
+    for (const auto &[lost, doubled, latest] :
+         {std::array{0, 0, 20'000}, {30, 10, 200'000}, {60, 40, 1'500'000}}) {
+        Fleet fleet(static_cast<std::uint32_t>(GetParam() + lost), GetParam());
+        fleet.talk(lost, doubled, latest);
+        fleet.play_cold_start(20'000'000);
+        EXPECT_LE(fleet.worst_cold_window(), 1.0 + 1e-9) << lost;
+        if (lost < 60) used[lost > 0] = fleet.units(8'000'000, 20'000'000, true), words += fleet.words;
+    }
+    Fleet alone(static_cast<std::uint32_t>(GetParam()), GetParam());
+    alone.play_cold_start(20'000'000);
+    const double silent = alone.units(8'000'000, 20'000'000, true);
+    if (GetParam() >= 47) { // where turns are dealt throughout: they find work
+        EXPECT_GT(used[0], 1.4 * silent);
+        EXPECT_GT(used[1], 1.3 * silent); // with 30% lost
+    }
+    EXPECT_EQ(words > 0, GetParam() > 3); // three hosts have parts of their own
+}
 INSTANTIATE_TEST_SUITE_P(Sizes, Fleets, testing::Values(3, 12, 47, 200));
 
 TEST(Fleet, TheCheckOfTheWindowsRejectsAFleetThatMiscountsItself) {
