Test the deal of cold turns by 10,000 schedules and all orders of two hosts

Random schedules of 2 to 20 hosts with clocks up to 50 ms apart, pauses, restarts, datagrams lost up to 60%, doubled up to 40% and up to 1.5 s late; every order of calls, gifts, a doubled datagram, both spending, a wait and a restart of either.

--- /dev/null
+++ b/tests/cold_turns_test.cpp
@@ -0,0 +1,204 @@
+// The deal of cold turns by itself: random schedules of hosts and datagrams, and all orders at small size.
+// What all hosts send one cold node in any window stays under what it bears, counted from outside.
+#include "overload/cold_turns.hpp"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <numeric>
+#include <random>
+
+using namespace marblewood;
+using overload::ColdNode;
+using overload::ColdTurns;
+
+namespace {
+
+constexpr Micros kWindow = 1'000'000, kStart = 1'000'000'000;
+constexpr Micros kAhead = 50'000; // us by which clocks differ at the most
+
+Settings settings_for(int hosts, int position, double bears, Micros warm = 8 * kWindow) {
+    Settings s;
+    s.hosts = hosts, s.position = position, s.peers = true;
+    s.fall_window = kWindow, s.warm_after = warm;
+    s.cold_from = 0.2, s.cold_units = bears, s.mean_units = 2, s.most_units = 6;
+    return s;
+}
+
+struct Host {
+    Host(const Settings &settings, Micros started, Micros since)
+        : turns(settings), own(settings), born(since) {
+        node.named = 5, node.dealt = ShardId{3};
+        node.cold_since = started, node.declared = true;
+    }
+    ColdTurns turns;
+    Settings own;
+    ColdNode node;
+    Micros born;
+};
+struct Word {
+    Micros at = 0;
+    int from = 0, to = 0;
+    std::string data;
+};
+
+// Hosts that all heard of the start at kStart, and the datagrams between them.
+class World {
+public:
+    World(int hosts, double bears, std::vector<Micros> skews = {}, Micros warm = 8 * kWindow)
+        : bears_(bears), warm_(warm), skews_(std::move(skews)) {
+        skews_.resize(static_cast<std::size_t>(hosts));
+        for (int h = 0; h < hosts; ++h)
+            hosts_.emplace_back(settings_for(hosts, h, bears, warm), kStart, kStart - 10 * kWindow);
+    }
+    Micros clock(int h) const { return now + skews_[static_cast<std::size_t>(h)]; }
+    bool spend(int h, double units) {
+        Host &host = hosts_[static_cast<std::size_t>(h)];
+        if (!host.turns.bears(host.node, units, clock(h), host.born)) return false;
+        host.turns.spend(host.node, units, clock(h));
+        sent.emplace_back(now, units);
+        return true;
+    }
+    std::optional<Word> ask(int h) {
+        Host &host = hosts_[static_cast<std::size_t>(h)];
+        const auto word = host.turns.ask(host.node, clock(h), host.born, ++last_);
+        return word ? std::optional(Word{now, h, *word->peer, word->data}) : std::nullopt;
+    }
+    std::optional<Word> deliver(const Word &word) {
+        Host &host = hosts_[static_cast<std::size_t>(word.to)];
+        const auto read = host.turns.read(word.data);
+        if (!read || read->node != host.node.named) return std::nullopt;
+        if (read->gift) {
+            host.turns.take(host.node, *read, clock(word.to));
+            return std::nullopt;
+        }
+        const auto gift = host.turns.give(host.node, *read, word.from, clock(word.to), host.born);
+        return gift ? std::optional(Word{now, word.to, word.from, gift->data}) : std::nullopt;
+    }
+    void restart(int h) {
+        Host &host = hosts_[static_cast<std::size_t>(h)];
+        used_before_ += host.turns.figures().used;
+        host = Host(host.own, kStart, clock(h));
+    }
+    // The most within a window, of what the node bears at the window's beginning.
+    double worst() const {
+        double most = 0;
+        for (std::size_t first = 0; first < sent.size(); ++first) {
+            double sum = 0;
+            for (std::size_t n = first; n < sent.size() && sent[n].first < sent[first].first + kWindow; ++n)
+                if (sent[n].first < kStart + warm_ - kAhead) sum += sent[n].second; // warm then for some
+            const double warm =
+                std::max(0.0, static_cast<double>(sent[first].first - kStart)) / static_cast<double>(warm_);
+            if (warm < 1) most = std::max(most, sum / (bears_ * (1 + 4 * warm)));
+        }
+        return most;
+    }
+    std::uint64_t used() const {
+        std::uint64_t all = used_before_;
+        for (const Host &host : hosts_) all += host.turns.figures().used;
+        return all;
+    }
+    Micros now = kStart;
+    std::vector<std::pair<Micros, double>> sent;
+
+private:
+    double bears_;
+    Micros warm_;
+    std::vector<Micros> skews_;
+    std::vector<Host> hosts_;
+    std::uint64_t last_ = 0, used_before_ = 0;
+};
+
+} // namespace
+
+TEST(ColdTurns, TenThousandSchedulesKeepEveryWindow) {
+    std::uint64_t used = 0;
+    double units = 0;
+    for (unsigned seed = 1; seed <= 10'000; ++seed) {
+        std::mt19937 random(seed);
+        const auto pick = [&](int from, int to) {
+            return std::uniform_int_distribution<int>(from, to)(random);
+        };
+        const int hosts = pick(2, 20), lost = pick(0, 60), doubled = pick(0, 40), latest = pick(1, 1'500'000);
+        std::vector<Micros> skews;
+        for (int h = 0; h < hosts; ++h) skews.push_back(pick(0, 50000));
+        World world(hosts, pick(3, 24), skews);
+        std::vector<Word> words;
+        const auto post = [&](std::optional<Word> word) {
+            if (!word || pick(0, 99) < lost) return;
+            for (int copies = pick(0, 99) < doubled ? 2 : 1; copies > 0; --copies) {
+                word->at = world.now + pick(0, latest);
+                words.push_back(*word);
+            }
+        };
+        for (int step = 0; step < 150; ++step) {
+            world.now += pick(0, 9) ? pick(0, 40'000) : pick(0, 600'000); // a pause of all now and then
+            for (std::size_t n = 0; n < words.size();) {
+                if (words[n].at > world.now) {
+                    ++n;
+                    continue;
+                }
+                const Word word = words[n];
+                words.erase(words.begin() + static_cast<std::ptrdiff_t>(n));
+                post(world.deliver(word));
+            }
+            const int h = pick(0, hosts - 1);
+            if (!world.spend(h, pick(1, 5))) post(world.ask(h));
+            if (pick(0, 99) == 0) world.restart(pick(0, hosts - 1));
+        }
+        ASSERT_LE(world.worst(), 1 + 1e-9) << "seed " << seed;
+        used += world.used();
+        for (const auto &[at, size] : world.sent) units += size;
+    }
+    EXPECT_GT(used, 1'000u); // gifts were spent, and much was sent
+    EXPECT_GT(units, 100'000.0);
+}
+
+// Two hosts, one turn at a time: calls, gifts, both spending, one datagram twice, a restart, a wait, in every
+// order.
+TEST(ColdTurns, AllOrdersOfTwoHostsKeepEveryWindow) {
+    std::vector<int> order(8);
+    std::iota(order.begin(), order.end(), 0);
+    World scout(2, 3.9, {}, 500 * kWindow);
+    while (!scout.ask(0) && !scout.ask(1)) scout.now += kWindow / 16; // until one of them holds a turn
+    std::uint64_t used = 0;
+    for (const int dies : {0, 1}) // who calls, or who gives
+        do {
+            World world(2, 3.9, {},
+                        500 * kWindow); // under 2 units a host: dealt in turns of 2, to one host at a time
+            std::vector<Word> words;
+            std::optional<Word> last;
+            world.now = scout.now;
+            const auto deliver = [&] {
+                if (words.empty()) return;
+                last = words.front();
+                words.erase(words.begin());
+                if (auto reply = world.deliver(*last)) words.push_back(*reply);
+            };
+            for (const int what : order) {
+                world.now += kWindow / 32;
+                if (what == 0 || what == 1)
+                    if (auto word = world.ask(what)) words.push_back(*word);
+                if (what == 2 || what == 3) deliver();
+                if (what == 4 && last) world.deliver(*last);
+                if (what == 5) world.spend(0, 2), world.spend(1, 2);
+                if (what == 6) world.now += kWindow / 4;
+                if (what == 7) world.restart(dies);
+            }
+            for (int h = 0; h < 2; ++h) world.spend(h, 2), world.spend(h, 1);
+            ASSERT_LE(world.worst(), 1 + 1e-9) << testing::PrintToString(order);
+            used += world.used();
+        } while (std::next_permutation(order.begin(), order.end()));
+    EXPECT_GT(used, 0u);
+}
+
+TEST(ColdTurns, WhatMakesNoSenseIsCountedAndDropped) {
+    ColdTurns turns(settings_for(8, 0, 6));
+    for (const char *const bad : {"", "mw-turn1", "mw-turn1 ask ", "mw-turn1 ask 1 2", "mw-turn1 ask 1 2 7 0",
+                                  "mw-turn1 give 1 2 0 99999999999999999999", "mw-turn2 ask 1 2 0 0",
+                                  "mw-turn1 ask 1 2 0 0 more", "mw-turn1 ask -1 2 0 0"})
+        EXPECT_FALSE(turns.read(bad)) << bad;
+    EXPECT_EQ(turns.figures().strange, 9u);
+    const auto good = turns.read("mw-turn1 give 18446744073709551615 2 1 -5");
+    ASSERT_TRUE(good);
+    EXPECT_TRUE(good->gift && good->node == ~0ull && good->at == -5);
+}
