--- a/include/marblewood/scheduler.hpp
+++ b/include/marblewood/scheduler.hpp
@@ -262,6 +262,16 @@
 using Action = std::variant<Send, Refuse, Fail, Cancel, Probe, CloseIdle, SetTimer, WatchList, FetchList,
                             TellPeers, Log>;
 
+// Turns on cold nodes between hosts, since the start (src/overload/cold_turns.hpp).
+struct TurnFigures {
+    std::uint64_t asked = 0;   // calls for one
+    std::uint64_t given = 0;   // away
+    std::uint64_t taken = 0;   // that came in time
+    std::uint64_t used = 0;    // sends that spent some of one that was taken
+    std::uint64_t wasted = 0;  // that came too late, or were not spent whole in their time
+    std::uint64_t strange = 0; // datagrams that made no sense
+};
+
 class Scheduler {
 public:
     explicit Scheduler(const Settings &settings);
@@ -282,6 +292,7 @@
     bool knows(RequestId id) const;
     // The bound of a node's requests out; empty where the node is not known.
     std::optional<double> bound(NodeId node) const;
+    const TurnFigures &turns() const;
     // Whether a node that is known gets no requests as things stand, or only trials.
     bool avoids(NodeId node) const;
     // For a successor; a Retire belongs right behind it. With a volume: its stores alone, as far as they are
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -252,7 +252,8 @@
     net::control::Operations operations;
     operations.stats = [&] {
         std::string text = net::control::spell(figures, config.settings,
-                                               {fleet.open(), fleet.size(), fleet.avoided(), costs()});
+                                               {fleet.open(), fleet.size(), fleet.avoided(), costs(),
+                                                planners.front()->turns()}); // several planners don't talk
         if (residence) text += residence->stats();
         return text;
     };
--- a/src/net/control/control.cpp
+++ b/src/net/control/control.cpp
@@ -48,6 +48,12 @@
     count("broken", state.costs.broken);
     count("turned_away", state.costs.turned_away);
     count("unsent", state.costs.unsent);
+    count("turns_asked", state.turns.asked);
+    count("turns_given", state.turns.given);
+    count("turns_taken", state.turns.taken);
+    count("turns_used", state.turns.used);
+    count("turns_wasted", state.turns.wasted);
+    count("turns_strange", state.turns.strange);
     out += fmt::format("balancer.current:{}|g\nbalancer.cluster_size:{}|g\nbalancer.cluster_unhealthy:{}|g\n",
                        state.current, state.nodes, state.avoided);
     return out;
--- a/src/overload/cold_turns.cpp
+++ b/src/overload/cold_turns.cpp
@@ -104,10 +104,10 @@
     std::erase_if(node.gifts, [](const ColdNode::Gift &g) { return g.units <= 0; });
 }
 
-void ColdTurns::forget(ColdNode &node, Micros now) const {
+void ColdTurns::forget(ColdNode &node, Micros now) {
     const Micros longest = std::max<Micros>(set_.fall_window, (hold_ + 1) * slot()) + set_.fall_window;
     while (!node.spent.empty() && node.spent.front().at < now - longest) node.spent.pop_front();
-    std::erase_if(node.gifts, [&](const ColdNode::Gift &g) { return now >= g.until; });
+    figures_.wasted += std::erase_if(node.gifts, [&](const ColdNode::Gift &g) { return now >= g.until; });
     std::erase_if(node.calls, [&](const ColdNode::Call &c) { return now - c.at > set_.fall_window; });
 }
 
--- a/src/overload/cold_turns.hpp
+++ b/src/overload/cold_turns.hpp
@@ -46,10 +46,6 @@
     int asked = 0; // holders so far, so that another is asked each time
 };
 
-struct TurnFigures { // since the start
-    std::uint64_t asked = 0, given = 0, taken = 0, used = 0, wasted = 0, strange = 0;
-};
-
 class ColdTurns {
 public:
     explicit ColdTurns(const Settings &settings);
@@ -58,7 +54,7 @@
     // Whether a request of so many units may go there now. `born`: since when this instance decides.
     bool bears(const ColdNode &node, double units, Micros now, Micros born) const;
     void spend(ColdNode &node, double units, Micros now);
-    void forget(ColdNode &node, Micros now) const; // what no longer counts
+    void forget(ColdNode &node, Micros now); // what no longer counts
 
     // A call for a turn there: whom to ask and what to say; nothing where nobody can help, or not yet again.
     std::optional<TellPeers> ask(ColdNode &node, Micros now, Micros born, std::uint64_t number);
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -962,6 +962,7 @@
     return it == state_->nodes.end() ? std::nullopt : std::optional(it->second.bound);
 }
 Legacy Scheduler::legacy(std::optional<VolumeId> only) const { return state_->legacy(only); }
+const TurnFigures &Scheduler::turns() const { return state_->turns.figures(); }
 bool Scheduler::avoids(NodeId node) const {
     const auto it = state_->nodes.find(node);
     return it != state_->nodes.end() && !(it->second.usable && it->second.trusted);
--- /dev/null
+++ b/tests/turns_test.cpp
@@ -0,0 +1,101 @@
+// Several brokers as processes, which hand a cold node's turns on to one another over UDP.
+#include "helper.hpp"
+
+#include <deque>
+
+using namespace test;
+using Clock = std::chrono::steady_clock;
+
+namespace {
+
+constexpr int kBrokers = 12, kBusy = 3;
+constexpr double kBears = 20, kFrom = 0.18, kCold = 17, kWindow = 3; // units, part, s, s: see settings()
+const std::string kPiece = "7f3a9c21e0b4d655";
+
+std::string settings(int position, const std::vector<int> &ports) {
+    std::string text = kSettings;
+    const auto set = [&](const std::string &from, const std::string &to) {
+        assert(text.find(from) != std::string::npos);
+        text.replace(text.find(from), from.size(), to);
+    };
+    set(R"("instances":1)", fmt::format(R"("instances":{})", kBrokers));
+    set(R"("position":0)", fmt::format(R"("position":{})", position));
+    set(R"("cold_bears":76.0)", fmt::format(R"("cold_bears":{})", kBears));
+    text +=
+        fmt::format(R"(,"peer_listen":"127.0.0.1:{}","peers":[)", ports[static_cast<std::size_t>(position)]);
+    for (const int port : ports)
+        text += fmt::format(R"({}"127.0.0.1:{}")", port == ports[0] ? "" : ",", port);
+    return text + "]";
+}
+
+// The node starts anew, as every broker is told; three brokers have work for it, which by themselves hold a
+// quarter of its turns. They get others' turns, also when one of the holders is paused and another dies, and
+// what comes to the node in any window stays under what it bears.
+void idle_brokers_give_their_turns_away() {
+    std::mutex mutex;
+    std::deque<std::pair<Clock::time_point, double>> sent;
+    RespNode node([&](const auto &words, int) {
+        if (words.size() > 3) {
+            const std::lock_guard lock(mutex);
+            sent.emplace_back(Clock::now(), 2);
+        }
+        return RespNode::served("v");
+    });
+    const std::string old = member("s-1", node.server.port, 0);
+    Discovery discovery(old);
+    std::vector<int> ports;
+    for (int n = 0; n < kBrokers; ++n) ports.push_back(free_port());
+    std::vector<std::unique_ptr<Program>> brokers;
+    for (int n = 0; n < kBrokers; ++n)
+        brokers.push_back(std::make_unique<Program>(discovery, "", settings(n, ports),
+                                                    std::filesystem::path(), 0, fmt::format("n{}", n)));
+    std::this_thread::sleep_for(4500ms); // a young process sends nothing to a cold node
+    const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+    const auto start = Clock::now();
+    std::string fresh = old;
+    fresh.replace(fresh.find("\"up_since_ms\":0"), 15, fmt::format("\"up_since_ms\":{}", since.count()));
+    const int calls = discovery.calls;
+    discovery.change(fresh);
+    while (discovery.calls < calls + kBrokers) std::this_thread::sleep_for(1ms); // each has it and watches on
+    brokers[kBrokers - 1]->signal(SIGSTOP);
+    brokers[kBrokers - 2]->signal(SIGKILL);
+    const auto counted = Clock::now();
+    std::atomic<int> served = 0;
+    std::vector<std::thread> clients;
+    for (int n = 0; n < kBusy; ++n)
+        clients.emplace_back([&, n] {
+            Socket client = brokers[static_cast<std::size_t>(n)]->client();
+            while (Clock::now() - counted < 7s) {
+                client.send(get(kPiece));
+                const auto answer = client.value();
+                assert(answer); // each has one
+                if (answer->text == "v") ++served;
+            }
+        });
+    for (auto &client : clients) client.join();
+    brokers[kBrokers - 1]->signal(SIGCONT);
+    long used = 0, given = 0, taken = 0;
+    for (int n = 0; n < kBrokers - 2; ++n) {
+        const auto figures = brokers[static_cast<std::size_t>(n)]->figures();
+        used += figures.at("turns_used"), given += figures.at("turns_given"),
+            taken += figures.at("turns_taken");
+        assert(figures.at("turns_strange") == 0);
+    }
+    fmt::print("served {}, turns given {}, taken {}, used {}\n", served.load(), given, taken, used);
+    assert(used > 0 && given >= taken && taken > 0);
+    const std::lock_guard lock(mutex);
+    while (!sent.empty() && sent.front().first < counted) sent.pop_front();
+    for (std::size_t first = 0; first < sent.size(); ++first) {
+        double sum = 0;
+        for (std::size_t n = first; n < sent.size(); ++n)
+            if (std::chrono::duration<double>(sent[n].first - sent[first].first).count() < kWindow)
+                sum += sent[n].second;
+        const double age = std::chrono::duration<double>(sent[first].first - start).count();
+        assert(sum <= kBears * (1 + (1 / kFrom - 1) * age / kCold));
+    }
+}
+
+} // namespace
+
+int main() { idle_brokers_give_their_turns_away(); }
