Ask for a cold node's turn only where its deal holds timely work back

Wrong: dispatch() asked whenever nothing was picked for a cold node, whatever held the work (a limit, an earlier attempt, evidence), so turns went to brokers that could not use them. pick() now tells.

Also wrong: read() formed a pointer past the end of a short datagram; shed() could fail a request that had been sent while unsent ones waited (they go first now); a forerunner with the same seed could have called by the same number (the time is in it now); turns_used counted gifts, not sends. Simpler: the node's id and shard stood twice beside its list entry; a retired host is one that has just woken. Nodes.ATurnIsAskedForOnlyWhereItWouldHelp and Queue.WhatWasSentBeforeIsTheLastToBeShed fail without their fixes.

--- a/src/overload/cold_turns.cpp
+++ b/src/overload/cold_turns.cpp
@@ -56,7 +56,7 @@
     if (part < usual()) {
         if (!dealt_in_turns(node, layer, now)) return {};
         const auto [first, last] = holders(layer, slot_of(node, layer, now), ahead);
-        const std::int64_t mine = set_.position + static_cast<std::int64_t>(node.dealt) * kStep;
+        const std::int64_t mine = set_.position + static_cast<std::int64_t>(node.entry.shard) * kStep;
         if (((mine - first) % set_.hosts + set_.hosts) % set_.hosts >= last - first) return {};
         from = now - (hold_ + 1) * slot();
         to = {usual(), true};
@@ -85,14 +85,14 @@
 void ColdTurns::spend(ColdNode &node, double units, Micros now) {
     if (!cold(node, now) || set_.fall_window <= 0) return;
     for (const int layer : {0, 1}) // one that bears it alone
-        if (units > 0 && units <= deal(node, layer, now).left) {
+        if (units <= deal(node, layer, now).left) {
             node.spent.push_back({now, units, layer});
             return;
         }
+    ++figures_.used; // else gifts are needed
     for (ColdNode::Gift &gift : node.gifts) {
-        if (now >= gift.until || units <= 0) continue;
+        if (now >= gift.until) continue;
         const double part = std::min(units, gift.units);
-        if (part > 0) ++figures_.used;
         gift.units -= part, units -= part;
     }
     for (const int layer : {0, 1}) {
@@ -111,7 +111,7 @@
     std::erase_if(node.calls, [&](const ColdNode::Call &c) { return now - c.at > set_.fall_window; });
 }
 
-std::optional<TellPeers> ColdTurns::ask(ColdNode &node, Micros now, Micros born, std::uint64_t number) {
+std::optional<TellPeers> ColdTurns::ask(ColdNode &node, Micros now, Micros born) {
     if (!set_.peers || !cold(node, now) || set_.fall_window <= 0 || !awake(now, born)) return std::nullopt;
     if (!node.calls.empty() && now - node.calls.back().at < kAskGap) return std::nullopt;
     for (int tried = 0; tried < 2; ++tried) {
@@ -121,14 +121,16 @@
         const auto [first, last] = holders(layer, slot_of(node, layer, now), kGift);
         if (last <= first) continue;
         const std::int64_t host = first + nth % (last - first);
-        const std::int64_t place = host - static_cast<std::int64_t>(node.dealt) * kStep;
+        const std::int64_t place = host - static_cast<std::int64_t>(node.entry.shard) * kStep;
         const auto peer = static_cast<int>((place % set_.hosts + set_.hosts) % set_.hosts);
         if (peer == set_.position) continue;
         forget(node, now);
         if (node.calls.size() >= kMostCalls) node.calls.pop_front();
+        // With the time in it, no forerunner or successor of this process calls by the same number.
+        const std::uint64_t number = static_cast<std::uint64_t>(now) << 10 | (++calls_ & 1023);
         node.calls.push_back({number, now});
         ++figures_.asked;
-        return TellPeers{peer, std::string(kMark) + " ask " + std::to_string(node.named) + " " +
+        return TellPeers{peer, std::string(kMark) + " ask " + std::to_string(node.entry.named) + " " +
                                    std::to_string(number) + " " + std::to_string(layer) + " " +
                                    std::to_string(layer == 1 ? node.cold_since : 0)};
     }
@@ -139,8 +141,9 @@
     Word word;
     const std::string ask = std::string(kMark) + " ask ", gift = std::string(kMark) + " give ";
     word.gift = data.starts_with(gift);
-    const char *at = data.data() + (word.gift ? gift : ask).size(), *const end = data.data() + data.size();
     bool good = word.gift || data.starts_with(ask);
+    const char *const end = data.data() + data.size(),
+                      *at = good ? data.data() + (word.gift ? gift : ask).size() : end;
     const auto number = [&](auto &into) {
         if (!good) return;
         const auto [next, error] = std::from_chars(at, end, into);
@@ -160,7 +163,7 @@
     if (!mine.in_turns || mine.left < usual()) return std::nullopt; // none, or begun
     node.spent.push_back({now, usual(), call.layer});
     ++figures_.given;
-    return TellPeers{to, std::string(kMark) + " give " + std::to_string(node.named) + " " +
+    return TellPeers{to, std::string(kMark) + " give " + std::to_string(node.entry.named) + " " +
                              std::to_string(call.number) + " " + std::to_string(call.layer) + " " +
                              std::to_string(now + kGift * slot())};
 }
--- a/src/overload/cold_turns.hpp
+++ b/src/overload/cold_turns.hpp
@@ -28,8 +28,7 @@
 namespace marblewood::overload {
 
 struct ColdNode {                      // what a host knows of a node, as far as its starts go
-    std::uint64_t named = 0;           // the node, by a number that all hosts have for it
-    ShardId dealt{};                   // its shard
+    NodeEntry entry;                   // as listed
     Micros cold_since = INT64_MIN / 4; // its last start
     bool declared = false;             // by the list
     std::deque<Legacy::Spent> spent;   // of own parts and turns
@@ -57,7 +56,7 @@
     void forget(ColdNode &node, Micros now); // what no longer counts
 
     // A call for a turn there: whom to ask and what to say; nothing where nobody can help, or not yet again.
-    std::optional<TellPeers> ask(ColdNode &node, Micros now, Micros born, std::uint64_t number);
+    std::optional<TellPeers> ask(ColdNode &node, Micros now, Micros born);
     // What a peer says. Empty where it makes no sense, which is counted.
     struct Word {
         bool gift = false; // else a call
@@ -91,7 +90,8 @@
     Deal deal(const ColdNode &node, int layer, Micros now, int ahead = 0) const;
 
     Settings set_;
-    int hold_; // h
+    int hold_;                // h
+    std::uint64_t calls_ = 0; // for their numbers
     TurnFigures figures_;
 };
 
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -99,7 +99,6 @@
     };
     struct Node : overload::ColdNode {
         NodeId id{};
-        NodeEntry entry;
         bool usable = false; // listed as ready
         // Bound.
         double sum = 0, weight = 0, bound = kStart;
@@ -159,9 +158,10 @@
     std::set<ShardId> touched; // shards whose queue or nodes this event changed
     double queued = kReportPrior, waited = kReportScale * kReportPrior; // see expect()
     Micros waited_at = 0;
-    double probes = kProbesFree;                                   // that may be sent
-    mutable bool blind = false;                                    // work is held back for want of evidence
-    Micros tightest = 0;                                           // the shortest aim of a class
+    double probes = kProbesFree; // that may be sent
+    bool chilled = false;        // timely work is held back by a cold node's deal
+    mutable bool blind = false;  // work is held back for want of evidence
+    Micros tightest = 0;         // the shortest aim of a class
     std::map<std::tuple<VolumeId, DataKey, int>, Micros> unserved; // due time of what ended so
     std::deque<Micros> taken, further;
     std::map<DataKey, std::pair<ShardId, Micros>> placed; // where new objects went from here, and when
@@ -244,7 +244,7 @@
         node.id = entry.node;
         if (fresh || entry.shard != node.entry.shard || node.entry.state == NodeState::Gone) // left its shard
             place(node, entry.shard);
-        node.entry = entry, node.named = entry.named, node.dealt = entry.shard;
+        node.entry = entry;
         if (entry.returned) chill(node, now, false);
         if (entry.state != NodeState::Ready) {
             node.entry.started = before; // a start told meanwhile counts once it is ready
@@ -559,10 +559,11 @@
         return std::floor(kBands * std::log2(std::max(worth(r, timely) * (repeat ? kRepeatGain : 1), 1e-9)));
     }
     // Each client that waits here holds a connection, which may be missing to one with better work: beyond
-    // what may be held the least worth goes at once, the latest due first.
+    // what may be held the least worth goes at once, the latest due first; what was sent before goes last.
     void shed() {
         const auto rank = [&](const auto &r) { // some do wait
-            return std::tuple(!r.second.waiting, worth(r.second, now <= r.second.due), -r.second.due);
+            return std::tuple(!r.second.waiting, !r.second.attempts.empty(),
+                              worth(r.second, now <= r.second.due), -r.second.due);
         };
         give_up(std::ranges::min_element(requests, {}, rank)->second);
     }
@@ -602,6 +603,10 @@
         for (Request *r : shard.waiting) {
             if (r->ready > now || !may_send(*r, node)) continue;
             const bool timely = on_time(*r, node), safe = node.trusted || r->cls->effect == Effect::Safe;
+            if (!turns.bears(node, r->in.units, now, awake())) { // a turn of another host's would do
+                chilled = chilled || timely;
+                continue;
+            }
             if (yields(*r, node, timely)) continue;
             const double b = band(*r, node, timely);
             if (!best || std::make_tuple(safe, b, best->due, best->id) >
@@ -643,11 +648,11 @@
                 if (!node || std::make_pair(n.trusted, free(n)) > std::make_pair(node->trusted, free(*node)))
                     node = &n;
             }
-            blind = false;
+            blind = chilled = false;
             Request *r = node ? pick(shard, *node) : nullptr;
             if (node && blind && !r) ask(*node);
-            if (node && !r && turns.cold(*node, now) && !retired)
-                if (auto call = turns.ask(*node, now, born, random + 1)) jitter(1), act(std::move(*call));
+            if (node && chilled && !r)
+                if (auto call = turns.ask(*node, now, awake())) act(std::move(*call));
             if (!r) return;
             send(*r, *node);
         }
@@ -661,8 +666,7 @@
         if (ran && r.cls->effect != Effect::Safe &&
             (r.cls->effect == Effect::Unsafe || !same_group(r, *ran, node)))
             return false;
-        return !(retired && turns.cold(node, now)) && turns.bears(node, r.in.units, now, born) &&
-               limit_allows(r) && budget_allows(r) && turn(r);
+        return limit_allows(r) && budget_allows(r) && turn(r);
     }
     bool same_group(const Request &r, const Attempt &ran, const Node &node) const {
         if (now >= ran.sent + r.cls->repeat_window) return false;
@@ -822,16 +826,19 @@
     }
     void on(const PeerMessage &e) { // of cold turns: a call for one of this host's, or one given to it
         const auto word = turns.read(e.data);
+        if (!word) return;
         const auto it = std::ranges::find_if(
-            nodes, [&](const auto &n) { return word && n.second.usable && n.second.named == word->node; });
-        if (it == nodes.end() || retired) return;
-        if (word->gift && turns.take(it->second, *word, now)) touched.insert(it->second.entry.shard);
-        if (!word->gift && shards[it->second.entry.shard].waiting.empty())
-            if (auto gift = turns.give(it->second, *word, e.from, now, born)) act(std::move(*gift));
+            nodes, [&](const auto &n) { return n.second.usable && n.second.entry.named == word->node; });
+        if (it == nodes.end()) return;
+        Node &node = it->second;
+        if (word->gift && turns.take(node, *word, now)) touched.insert(node.entry.shard);
+        if (!word->gift && shards[node.entry.shard].waiting.empty())
+            if (auto gift = turns.give(node, *word, e.from, now, awake())) act(std::move(*gift));
     }
 
     // ---- Guards ----
 
+    Micros awake() const { return retired ? now : born; } // since when cold nodes may get something from here
     bool limit_allows(const Request &r, double spare = 0) const { // spare: units to be left in the store
         if (r.charged || r.plan->limit <= 0) return true;
         const Volume &v = volumes.at(r.in.volume);
--- a/tests/cold_turns_test.cpp
+++ b/tests/cold_turns_test.cpp
@@ -27,7 +27,7 @@
 struct Host {
     Host(const Settings &settings, Micros started, Micros since)
         : turns(settings), own(settings), born(since) {
-        node.named = 5, node.dealt = ShardId{3};
+        node.entry.named = 5, node.entry.shard = ShardId{3};
         node.cold_since = started, node.declared = true;
     }
     ColdTurns turns;
@@ -60,13 +60,13 @@
     }
     std::optional<Word> ask(int h) {
         Host &host = hosts_[static_cast<std::size_t>(h)];
-        const auto word = host.turns.ask(host.node, clock(h), host.born, ++last_);
+        const auto word = host.turns.ask(host.node, clock(h), host.born);
         return word ? std::optional(Word{now, h, *word->peer, word->data}) : std::nullopt;
     }
     std::optional<Word> deliver(const Word &word) {
         Host &host = hosts_[static_cast<std::size_t>(word.to)];
         const auto read = host.turns.read(word.data);
-        if (!read || read->node != host.node.named) return std::nullopt;
+        if (!read || read->node != host.node.entry.named) return std::nullopt;
         if (read->gift) {
             host.turns.take(host.node, *read, clock(word.to));
             return std::nullopt;
@@ -105,7 +105,7 @@
     Micros warm_;
     std::vector<Micros> skews_;
     std::vector<Host> hosts_;
-    std::uint64_t last_ = 0, used_before_ = 0;
+    std::uint64_t used_before_ = 0;
 };
 
 } // namespace
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -64,6 +64,8 @@
                 probed.push_back(probe->node);
             else if (std::holds_alternative<WatchList>(action))
                 ++watches;
+            else if (std::holds_alternative<TellPeers>(action))
+                ++told_peers;
         }
     }
     RequestId ask(int shard, int cls = 0, double units = 1, std::optional<DataKey> key = {}) {
@@ -110,7 +112,7 @@
     std::vector<RequestId> refused, cancelled, failed;
     std::vector<std::string> logs;
     std::vector<NodeId> probed;
-    int hosts = 1, watches = 0, timers_set = 0;
+    int hosts = 1, watches = 0, timers_set = 0, told_peers = 0;
     std::uint64_t volume = 1;
     std::optional<LoadReport> report;
     Micros time_left = 0; // 0: the class's deadline
@@ -707,6 +709,36 @@
     EXPECT_LE(b.scheduler.held().requests, s.most_held + 2); // and what is out
 }
 
+// Datagrams are priced: a turn is asked for only where the cold node's deal is what holds timely work back.
+TEST(Nodes, ATurnIsAskedForOnlyWhereItWouldHelp) {
+    for (const bool limited : {false, true}) {
+        Settings s = basic();
+        s.peers = true, s.hosts = 40, s.position = 7;
+        if (limited) s.plans[0].limit = 0.001, s.plans[0].limit_burst = 1;
+        Bench b(s);
+        b.run(3 * kSecond); // no fresh instance any more
+        const Micros started = b.now - 2 * kSecond;
+        b.give(ListUpdate{ListUpdate::Kind::Changes, {Bench::entry(0, NodeState::Ready, started)}});
+        for (int k = 0; k < 10; ++k) b.ask(0), b.run(50 * kMs);
+        EXPECT_EQ(b.told_peers > 0, !limited);
+    }
+}
+
+TEST(Queue, WhatWasSentBeforeIsTheLastToBeShed) {
+    Settings s = basic();
+    s.spare_worth = 0.1;
+    s.most_held = 1;
+    Bench b(s);
+    for (int k = 0; k < 30; ++k) b.ask(1, 0, 4); // spends the volume's reserve and share elsewhere
+    const RequestId sent = b.ask(0);
+    ASSERT_EQ(b.tries(sent), 1u);
+    b.end(sent, Status::Error); // waits for its second attempt, and is worth little
+    b.volume = 2;
+    b.ask(0), b.ask(0), b.ask(0), b.ask(0);
+    EXPECT_FALSE(Bench::has(b.refused, sent) || Bench::has(b.failed, sent));
+    EXPECT_GE(b.refused.size(), 2u);
+}
+
 TEST(Queue, EveryRequestIsAnsweredBeforeItsDeadline) {
     Bench b(basic(), 0); // no node at all
     const RequestId id = b.ask(0);
