Say once what the laboratory and the tests said twice

A counter instead of a callback in a deleter for 'all agents were told'; one rest() for world and lists; one spelling of a broker's configuration in the tests; the figures as a table.

--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -81,8 +81,7 @@
           "at": {"type": "number", "minimum": 0},
           "length": {"type": "number", "minimum": 0},
           "what": {"enum": ["kill-keeper", "stop-keeper", "stop-broker", "restart-broker", "drain-cell", "drain-node",
-                            "restart-node", "silence-lists",
-                            "pause-node", "move-surging"]},
+                            "restart-node", "silence-lists", "pause-node", "move-surging"]},
           "cell": {"type": "integer", "minimum": 0},
           "index": {"type": "integer", "minimum": 0}
         }
--- a/src/lab/lists.cpp
+++ b/src/lab/lists.cpp
@@ -12,6 +12,12 @@
 
 namespace asio = boost::asio;
 
+asio::awaitable<void> rest(asio::io_context &io, Micros length) {
+    asio::steady_timer timer(io, std::chrono::microseconds(std::max<Micros>(length, 0)));
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
 namespace {
 constexpr Micros kTick = 5'000;         // us between looks at whether there is news
 constexpr Micros kLongest = 20'000'000; // us for which a watch waits
@@ -37,28 +43,27 @@
 
 void Lists::change(std::string members, std::function<void()> told) {
     ++version_;
-    // Called with the last of its owners.
-    const std::shared_ptr<std::function<void()>> last(new std::function<void()>(std::move(told)),
-                                                      [](std::function<void()> *call) {
-                                                          if (*call) (*call)();
-                                                          delete call;
-                                                      });
+    const auto left = std::make_shared<std::size_t>(agents_.size());
     boost::random::uniform_int_distribution<Micros> delay(model_.least, std::max(model_.least, model_.most));
-    for (const auto &agent : agents_)
+    for (const auto &agent : agents_) {
+        const Micros at = deadlines_.clock.now() + (model_.pushed ? delay(random_) : 0);
         asio::co_spawn(io_,
-                       push(*agent, deadlines_.clock.now() + (model_.pushed ? delay(random_) : 0), version_,
-                            members, last),
+                       push(*agent, at, version_, members,
+                            [left, told] {
+                                if (--*left == 0 && told) told();
+                            }),
                        asio::detached);
+    }
 }
 
 void Lists::silence(Micros length) { silent_until_ = deadlines_.clock.now() + length; }
 
 asio::awaitable<void> Lists::push(Agent &agent, Micros at, int version, std::string members,
-                                  std::shared_ptr<std::function<void()>> told) {
-    co_await rest(at - deadlines_.clock.now());
-    while (deadlines_.clock.now() < silent_until_) co_await rest(silent_until_ - deadlines_.clock.now());
+                                  std::function<void()> told) {
+    co_await rest(io_, at - deadlines_.clock.now());
+    while (deadlines_.clock.now() < silent_until_) co_await rest(io_, silent_until_ - deadlines_.clock.now());
     if (version > agent.version) agent.version = version, agent.members = std::move(members);
-    told.reset();
+    told();
 }
 
 asio::awaitable<void> Lists::accept(Agent &agent) {
@@ -85,7 +90,7 @@
         const Micros until = deadlines_.clock.now() + kLongest;
         while (deadlines_.clock.now() < silent_until_ ||
                (agent.version <= seen && deadlines_.clock.now() < until))
-            co_await rest(kTick);
+            co_await rest(io_, kTick);
         const std::string body =
             fmt::format(R"({{"revision":{},"complete":true,"members":[{}]}})", agent.version, agent.members);
         const std::string out =
@@ -95,10 +100,4 @@
     }
 }
 
-asio::awaitable<void> Lists::rest(Micros length) {
-    asio::steady_timer timer(io_, std::chrono::microseconds(std::max<Micros>(length, 0)));
-    boost::system::error_code ignored;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 } // namespace marblewood::lab
--- a/src/lab/lists.hpp
+++ b/src/lab/lists.hpp
@@ -14,6 +14,8 @@
 
 namespace marblewood::lab {
 
+boost::asio::awaitable<void> rest(boost::asio::io_context &io, Micros length); // us
+
 class Lists {
 public:
     using tcp = boost::asio::ip::tcp;
@@ -39,8 +41,7 @@
     boost::asio::awaitable<void> accept(Agent &agent);
     boost::asio::awaitable<void> serve(Agent &agent, std::shared_ptr<tcp::socket> socket);
     boost::asio::awaitable<void> push(Agent &agent, Micros at, int version, std::string members,
-                                      std::shared_ptr<std::function<void()>> told);
-    boost::asio::awaitable<void> rest(Micros length);
+                                      std::function<void()> told);
 
     boost::asio::io_context &io_;
     core::Deadlines &deadlines_;
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -258,12 +258,6 @@
     });
 }
 
-asio::awaitable<void> World::rest(Micros length) {
-    asio::steady_timer timer(io_, std::chrono::microseconds(std::max<Micros>(length, 0)));
-    boost::system::error_code ignored;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 asio::awaitable<std::optional<std::pair<int, std::string>>>
 World::keeper(std::string method, std::string path, std::string body) {
     tcp::socket socket(io_);
--- a/src/lab/world.hpp
+++ b/src/lab/world.hpp
@@ -127,7 +127,7 @@
     asio::awaitable<void> move(double at, std::uint64_t luck);
     asio::awaitable<std::optional<std::pair<int, std::string>>> keeper(std::string method, std::string path,
                                                                        std::string body);
-    asio::awaitable<void> rest(Micros length);
+    asio::awaitable<void> rest(Micros length) { return lab::rest(io_, length); }
     asio::awaitable<void> count_moves();
     struct Got {
         enum class Kind { Value, Busy, Error, Refused, Broken, Crossed, Silent } kind = Kind::Silent;
--- a/src/net/control/control.cpp
+++ b/src/net/control/control.cpp
@@ -42,18 +42,22 @@
     count("sends", figures.sends);
     count("conf_loaded", figures.loaded);
     count("conf_invalid", figures.invalid);
-    count("probes", state.costs.probes);
-    count("connections", state.costs.connections);
-    count("list_calls", state.costs.list_calls);
-    count("broken", state.costs.broken);
-    count("turned_away", state.costs.turned_away);
-    count("unsent", state.costs.unsent);
-    count("turns_asked", state.turns.asked);
-    count("turns_given", state.turns.given);
-    count("turns_taken", state.turns.taken);
-    count("turns_used", state.turns.used);
-    count("turns_wasted", state.turns.wasted);
-    count("turns_strange", state.turns.strange);
+    const Costs &c = state.costs;
+    const TurnFigures &t = state.turns;
+    for (const auto &[name, n] :
+         std::initializer_list<std::pair<const char *, std::uint64_t>>{{"probes", c.probes},
+                                                                       {"connections", c.connections},
+                                                                       {"list_calls", c.list_calls},
+                                                                       {"broken", c.broken},
+                                                                       {"turned_away", c.turned_away},
+                                                                       {"unsent", c.unsent},
+                                                                       {"turns_asked", t.asked},
+                                                                       {"turns_given", t.given},
+                                                                       {"turns_taken", t.taken},
+                                                                       {"turns_used", t.used},
+                                                                       {"turns_wasted", t.wasted},
+                                                                       {"turns_strange", t.strange}})
+        count(name, n);
     out += fmt::format("balancer.current:{}|g\nbalancer.cluster_size:{}|g\nbalancer.cluster_unhealthy:{}|g\n",
                        state.current, state.nodes, state.avoided);
     return out;
--- a/tests/helper.hpp
+++ b/tests/helper.hpp
@@ -382,12 +382,15 @@
         if (!successor_) std::filesystem::remove_all(folder_);
     }
     void configure(const Discovery &discovery, const std::string &settings = kSettings) const {
+        configure(discovery.port(), discovery.known(), settings);
+    }
+    void configure(int discovery, const std::string &known, const std::string &settings) const {
         write(
             "config.json",
             fmt::format(
                 R"({{"name":"{}","listen":"127.0.0.1:{}","control":"127.0.0.1:{}","discovery":"127.0.0.1:{}",)"
                 R"("seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":16,"sockets":256}},"known":{},"settings":{}}})",
-                name_, port, control, discovery.port(), discovery.known(), settings));
+                name_, port, control, discovery, known, settings));
     }
     void write(const std::string &name, const std::string &text) const {
         std::ofstream(folder_ / name) << text;
--- a/tests/pushed_test.cpp
+++ b/tests/pushed_test.cpp
@@ -102,11 +102,7 @@
     const Discovery elsewhere(member("s-1", node.server.port, 0));
     const Program program(elsewhere, "", pushed());
     // Moved to where nobody listens, then somebody does.
-    program.write("config.json",
-                  fmt::format(R"({{"name":"n0","listen":"127.0.0.1:{}","discovery":"127.0.0.1:{}",)"
-                              R"("seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":16,)"
-                              R"("sockets":256}},"known":{},"settings":{}}})",
-                              program.port, port, known, pushed()));
+    program.configure(port, known, pushed());
     program.signal(SIGHUP);
     program.await_log("configuration read again");
     program.await_log("discovery: Connection refused");
