Have a cold node's stewards give out what it bears, instead of handing turns on

Change: where brokers may talk, each cold node has two stewards (by its name and the clock, for six windows each, half an epoch apart), each with half of what the node bears. A broker without leave calls one, and is given just what it wants, for 300 ms. The proof stands in src/overload/cold_stewards.hpp; a steward's first window and its process's first window give nothing.

--- a/src/overload/limit_loans.cpp
+++ b/src/overload/limit_loans.cpp
@@ -101,13 +101,14 @@
     ledger.store -= units;
 }
 
-std::optional<TellPeers> LimitLoans::ask(LimitLedger &ledger, VolumeId volume, double units, Micros now) {
+std::optional<TellPeers> LimitLoans::ask(LimitLedger &ledger, VolumeId volume, double units, bool worthy,
+                                         Micros now) {
     if (!set_.peers || ledger.hosts < 2 || ledger.frozen || life(ledger) <= 0) return std::nullopt;
     if (now - ledger.asked < kAskGap) return std::nullopt;
     settle(ledger, now);
     std::erase_if(ledger.sharers, [&](const auto &sharer) { return now - sharer.second.heard > kHeard; });
     std::optional<int> whom;
-    if (static_cast<int>(ledger.sharers.size()) < ledger.hosts - 1 && // some are not known yet
+    if (worthy && static_cast<int>(ledger.sharers.size()) < ledger.hosts - 1 && // some are not known yet
         now - ledger.cried >= ledger.cry_gap) {
         ledger.cry_gap = std::clamp(4 * ledger.cry_gap, kCryGap, kMostCryGap);
         ledger.cried = now;
--- a/src/overload/limit_loans.hpp
+++ b/src/overload/limit_loans.hpp
@@ -61,8 +61,8 @@
     void spend(LimitLedger &ledger, double units, Micros now); // `left` allows it
 
     // So many units are wanted now. Whom to call for what is missing, and what to say; nothing where nobody
-    // can help, or not yet again.
-    std::optional<TellPeers> ask(LimitLedger &ledger, VolumeId volume, double units, Micros now);
+    // can help, or not yet again. `worthy`: of a call to all, too, which finds those who share the volume.
+    std::optional<TellPeers> ask(LimitLedger &ledger, VolumeId volume, double units, bool worthy, Micros now);
     struct Word {
         bool gift = false; // else a call
         VolumeId volume{};
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -1,7 +1,7 @@
 // marblewood: every decision, in five parts: nodes, bound, queue, attempts, guards.
 // Interface (settings, events, actions): include/marblewood/scheduler.hpp. Reasons: docs/design.md.
 #include "marblewood/scheduler.hpp"
-#include "overload/cold_turns.hpp"
+#include "overload/cold_deal.hpp"
 #include "overload/limit_loans.hpp"
 
 #include <algorithm>
@@ -137,16 +137,16 @@
     };
 
     explicit State(const Settings &settings)
-        : set(settings), random(settings.seed * 2 + 1), turns(settings), loans(settings) {
+        : set(settings), random(settings.seed * 2 + 1), cold(settings), loans(settings) {
         validate();
     }
 
     Settings set;
     std::uint64_t random;
-    overload::ColdTurns turns;
+    overload::ColdDeal cold;
     overload::LimitLoans loans;
     ShedFigures shed_by;
-    std::set<VolumeId> lacking; // whose limit holds work back here
+    std::map<VolumeId, bool> lacking; // whose limit holds work back here; some of it worth a call to all
     Micros now = 0, born = kNever, ask_wait = kAskAgain, limited_at = kNever;
     bool listless = false, retired = false;
     std::size_t wait_here = 0;                 // requests
@@ -165,7 +165,7 @@
     double queued = kReportPrior, waited = kReportScale * kReportPrior; // see expect()
     Micros waited_at = 0;
     double probes = kProbesFree; // that may be sent
-    bool chilled = false;        // timely work is held back by a cold node's deal
+    double chilled = 0;          // units of timely work that a cold node's deal holds back
     mutable bool blind = false;  // work is held back for want of evidence
     Micros tightest = 0;         // the shortest aim of a class
     std::map<std::tuple<VolumeId, DataKey, int>, Micros> unserved; // due time of what ended so
@@ -584,7 +584,7 @@
             const Node &n = nodes.at(id);
             if (!n.usable) continue;
             why = n.trusted ? &shed_by.bound : &shed_by.distrust;
-            if (room(n)) return turns.bears(n, r.in.units, now, awake()) ? shed_by.worth : shed_by.cold;
+            if (room(n)) return cold.bears(n, r.in.units, now, awake()) ? shed_by.worth : shed_by.cold;
         }
         return *why;
     }
@@ -623,12 +623,12 @@
         bool best_safe = false;
         for (Request *r : shard.waiting) {
             if (r->ready > now || !may_send(*r, node)) {
-                if (!limit_allows(*r)) lacking.insert(r->in.volume);
+                if (!limit_allows(*r)) lacking[r->in.volume] |= r->tier > set.spare_worth;
                 continue;
             }
             const bool timely = on_time(*r, node), safe = node.trusted || r->cls->effect == Effect::Safe;
-            if (!turns.bears(node, r->in.units, now, awake())) { // a turn of another host's would do
-                chilled = chilled || timely;
+            if (!cold.bears(node, r->in.units, now, awake())) { // a steward may have some
+                if (timely && chilled == 0) chilled = r->in.units;
                 continue;
             }
             if (yields(*r, node, timely)) continue;
@@ -672,11 +672,11 @@
                 if (!node || std::make_pair(n.trusted, free(n)) > std::make_pair(node->trusted, free(*node)))
                     node = &n;
             }
-            blind = chilled = false;
+            blind = false, chilled = 0;
             Request *r = node ? pick(shard, *node) : nullptr;
             if (node && blind && !r) ask(*node);
-            if (node && chilled && !r)
-                if (auto call = turns.ask(*node, now, awake())) act(std::move(*call));
+            if (node && chilled > 0 && !r && !retired)
+                if (auto call = cold.ask(*node, chilled, now)) act(std::move(*call));
             if (!r) return;
             send(*r, *node);
         }
@@ -716,7 +716,7 @@
         if (!r.attempts.empty() && set.budget_window > 0) further.push_back(now);
         if (!r.charged && r.plan->limit > 0) loans.spend(account(r.in).limit, r.in.units, now);
         r.charged = true;
-        turns.spend(node, r.in.units, now);
+        cold.spend(node, r.in.units, now, awake());
         if (r.tier < 1 || now > r.due) node.next_blind = now + kBlindGap / 2 + jitter(kBlindGap);
         node.out.emplace(r.id, static_cast<int>(r.attempts.size()));
         watch(node, now + r.cls->aim + 1);
@@ -860,18 +860,18 @@
                 if (r.waiting && r.in.volume == word->volume) touched.insert(r.shard);
         }
     }
-    void on(const PeerMessage &e) { // of cold turns: a call for one of this host's, or one given to it
+    void on(const PeerMessage &e) {         // of cold nodes: a call to this host as a steward, or a gift
         if (e.from == set.position) return; // this host's own call to all
         if (overload::LimitLoans::speaks(e.data)) return loan(e);
-        const auto word = turns.read(e.data);
+        const auto word = cold.stewards().read(e.data);
         if (!word) return;
         const auto it = std::ranges::find_if(
             nodes, [&](const auto &n) { return n.second.usable && n.second.entry.named == word->node; });
         if (it == nodes.end()) return;
         Node &node = it->second;
-        if (word->gift && turns.take(node, *word, now)) touched.insert(node.entry.shard);
-        if (!word->gift && shards[node.entry.shard].waiting.empty())
-            if (auto gift = turns.give(node, *word, e.from, now, awake())) act(std::move(*gift));
+        if (word->gift && cold.stewards().take(node, *word, now)) touched.insert(node.entry.shard);
+        if (!word->gift)
+            if (auto gift = cold.stewards().give(node, *word, e.from, now, awake())) act(std::move(*gift));
     }
 
     // ---- Guards ----
@@ -957,7 +957,7 @@
         agenda.emplace(now + kHousekeeping, Due::Sweep, 0);
         while (!taken.empty() && taken.front() <= now - set.budget_window) taken.pop_front();
         while (!further.empty() && further.front() < now - set.budget_window) further.pop_front();
-        for (auto &[id, node] : nodes) turns.forget(node, now);
+        for (auto &[id, node] : nodes) cold.forget(node, now);
         std::erase_if(volumes, [&](const auto &v) { return !v.second.open && now - v.second.stamp > kIdle; });
         std::erase_if(shards,
                       [](const auto &s) { return s.second.nodes.empty() && s.second.waiting.empty(); });
@@ -977,8 +977,8 @@
             look_again(id, shard);
         }
         touched.clear();
-        for (const VolumeId id : lacking) // other hosts may have some left
-            if (auto call = loans.ask(volumes.at(id).limit, id, kept(id), now)) act(std::move(*call));
+        for (const auto &[id, worthy] : lacking) // other hosts may have some left
+            if (auto call = loans.ask(volumes.at(id).limit, id, kept(id), worthy, now)) act(std::move(*call));
         lacking.clear();
         if (!agenda.empty() && std::get<0>(*agenda.begin()) < armed) {
             armed = std::get<0>(*agenda.begin());
@@ -1009,7 +1009,7 @@
 }
 Legacy Scheduler::legacy(std::optional<VolumeId> only) const { return state_->legacy(only); }
 OverloadFigures Scheduler::overload() const {
-    return {state_->turns.figures(), state_->loans.figures(), state_->shed_by};
+    return {state_->cold.figures(), state_->loans.figures(), state_->shed_by};
 }
 bool Scheduler::avoids(NodeId node) const {
     const auto it = state_->nodes.find(node);
