--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -24,7 +24,10 @@
         "brokers": {"type": "integer", "minimum": 1, "maximum": 16},
         "nodes": {"type": "integer", "minimum": 1, "maximum": 64},
         "spread": {"type": "integer", "minimum": 1, "maximum": 16},
-        "forward": {"type": "boolean"}
+        "forward": {"type": "boolean"},
+        "peers": {"type": "boolean"},
+        "relay": {"type": "boolean"},
+        "shards": {"type": "boolean"}
       }
     },
     "node": {
@@ -52,7 +55,9 @@
           "count": {"type": "integer", "minimum": 1, "maximum": 10000},
           "rate": {"type": "number", "exclusiveMinimum": 0},
           "units": {"type": "number", "minimum": 1, "maximum": 8},
-          "writes": {"type": "number", "minimum": 0, "maximum": 1}
+          "writes": {"type": "number", "minimum": 0, "maximum": 1},
+          "busiest": {"type": "number", "minimum": 0, "maximum": 1},
+          "shift_s": {"type": "number", "minimum": 0}
         }
       }
     },
@@ -81,7 +86,15 @@
           "at": {"type": "number", "minimum": 0},
           "length": {"type": "number", "minimum": 0},
           "what": {"enum": ["kill-keeper", "stop-keeper", "stop-broker", "restart-broker", "drain-cell", "drain-node",
-                            "restart-node", "silence-lists", "pause-node", "move-surging"]},
+                            "restart-node", "silence-lists", "pause-node", "move-surging", "datagrams", "cut", "cut-nodes",
+                            "break-streams", "slow-node", "restart-nodes"]},
+          "from": {"type": "array", "items": {"type": "integer", "minimum": 0}},
+          "to": {"type": "array", "items": {"type": "integer", "minimum": 0}},
+          "lost": {"type": "number", "minimum": 0, "maximum": 1},
+          "doubled": {"type": "number", "minimum": 0, "maximum": 1},
+          "late_from": {"type": "number", "minimum": 0, "maximum": 30},
+          "late_to": {"type": "number", "minimum": 0, "maximum": 30},
+          "times": {"type": "number", "minimum": 1, "maximum": 1000},
           "cell": {"type": "integer", "minimum": 0},
           "index": {"type": "integer", "minimum": 0}
         }
@@ -105,7 +118,7 @@
         "late_to": {"type": "number", "minimum": 0, "maximum": 30}
       }
     },
-    "compare_without": {"type": "array", "items": {"enum": ["surges", "faults", "moves"]}},
+    "compare_without": {"type": "array", "items": {"enum": ["surges", "faults", "moves", "talk"]}},
     "checks": {
       "type": "array",
       "minItems": 1,
@@ -145,6 +158,8 @@
     e.cells = count(top, "cells", e.cells), e.brokers = count(top, "brokers", e.brokers);
     e.nodes = count(top, "nodes", e.nodes), e.spread = count(top, "spread", e.spread);
     e.forward = flag_or(top, "forward", true);
+    e.peers = flag_or(top, "peers", false), e.relay = flag_or(top, "relay", false);
+    e.shards = flag_or(top, "shards", false);
     if (root.isMember("lists"))
         e.list_least = number(root["lists"], "late_from", 0),
         e.list_most = number(root["lists"], "late_to", 0);
@@ -158,13 +173,28 @@
     }
     for (const Json::Value &v : root["volumes"])
         e.volumes.push_back({need_text(v, "plan"), count(v, "count", 1), need_number(v, "rate"),
-                             number(v, "units", 2), number(v, "writes", 0.2)});
+                             number(v, "units", 2), number(v, "writes", 0.2), number(v, "busiest", 0),
+                             number(v, "shift_s", 0)});
     for (const Json::Value &s : root["surges"])
         e.surges.push_back({need_number(s, "at"), need_number(s, "length"), count(s, "cell", 0),
                             need_text(s, "plan"), need_number(s, "times")});
-    for (const Json::Value &f : root["faults"])
-        e.faults.push_back({need_number(f, "at"), number(f, "length", 0), need_text(f, "what"),
-                            count(f, "cell", 0), count(f, "index", 0)});
+    for (const Json::Value &f : root["faults"]) {
+        Fault fault{need_number(f, "at"), number(f, "length", 0), need_text(f, "what"), count(f, "cell", 0),
+                    count(f, "index", 0)};
+        for (const Json::Value &n : f["from"]) fault.from.insert(n.asInt());
+        for (const Json::Value &n : f["to"]) fault.to.insert(n.asInt());
+        fault.lost = number(f, "lost", 0), fault.doubled = number(f, "doubled", 0);
+        fault.late_least = number(f, "late_from", 0),
+        fault.late_most = number(f, "late_to", fault.late_least);
+        fault.times = number(f, "times", 1);
+        if (fault.late_most < fault.late_least)
+            throw Error("field 'faults': 'late_to' is before 'late_from'");
+        if ((fault.what == "datagrams" || fault.what == "cut") && !e.peers)
+            throw Error("field 'faults': brokers send no datagrams without 'peers' in 'topology'");
+        if ((fault.what == "cut-nodes" || fault.what == "break-streams") && !e.relay)
+            throw Error("field 'faults': streams pass through no relay without 'relay' in 'topology'");
+        e.faults.push_back(std::move(fault));
+    }
     if (root.isMember("moves")) {
         e.moves = count(root["moves"], "count", 0);
         e.moves_from = need_number(root["moves"], "from"), e.moves_to = need_number(root["moves"], "to");
@@ -194,6 +224,8 @@
     }
     for (const Fault &f : e.faults)
         if (f.cell >= e.cells) throw Error("field 'faults': there is no such cell");
+    if (e.peers && !settings.peers)
+        throw Error("field 'peers': 'bounds.peers' of the settings does not allow them");
     if (e.moves > 0 && (e.cells < 2 || e.moves_to <= e.moves_from))
         throw Error("field 'moves': two cells and some time are needed");
     if (settings.classes.size() < 2 || settings.classes[0].effect != Effect::Safe ||
--- a/src/lab/experiment.hpp
+++ b/src/lab/experiment.hpp
@@ -5,6 +5,7 @@
 #include "config/decode.hpp"
 
 #include <map>
+#include <set>
 
 namespace marblewood::lab {
 
@@ -24,6 +25,8 @@
     double rate = 10;    // requests a second of each
     double units = 2;    // of a request, on the mean
     double writes = 0.2; // part of the requests
+    double busiest = 0;  // part of the requests that come through one of its brokers, the others evenly
+    double shift_s = 0;  // after which that is another; 0: never
 };
 
 struct Surge {
@@ -35,11 +38,15 @@
 
 struct Fault {
     double at = 0, length = 0;
-    // kill-keeper, stop-keeper, stop-broker, restart-broker, drain-cell, drain-node, restart-node,
-    // pause-node; silence-lists: discovery takes calls and answers none; move-surging: the first surge's
-    // volume moves to `cell`
+    // datagrams: between brokers `from` and `to` they are lost, doubled and late; cut: none pass from `from`
+    // to `to`; cut-nodes: streams from brokers `from` to nodes `to` fall silent; break-streams: those are
+    // reset; slow-node: `times` slower; restart-nodes: all of `to` at once; kill-keeper, stop-keeper,
+    // stop-broker, restart-broker, drain-cell, drain-node, restart-node, pause-node; silence-lists: discovery
+    // takes calls and answers none; move-surging: the first surge's volume moves to `cell`
     std::string what;
     int cell = 0, index = 0;
+    std::set<int> from = {}, to = {}; // empty: all
+    double lost = 0, doubled = 0, late_least = 0, late_most = 0, times = 1;
 };
 
 struct Check {
@@ -52,6 +59,9 @@
     double seconds = 10, settle = 5; // of load; before the first of it that counts
     int cells = 3, brokers = 2, nodes = 2, spread = 2;
     bool forward = true;
+    bool peers = false;  // brokers of a cell may send one another datagrams, through the relay
+    bool relay = false;  // streams to nodes pass through it, too
+    bool shards = false; // each node of a cell holds a shard of its own
     double list_least = 0, list_most = 0; // until a change reaches a broker's agent, where lists are pushed
     NodeModel node;
     std::vector<VolumeKind> volumes;
@@ -60,7 +70,7 @@
     int moves = 0;
     double moves_from = 0, moves_to = 0;
     std::vector<std::string>
-        without; // of a first run to compare with: surges, faults, moves; empty: no such run
+        without; // of a first run to compare with: surges, faults, moves, talk; empty: no such run
     std::vector<Check> checks;
     Json::Value settings; // the brokers'
 };
--- a/src/lab/lists.cpp
+++ b/src/lab/lists.cpp
@@ -26,29 +26,29 @@
 Lists::Lists(asio::io_context &io, core::Deadlines &deadlines, Model model, std::size_t brokers,
              std::uint64_t seed)
     : io_(io), deadlines_(deadlines), model_(model), random_(seed) {
-    for (std::size_t n = 0; n < (model.pushed ? brokers : 1); ++n) {
+    for (std::size_t n = 0; n < brokers; ++n) {
         tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
         const int port = acceptor.local_endpoint().port();
         agents_.push_back(std::make_unique<Agent>(std::move(acceptor), port));
     }
 }
-int Lists::port(std::size_t broker) const { return agents_[model_.pushed ? broker : 0]->port; }
+int Lists::port(std::size_t broker) const { return agents_[broker]->port; }
 
-void Lists::start(std::string members) {
-    for (const auto &agent : agents_) {
-        agent->members = members;
-        asio::co_spawn(io_, accept(*agent), asio::detached);
+void Lists::start(const Members &members) {
+    for (std::size_t n = 0; n < agents_.size(); ++n) {
+        agents_[n]->members = members(n);
+        asio::co_spawn(io_, accept(*agents_[n]), asio::detached);
     }
 }
 
-void Lists::change(std::string members, std::function<void()> told) {
+void Lists::change(const Members &members, std::function<void()> told) {
     ++version_;
     const auto left = std::make_shared<std::size_t>(agents_.size());
     boost::random::uniform_int_distribution<Micros> delay(model_.least, std::max(model_.least, model_.most));
-    for (const auto &agent : agents_) {
+    for (std::size_t n = 0; n < agents_.size(); ++n) {
         const Micros at = deadlines_.clock.now() + (model_.pushed ? delay(random_) : 0);
         asio::co_spawn(io_,
-                       push(*agent, at, version_, members,
+                       push(*agents_[n], at, version_, members(n),
                             [left, told] {
                                 if (--*left == 0 && told) told();
                             }),
--- a/src/lab/lists.hpp
+++ b/src/lab/lists.hpp
@@ -25,10 +25,11 @@
     };
     Lists(boost::asio::io_context &io, core::Deadlines &deadlines, Model model, std::size_t brokers,
           std::uint64_t seed);
-    int port(std::size_t broker) const; // where that broker asks
-    void start(std::string members);    // serves, with what all know at first
+    int port(std::size_t broker) const;                             // where that broker asks
+    using Members = std::function<std::string(std::size_t broker)>; // as that broker is told of them
+    void start(const Members &members);                             // serves, with what all know at first
     // A new version. `told`, where given, is called once every agent has it.
-    void change(std::string members, std::function<void()> told = nullptr);
+    void change(const Members &members, std::function<void()> told = nullptr);
     // Calls are taken and none is answered; what would be pushed comes afterwards.
     void silence(Micros length);
 
@@ -46,7 +47,8 @@
     boost::asio::io_context &io_;
     core::Deadlines &deadlines_;
     Model model_;
-    std::vector<std::unique_ptr<Agent>> agents_; // one alone where lists are asked for
+    std::vector<std::unique_ptr<Agent>>
+        agents_; // by broker; where lists are asked for, all as late as each other
     std::mt19937_64 random_;
     int version_ = 1;
     Micros silent_until_ = 0;
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -24,13 +24,13 @@
     if (!experiment.without.empty()) {
         fmt::print("{}, seed {}: the run to compare with, {} s\n", experiment.name, seed, experiment.seconds);
         std::filesystem::create_directories(out / "base");
-        auto *const world =
-            new lab::World(experiment, seed, out / "base", !off("surges"), !off("faults"), !off("moves"));
+        auto *const world = new lab::World(experiment, seed, out / "base",
+                                           {!off("surges"), !off("faults"), !off("moves"), !off("talk")});
         base = world->run();
         base_series = world->series();
     }
     fmt::print("{}, seed {}: {} s\n", experiment.name, seed, experiment.seconds);
-    auto *const world = new lab::World(experiment, seed, out / "run", true, true, true);
+    auto *const world = new lab::World(experiment, seed, out / "run", {});
     auto metrics = world->run();
     if (!base.empty()) lab::compare(experiment, metrics, base);
     const auto verdicts = lab::judge(experiment, metrics);
--- a/src/lab/node.cpp
+++ b/src/lab/node.cpp
@@ -48,7 +48,7 @@
         client.close(ignored);
     }
     std::fill(cores_.begin(), cores_.end(), down_until_);
-    up_since_ = down_until_;
+    up_since_ = cold_from_ = down_until_;
     cold_.started(down_until_);
 }
 
@@ -109,6 +109,7 @@
     std::uint64_t number = 0;
     std::from_chars(volume.data(), volume.data() + volume.size(), number, 16);
     cold_.sent(now, units);
+    if (cold_.speed(now) < 1) cold_units_ += units;
     if (draining_ && drain_told_ > 0 && now > drain_told_) ++after_drain_;
     around_.taken(words[2].text, number, units);
     const std::string done = write ? "OK" : "v:" + words[1].text;
@@ -122,7 +123,7 @@
         around_.ran(both);
     }
     boost::random::lognormal_distribution<double> noise(-model_.sigma * model_.sigma / 2, model_.sigma);
-    const double work = units * model_.unit_ms * 1000 * noise(random_) / cold_.speed(now);
+    const double work = units * model_.unit_ms * 1000 * noise(random_) * slow_ / cold_.speed(now);
     const auto core = std::min_element(cores_.begin(), cores_.end());
     const Micros begun = std::max(*core, now);
     *core = begun + static_cast<Micros>(work);
--- a/src/lab/oracle.cpp
+++ b/src/lab/oracle.cpp
@@ -43,8 +43,15 @@
     }
 }
 
+void Oracle::refused(Micros now, const Asking &asking) {
+    ++refused_;
+    const auto &limit = limits_[static_cast<std::size_t>(asking.volume)];
+    if (limit && limit->left(now) >= asking.units) ++refused_with_room_;
+}
+
 void Oracle::asked(const Asking &asking) {
     ++taken_;
+    ++first_tries_[static_cast<int>((asking.at - start_) / 1'000'000)];
     if (asking.surge) surged_.insert(asking.volume);
 }
 
@@ -68,8 +75,12 @@
         }
     }
     const double second = static_cast<double>(a.at - start_) / 1e6;
-    if (second < experiment_.settle) return;
     const bool in_time = served && now - a.at <= cls.deadline;
+    if (!a.surge && !limits_[volume]) {
+        Share &all = all_seconds_[static_cast<int>(second)];
+        all.asked += a.units, all.served += in_time ? a.units : 0;
+    }
+    if (second < experiment_.settle) return;
     const auto add = [&](Share &share) {
         share.asked += a.units;
         if (in_time) share.served += a.units;
@@ -110,6 +121,7 @@
     count("answers.twice", twice_);
     count("answers.never", never_);
     count("answers.broken", broken_);
+    count("answers.paused", paused_);
     count("answers.wrong", wrong_);
     count("answers.refused", refused_);
     Share all, reserve;
@@ -143,6 +155,36 @@
     for (const auto &limit : limits_)
         if (limit) worst = std::max(worst, limit->worst()), used = std::max(used, limit->used());
     m["limit.used"] = used;
+    count("limit.refused_with_room", refused_with_room_);
+    // Service a second, volumes with limits and surges apart: before the surge, and the least from 3 s after
+    // it on.
+    if (surge_over_ > 0) {
+        Share before;
+        double least = 1;
+        for (const auto &[at, share] : all_seconds_) {
+            const double from = at, over = static_cast<double>(surge_over_) / 1e6;
+            if (from >= experiment_.settle && from + 1 <= experiment_.surges.front().at)
+                before.asked += share.asked, before.served += share.served;
+            if (from >= over + 3 && from + 1 < experiment_.seconds) least = std::min(least, share.part());
+        }
+        m["recovered"] = before.part() > 0 ? least / before.part() : 0;
+    }
+    // Attempts at nodes for each first try, by when that was: over all, and in the worst two seconds.
+    std::uint64_t all_attempts = 0, first = 0, tried = 0;
+    double worst_ratio = 0;
+    for (const auto &[second, count_then] : first_tries_) {
+        const auto of = [](const std::map<int, std::uint64_t> &counts, int at) {
+            const auto found = counts.find(at);
+            return found == counts.end() ? 0 : found->second;
+        };
+        all_attempts += of(attempts_, second);
+        first = count_then + of(first_tries_, second - 1);
+        tried = of(attempts_, second) + of(attempts_, second - 1);
+        if (second > 0)
+            worst_ratio = std::max(worst_ratio, static_cast<double>(tried) / static_cast<double>(first));
+    }
+    if (taken_ > 0) m["attempts.ratio"] = static_cast<double>(all_attempts) / static_cast<double>(taken_);
+    m["attempts.worst"] = worst_ratio;
     m["limit.worst"] = worst;
     m["gap_ms"] = static_cast<double>(gap_) / 1000;
     m["gap_ms.unlimited"] = static_cast<double>(gap_unlimited_) / 1000;
--- a/src/lab/oracle.hpp
+++ b/src/lab/oracle.hpp
@@ -16,6 +16,9 @@
     LimitWatch(double rate, double burst, double slack, Micros now)
         : rate_(rate), burst_(burst), slack_(slack), store_(burst), begun_(now), at_(now) {}
     void spend(Micros now, double units);
+    double left(Micros now) const {
+        return std::min(burst_, store_ + rate_ * static_cast<double>(now - at_) / 1e6);
+    }
     double worst() const {
         return slack_ > 0 ? std::max(0.0, -least_) / slack_ : least_ < 0 ? 1e9 : 0;
     } // 1: at the bound
@@ -66,8 +69,12 @@
     void surplus() { ++twice_; }    // an answer too many
     void unanswered() { ++never_; } // a try without an answer, though its broker lived
     void broken() { ++broken_; }    // a try whose broker was killed under it
+    void paused() { ++paused_; }    // a try whose broker was paused during it
     void wrong() { ++wrong_; }      // a value that is not the one asked for
-    void refused() { ++refused_; }
+    void refused(Micros now, const Asking &asking);
+    void surge_over(Micros at) { surge_over_ = at; } // from the start of the load
+    // An attempt has reached a node, for a request whose client first asked then.
+    void attempt(Micros asked) { ++attempts_[static_cast<int>((asked - start_) / 1'000'000)]; }
     void ended(Micros now, const Asking &asking, bool served);
 
     void at_node(Micros now, int volume, double units);
@@ -93,6 +100,10 @@
     Micros start_;
     std::map<int, Share> cells_, plans_, classes_;
     std::map<std::pair<int, int>, Share> seconds_; // volume, second: without surges
+    std::map<int, Share> all_seconds_;             // the same of all volumes without limits, settled or not
+    std::map<int, std::uint64_t> first_tries_, attempts_; // by the second in which a client first asked
+    Micros surge_over_ = 0;
+    std::uint64_t refused_with_room_ = 0;
     std::map<int, std::vector<double>> series_;
     std::vector<std::optional<LimitWatch>> limits_;
     std::vector<std::optional<Micros>> gap_from_;
@@ -100,8 +111,8 @@
     std::set<int> surged_; // volumes
     std::map<std::string, std::set<int>> groups_;
     Latencies latencies_;
-    std::uint64_t taken_ = 0, answers_ = 0, twice_ = 0, never_ = 0, broken_ = 0, wrong_ = 0, refused_ = 0,
-                  served_ = 0;
+    std::uint64_t taken_ = 0, answers_ = 0, twice_ = 0, never_ = 0, broken_ = 0, paused_ = 0, wrong_ = 0,
+                  refused_ = 0, served_ = 0;
 };
 
 } // namespace marblewood::lab
--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -48,7 +48,10 @@
     if (others < 1e9) metrics["kept.others"] = others;
     if (const auto was = base.find("reserve"); was != base.end() && was->second > 0)
         metrics["kept.reserve"] = metrics["reserve"] / was->second;
-    for (const auto &[name, value] : base) metrics["base." + name] = value;
+    for (const auto &[name, value] : base) {
+        metrics["base." + name] = value;
+        if (value > 0 && metrics.contains(name)) metrics["of_base." + name] = metrics[name] / value;
+    }
 }
 
 void write_result(const std::filesystem::path &folder, const Experiment &experiment, std::uint64_t seed,
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -81,10 +81,9 @@
     ::waitpid(std::exchange(pid, -1), nullptr, 0);
 }
 
-World::World(const Experiment &experiment, std::uint64_t seed, std::filesystem::path folder, bool surges,
-             bool faults, bool moves)
+World::World(const Experiment &experiment, std::uint64_t seed, std::filesystem::path folder, Parts parts)
     : experiment_(experiment), settings_(config::read_settings(experiment.settings, 0)), seed_(seed),
-      folder_(std::move(folder)), surges_(surges), faults_(faults), moves_(moves) {
+      folder_(std::move(folder)), parts_(parts), weather_(stream(seed, 7)()) {
     std::filesystem::create_directories(folder_ / "state");
     for (const auto &file : std::filesystem::directory_iterator(folder_ / "state"))
         std::filesystem::remove(file);
@@ -108,6 +107,7 @@
             Broker broker;
             broker.name = fmt::format("c{}-b{}", c, b);
             broker.cell = c, broker.port = free_port(), broker.link = free_port();
+            broker.peer = free_port(), broker.control = free_port();
             cell.brokers.push_back({broker.name, fmt::format("127.0.0.1:{}", broker.port),
                                     fmt::format("127.0.0.1:{}", broker.link)});
             brokers_.push_back(std::move(broker));
@@ -117,6 +117,8 @@
             cell.nodes.insert(name);
             EmulatedNode::Surroundings around{
                 [this](const std::string &id, std::uint64_t volume, double units) {
+                    if (const auto first = tries_.find(id); first != tries_.end())
+                        oracle_->attempt(first->second);
                     const auto at = volume_numbers_.find(volume);
                     if (at != volume_numbers_.end() && charged_.insert(id).second)
                         oracle_->at_node(clock_.now(), at->second, units);
@@ -129,6 +131,23 @@
         }
         map_.cells.push_back(std::move(cell));
     }
+    for (const Fault &f : e.faults) {
+        const bool nodes = f.what == "cut-nodes";
+        if (parts_.faults && (nodes || f.what == "datagrams" || f.what == "cut"))
+            weather_.add({micros(f.at), micros(f.at + f.length), f.from, f.to, nodes, f.what != "datagrams",
+                          f.lost, f.doubled, micros(f.late_least), micros(f.late_most)});
+    }
+    if (e.peers) {
+        std::vector<int> listens, groups;
+        for (const Broker &broker : brokers_) listens.push_back(broker.peer), groups.push_back(broker.cell);
+        datagrams_.emplace(io_, deadlines_, weather_, std::move(listens), std::move(groups));
+    }
+    if (e.relay)
+        for (int b = 0; b < static_cast<int>(brokers_.size()); ++b)
+            for (int n = 0; n < static_cast<int>(nodes_.size()); ++n)
+                streams_.push_back(std::make_unique<StreamRelay>(
+                    io_, deadlines_, nodes_[static_cast<std::size_t>(n)]->port(),
+                    [this, b, n] { return start_ > 0 && weather_.silent(b, n, clock_.now() - start_); }));
 }
 
 void World::draw() {
@@ -171,12 +190,13 @@
             for (const cells::Broker *b : map_.brokers_of(v.id, home))
                 for (std::size_t i = 0; i < brokers_.size(); ++i)
                     if (brokers_[i].name == b->name) v.brokers.push_back(static_cast<int>(i));
+            v.busiest = kind.busiest, v.shift = micros(kind.shift_s);
             volume_numbers_[static_cast<std::uint64_t>(v.id)] = static_cast<int>(volumes_.size());
             usual[static_cast<std::size_t>(v.cell)] += kind.rate;
             volumes_.push_back(std::move(v));
             arrivals(static_cast<int>(number), kind.rate, 0, e.seconds, kind.units, kind.writes, false);
         }
-    if (surges_)
+    if (parts_.surges)
         for (const Surge &surge : e.surges)
             for (std::size_t v = 0; v < volumes_.size(); ++v)
                 if (volumes_[v].cell == surge.cell &&
@@ -210,6 +230,7 @@
         cells["cells"].append(std::move(one));
     }
     Json::Value root;
+    root["lend_limits"] = experiment_.peers && parts_.talk;
     root["cells"] = std::move(cells);
     const std::string operators = folder_ / "operator.json";
     std::ofstream(operators) << root.toStyledString();
@@ -223,13 +244,24 @@
         c["listen"] = fmt::format("127.0.0.1:{}", broker.port);
         c["discovery"] = fmt::format("127.0.0.1:{}", lists_->port(number));
         c["seed"] = fmt::format("{:x}", stream(seed_, 4, static_cast<std::uint32_t>(broker.port))());
-        c["known"] =
-            config::parse(R"({"revision":1,"complete":true,"members":[)" + listed() + "]}"); // as last heard
+        c["known"] = config::parse(R"({"revision":1,"complete":true,"members":[)" + listed(number) +
+                                   "]}"); // as last heard
         c["limits"]["sockets"] = 1024;
         c["limits"]["memory_mb"] = 192;
         c["settings"] = experiment_.settings;
         c["settings"]["instances"] = experiment_.brokers; // that share the cell's nodes
         c["settings"]["position"] = position[broker.cell]++;
+        c["control"] = fmt::format("127.0.0.1:{}", broker.control);
+        c["settings"]["bounds"]["peers"] = experiment_.peers && parts_.talk;
+        if (experiment_.peers) {
+            const int own = static_cast<int>(number);
+            c["peer_listen"] = fmt::format("127.0.0.1:{}", broker.peer);
+            c["peers_all"] = fmt::format("127.0.0.1:{}", datagrams_->port_to_all(own));
+            for (std::size_t other = 0; other < brokers_.size(); ++other)
+                if (brokers_[other].cell == broker.cell)
+                    c["peers"].append(
+                        fmt::format("127.0.0.1:{}", datagrams_->port(own, static_cast<int>(other))));
+        }
         const std::string file = folder_ / (broker.name + ".json");
         std::ofstream(file) << c.toStyledString();
         broker.process.command = {program, "serve", "--config", file, "--operator", operators};
@@ -237,25 +269,39 @@
     }
 }
 
-std::string World::listed() const {
+std::string World::listed(std::size_t broker) const {
     std::string members;
     for (std::size_t n = 0; n < nodes_.size(); ++n)
         members += fmt::format(
-            R"({}{{"id":"{}","host_port":"127.0.0.1:{}","locality":"a","cell":0,"phase":"{}","up_since_ms":{}}})",
-            n ? "," : "", nodes_[n]->name(), nodes_[n]->port(), nodes_[n]->draining() ? "draining" : "up",
-            nodes_[n]->up_since() / 1000);
+            R"({}{{"id":"{}","host_port":"127.0.0.1:{}","locality":"a","cell":{},"phase":"{}","up_since_ms":{}}})",
+            n ? "," : "", nodes_[n]->name(),
+            streams_.empty() ? nodes_[n]->port() : streams_[broker * nodes_.size() + n]->port(),
+            experiment_.shards ? n % static_cast<std::size_t>(experiment_.nodes) : 0,
+            nodes_[n]->draining() ? "draining" : "up", nodes_[n]->up_since() / 1000);
     return members;
 }
 
+// The broker that a try comes through.
+int World::broker_for(const Volume &volume, std::uint64_t luck) const {
+    const std::size_t all = volume.brokers.size();
+    if (volume.busiest > 0 &&
+        static_cast<double>(luck >> 40) < volume.busiest * static_cast<double>(1 << 24)) {
+        const Micros turn = volume.shift > 0 ? (clock_.now() - start_) / volume.shift : 0;
+        return volume.brokers[(static_cast<std::size_t>(volume.id) + static_cast<std::size_t>(turn)) % all];
+    }
+    return volume.brokers[luck % all];
+}
+
 void World::changed() {
     // Grace as the rule says, and what the way there takes.
     const Micros grace = settings_.drain_grace + kOnItsWay;
     std::vector<std::pair<EmulatedNode *, int>> drains;
     for (const auto &node : nodes_)
         if (node->draining()) drains.emplace_back(node.get(), node->drains());
-    lists_->change(listed(), [grace, drains = std::move(drains)] {
-        for (const auto &[node, drain] : drains) node->told_of_drain(drain, grace);
-    });
+    lists_->change([this](std::size_t broker) { return listed(broker); },
+                   [grace, drains = std::move(drains)] {
+                       for (const auto &[node, drain] : drains) node->told_of_drain(drain, grace);
+                   });
 }
 
 asio::awaitable<std::optional<std::pair<int, std::string>>>
@@ -357,13 +403,17 @@
     for (int tries = 0; tries < kMostTries && !served; ++tries) {
         const Micros now = clock_.now(), left = leaves - now;
         if (left < 5'000) break;
-        Broker &broker = brokers_[static_cast<std::size_t>(volume.brokers[luck++ % volume.brokers.size()])];
+        Broker &broker = brokers_[static_cast<std::size_t>(broker_for(volume, luck))];
+        luck = luck * 6364136223846793005u + 1442695040888963407u;
         const std::string id = fmt::format("{:016x}", ++last_id_ * 0x9e3779b97f4a7c15);
+        tries_.emplace(id, asking.at);
         std::string list =
             fmt::format("c={},t={},d={}", cls.name,
                         settings_.plans[static_cast<std::size_t>(volume.plan)].name, left / 1000);
         if (drawn.write) list += ",k=" + drawn.key;
-        list += fmt::format(",volume={},units={},shard=0,hosts={}", volume.spelt, drawn.units,
+        const auto shard =
+            experiment_.shards ? drawn.luck % static_cast<std::uint64_t>(experiment_.nodes) : 0;
+        list += fmt::format(",volume={},units={},shard={},hosts={}", volume.spelt, drawn.units, shard,
                             volume.brokers.size());
         const std::string command = drawn.write
                                         ? net::resp::command({"OBJ.PUT", drawn.piece, id, list, "body"})
@@ -380,7 +430,7 @@
             break;
         case Got::Kind::Busy:
             oracle_->answered();
-            oracle_->refused();
+            oracle_->refused(clock_.now(), asking);
             wait = got.text.size() > 5 ? 1000 * std::clamp(std::atoll(got.text.c_str() + 5), 1LL, 10'000LL)
                                        : 50'000;
             break;
@@ -392,6 +442,8 @@
         default:
             if (broker.killed > 0 && clock_.now() - broker.killed < 3'000'000)
                 oracle_->broken();
+            else if (broker.stopped > 0 && now < broker.woken && clock_.now() >= broker.stopped)
+                oracle_->paused();
             else
                 oracle_->unanswered();
         }
@@ -424,9 +476,11 @@
         co_await rest(micros(f.length));
         keeper_.signal(SIGCONT);
     } else if (f.what == "stop-broker") {
+        broker().stopped = clock_.now(), broker().woken = INT64_MAX;
         broker().process.signal(SIGSTOP);
         co_await rest(micros(f.length));
         broker().process.signal(SIGCONT);
+        broker().woken = clock_.now();
     } else if (f.what == "restart-broker") {
         broker().killed = clock_.now();
         broker().process.kill();
@@ -470,6 +524,19 @@
         }
     } else if (f.what == "pause-node") {
         node(f.index).pause(micros(f.length));
+    } else if (f.what == "slow-node") {
+        node(f.index).slow(f.times);
+        co_await rest(micros(f.length));
+        node(f.index).slow(1);
+    } else if (f.what == "restart-nodes") {
+        for (int n = 0; n < experiment_.nodes; ++n)
+            if (f.to.empty() || f.to.contains(n)) node(n).restart(micros(f.length));
+        changed();
+    } else if (f.what == "break-streams") {
+        for (std::size_t n = 0; n < streams_.size(); ++n)
+            if ((f.from.empty() || f.from.contains(static_cast<int>(n / nodes_.size()))) &&
+                (f.to.empty() || f.to.contains(static_cast<int>(n % nodes_.size()))))
+                streams_[n]->break_all();
     }
     --busy_;
 }
@@ -503,7 +570,9 @@
 }
 
 asio::awaitable<void> World::play() {
-    lists_->start(listed());
+    lists_->start([this](std::size_t broker) { return listed(broker); });
+    if (datagrams_) datagrams_->start();
+    for (auto &way : streams_) way->start();
     for (auto &node : nodes_) node->start();
     keeper_.start();
     for (Broker &broker : brokers_) broker.process.start();
@@ -514,9 +583,12 @@
         throw std::runtime_error("brokers and keeper are not ready: see the logs in " + folder_.string());
     start_ = clock_.now() + 50'000;
     oracle_.emplace(experiment_, settings_, cell_of, plan_of, start_);
-    if (faults_)
+    if (datagrams_) datagrams_->begin(start_);
+    if (parts_.surges)
+        for (const Surge &surge : experiment_.surges) oracle_->surge_over(micros(surge.at + surge.length));
+    if (parts_.faults)
         for (const Fault &f : experiment_.faults) ++busy_, asio::co_spawn(io_, fault(f), reraise);
-    if (moves_) {
+    if (parts_.moves) {
         std::mt19937_64 random = stream(seed_, 5);
         for (int n = 0; n < experiment_.moves; ++n) {
             const double part = (n + 0.5) / experiment_.moves;
@@ -540,6 +612,24 @@
     double cold = 0;
     for (const auto &node : nodes_) cold = std::max(cold, node->cold_worst());
     metrics_["cold.worst"] = cold;
+    // Of what a cold node bears from all brokers together, as the settings say, the part that came there.
+    double came = 0, bears = 0;
+    const Micros until = start_ + micros(experiment_.seconds);
+    for (const auto &node : nodes_) {
+        const Micros from = node->cold_time();
+        if (from == 0 || from >= until || settings_.fall_window <= 0 || settings_.warm_after <= 0) continue;
+        const double length = static_cast<double>(std::min(settings_.warm_after, until - from));
+        const double grown =
+            (1 / settings_.cold_from - 1) * length / static_cast<double>(settings_.warm_after);
+        came += node->cold_units();
+        bears += settings_.cold_units * (1 + grown / 2) * length / static_cast<double>(settings_.fall_window);
+    }
+    if (bears > 0) metrics_["cold.used"] = came / bears;
+    if (datagrams_) {
+        metrics_["datagrams.sent"] = static_cast<double>(datagrams_->sent());
+        metrics_["datagrams.bytes"] = static_cast<double>(datagrams_->bytes());
+        metrics_["datagrams.lost"] = static_cast<double>(datagrams_->lost());
+    }
     double late_sends = 0;
     for (const auto &node : nodes_) late_sends += node->sent_after_drain();
     metrics_["drain.late"] = late_sends;
--- a/src/lab/world.hpp
+++ b/src/lab/world.hpp
@@ -6,6 +6,7 @@
 #include "core/deadlines.hpp"
 #include "lab/lists.hpp"
 #include "lab/oracle.hpp"
+#include "lab/relay.hpp"
 #include "net/resp/parser.hpp"
 #include "net/sockets.hpp"
 
@@ -43,6 +44,7 @@
     int drains() const { return drains_; } // so far
     int sent_after_drain() const { return after_drain_; }
     void pause(Micros length);
+    void slow(double times) { slow_ = times; } // from now on
     // Ends all connections, answers nothing for this long, then is cold.
     void restart(Micros down);
 
@@ -51,6 +53,8 @@
     bool draining() const { return draining_; }
     Micros up_since() const { return up_since_; }
     double cold_worst() const { return cold_.worst(); }
+    double cold_units() const { return cold_units_; } // sent here while it was cold
+    Micros cold_time() const { return cold_from_; }   // when it was last cold from, 0: never
 
 private:
     asio::awaitable<void> accept();
@@ -73,6 +77,8 @@
     bool draining_ = false;
     Micros down_until_ = 0, paused_until_ = 0, up_since_ = 0, drain_told_ = 0;
     int after_drain_ = 0, drains_ = 0;
+    double slow_ = 1, cold_units_ = 0;
+    Micros cold_from_ = 0;
     std::uint64_t generation_ = 0;
 };
 
@@ -94,8 +100,10 @@
 // processes.
 class World {
 public:
-    World(const Experiment &experiment, std::uint64_t seed, std::filesystem::path folder, bool surges,
-          bool faults, bool moves);
+    struct Parts { // what of the experiment is played
+        bool surges = true, faults = true, moves = true, talk = true;
+    };
+    World(const Experiment &experiment, std::uint64_t seed, std::filesystem::path folder, Parts parts);
     std::map<std::string, double> run(); // takes the experiment's time
     void end();
     const std::map<int, std::vector<double>> &series() const { return oracle_->series(); }
@@ -103,9 +111,10 @@
 private:
     struct Broker {
         std::string name;
-        int cell = 0, port = 0, link = 0;
+        int cell = 0, port = 0, link = 0, peer = 0, control = 0;
         Process process;
         Micros killed = 0;
+        Micros stopped = 0, woken = 0; // last paused from, and until
         std::list<std::pair<Micros, std::unique_ptr<tcp::socket>>> idle;
     };
     struct Volume {
@@ -113,12 +122,15 @@
         int plan = 0, cell = 0;
         std::vector<int> brokers;
         std::string spelt;
+        double busiest = 0;
+        Micros shift = 0;
     };
+    int broker_for(const Volume &volume, std::uint64_t luck) const;
 
     void lay_out();
     void draw();
     void write_settings();
-    std::string listed() const;
+    std::string listed(std::size_t broker) const;
     void changed();
     asio::awaitable<void> play();
     asio::awaitable<bool> ready();
@@ -139,7 +151,7 @@
     const Settings settings_;
     std::uint64_t seed_;
     std::filesystem::path folder_;
-    bool surges_, faults_, moves_;
+    Parts parts_;
     asio::io_context io_{1};
     core::Clock clock_;
     core::Deadlines deadlines_{io_, clock_};
@@ -148,12 +160,16 @@
     Process keeper_;
     int keeper_link_ = 0, keeper_control_ = 0;
     std::optional<Lists> lists_;
-    std::vector<std::map<std::string, Micros>> keys_; // by cell
+    Weather weather_;
+    std::optional<DatagramRelay> datagrams_;
+    std::vector<std::unique_ptr<StreamRelay>> streams_; // by broker and node, where there is a relay
+    std::vector<std::map<std::string, Micros>> keys_;   // by cell
     std::vector<std::unique_ptr<EmulatedNode>> nodes_;
     std::vector<Volume> volumes_;
     std::unordered_map<std::uint64_t, int> volume_numbers_;
     std::vector<Drawn> drawn_;
-    std::unordered_set<std::string> charged_; // ids that have reached a node
+    std::unordered_set<std::string> charged_;       // ids that have reached a node
+    std::unordered_map<std::string, Micros> tries_; // by id: when its client first asked
     std::optional<Oracle> oracle_;
     Micros start_ = 0;
     int open_ = 0, moves_refused_ = 0, moves_lost_ = 0, busy_ = 0;
