--- a/include/marblewood/scheduler.hpp
+++ b/include/marblewood/scheduler.hpp
@@ -264,10 +264,10 @@
 using Action = std::variant<Send, Refuse, Fail, Cancel, Probe, CloseIdle, SetTimer, WatchList, FetchList,
                             TellPeers, Log>;
 
-// Turns on cold nodes between hosts, since the start (src/overload/cold_turns.hpp).
+// What cold nodes bear, given out by stewards, since the start (src/overload/cold_stewards.hpp).
 struct TurnFigures {
-    std::uint64_t asked = 0;   // calls for one
-    std::uint64_t given = 0;   // away
+    std::uint64_t asked = 0;   // calls to a steward
+    std::uint64_t given = 0;   // gifts of this host as a steward
     std::uint64_t taken = 0;   // that came in time
     std::uint64_t used = 0;    // sends that spent some of one that was taken
     std::uint64_t wasted = 0;  // that came too late, or were not spent whole in their time
