Watch the list within 6 s whatever became of the call before, by one owner

Cause: net/discovery's kWatch let a watch wait 20 s and gave it up 1.5 s later; the module's answer to Kind::Failed (policy.cpp, kAskAgain) then waited 1 to 16 s more. Ruled out: the check before writing (Planner::may_write looks at the list each time) and lists lost on the way to it (pushed_test). Change: net/discovery renews the watch itself, for lists asked for and pushed alike: 2 to 2.5 s of waiting drawn from the seed, 1.3 s for an answer, pauses of 50 ms to 2 s (100 ms for an agent) with jitter. An answer that is malformed, cut short, endless, older than what is known or a part where the whole was asked for changes nothing and is asked for again on a new connection; a lower revision is believed once the whole list says so twice. No exception ends the watch unseen. Gone with it: WatchList, FetchList and Kind::Failed of the module, fetching() (never called), the Delivery type. The simulator's adapter renews its own. A message of over 8 MiB is given up while it is read (trailers and chunk heads had no bound). The module's two tests of renewal became Link.AFailedWatchIsOpenedAnewInTime with the same bounds.

--- a/include/marblewood/scheduler.hpp
+++ b/include/marblewood/scheduler.hpp
@@ -70,7 +70,7 @@
     std::size_t most_held = 0; // requests that wait here, beyond which the least worth is refused; 0: any
 
     // What is allowed.
-    bool ask_for_list = false; // the list comes only when asked for
+    bool ask_for_list = false; // the list comes only when asked for: its owner's business, not the module's
     bool cancel = false;
     bool probes = false;
     bool peers = false;
@@ -119,7 +119,7 @@
 // Events.
 
 struct ListUpdate {
-    enum class Kind { Changes, Full, Saved, Failed };
+    enum class Kind { Changes, Full, Saved };
     Kind kind = Kind::Full;
     std::vector<NodeEntry> entries;
 };
@@ -249,10 +249,6 @@
     std::uint64_t token = 0;
     Micros delay = 0;
 };
-struct WatchList {
-    bool on = true;
-};
-struct FetchList {};
 struct TellPeers {
     std::optional<int> peer; // empty: all
     std::string data;
@@ -261,8 +257,7 @@
     std::string text;
 };
 
-using Action = std::variant<Send, Refuse, Fail, Cancel, Probe, CloseIdle, SetTimer, WatchList, FetchList,
-                            TellPeers, Log>;
+using Action = std::variant<Send, Refuse, Fail, Cancel, Probe, CloseIdle, SetTimer, TellPeers, Log>;
 
 // What cold nodes bear, given out by stewards, since the start (src/overload/cold_stewards.hpp).
 struct TurnFigures {
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -124,8 +124,6 @@
     std::optional<net::discovery::Discovery> discovery;
     std::optional<net::peers::Peers> peers;
     core::Surroundings around;
-    around.watch_list = [&](bool on) { discovery ? discovery->watch(on) : void(); };
-    around.fetch_list = [&] { discovery ? discovery->fetch() : void(); };
     around.tell_peers = [&](std::optional<int> peer, const std::string &data) {
         if (peers) peers->tell(peer, data);
     };
@@ -178,15 +176,14 @@
         fleet.told(reading);
         if (residence) residence->ready_nodes(fleet.ready());
     };
-    const auto delivery =
-        config.settings.ask_for_list ? net::discovery::Delivery::Asked : net::discovery::Delivery::Pushed;
     if (!config.discovery.empty())
-        discovery.emplace(
-            io, deadlines, delivery, address<tcp::endpoint>(config.discovery, "discovery"), config.discovery,
-            config.known.isNull() ? 0 : config::need_integer(config.known, "revision"), nodes, zones, told);
+        discovery.emplace(io, deadlines, config.settings,
+                          address<tcp::endpoint>(config.discovery, "discovery"), config.discovery,
+                          config.known.isNull() ? 0 : config::need_integer(config.known, "revision"), nodes,
+                          zones, told);
     else
         core::log("configuration: no 'discovery': the nodes in 'known' are all there are, and none drains");
-    if (residence) { // with it the planners begin, and have the list watched
+    if (residence) {
         residence->confined = [&] {
             fleet.confine([&](const std::string &id) { return residence->allows(id); });
             residence->ready_nodes(fleet.ready());
@@ -348,7 +345,8 @@
         hangups.async_wait([&](const boost::system::error_code &error, int) {
             if (error) return;
             reload(path, config, figures, [&](const tcp::endpoint &at, const std::string &host) {
-                if (!discovery) discovery.emplace(io, deadlines, delivery, at, host, 0, nodes, zones, told);
+                if (!discovery)
+                    discovery.emplace(io, deadlines, config.settings, at, host, 0, nodes, zones, told);
                 discovery->move(at, host);
             });
             await_hangup();
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -151,7 +151,7 @@
 void Planner::client_left(RequestId id) { to_life(id, Left{}); }
 
 void Planner::list(const ListUpdate &update) {
-    if (update.kind != ListUpdate::Kind::Changes && update.kind != ListUpdate::Kind::Failed) nodes_.clear();
+    if (update.kind != ListUpdate::Kind::Changes) nodes_.clear();
     for (const NodeEntry &entry : update.entries)
         if (entry.state == NodeState::Gone)
             nodes_.erase(entry.node);
@@ -198,10 +198,6 @@
             timers_.erase(number);
             tell(TimerDue{token});
         });
-    } else if (const auto *watch = std::get_if<WatchList>(&action)) {
-        surroundings_.watch_list(watch->on);
-    } else if (std::holds_alternative<FetchList>(action)) {
-        surroundings_.fetch_list();
     } else if (const auto *words = std::get_if<TellPeers>(&action)) {
         surroundings_.tell_peers(words->peer, words->data);
     } else {
--- a/src/core/planner.hpp
+++ b/src/core/planner.hpp
@@ -17,8 +17,6 @@
 
 // What the module asks of the world beside requests; set by whoever wires the program.
 struct Surroundings {
-    std::function<void(bool)> watch_list;
-    std::function<void()> fetch_list;
     std::function<void(std::optional<int>, const std::string &)> tell_peers;
 };
 
--- a/src/core/roster.hpp
+++ b/src/core/roster.hpp
@@ -13,7 +13,6 @@
 public:
     ListUpdate lay(ListUpdate update) {
         using Kind = ListUpdate::Kind;
-        if (update.kind == Kind::Failed) return update;
         if (update.kind != Kind::Changes) listed_.clear();
         for (NodeEntry &entry : update.entries) {
             if (entry.state == NodeState::Gone)
--- a/src/net/fleet.cpp
+++ b/src/net/fleet.cpp
@@ -17,7 +17,7 @@
             ports_.set(node, nvme_port_);
         }
     }
-    revision_ = std::max(revision_, reading.revision);
+    revision_ = reading.revision;
     tell(roster_.lay(reading.update));
     // Nodes are replaced for as long as this runs: those that are gone, with nothing out there, are
     // forgotten. One that is out by hand stays so if it is listed again.
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::size_t kMostHead = 16 * 1024, kMostBody = 4 * 1024 * 1024;
+constexpr std::size_t kMostMessage = 2 * kMostBody; // with what goes between chunks and behind them
 
 bool same(std::string_view a, std::string_view b) {
     const auto lower = [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; };
@@ -154,12 +155,14 @@
             const std::size_t got = co_await socket.async_read_some(
                 asio::buffer(chunk), asio::redirect_error(asio::use_awaitable, error));
             in.append(chunk, got);
+            if (in.size() > kMostMessage) break;
             try {
                 response = take(in, error == asio::error::eof);
             } catch (const std::runtime_error &) {
                 break;
             }
         }
+        if (response && !in.empty()) response->keep = false; // what stands behind an answer belongs to nobody
     }
     if (!response || !response->keep) socket.close(error);
     co_return response;
--- a/src/net/pool.hpp
+++ b/src/net/pool.hpp
@@ -29,11 +29,7 @@
     }
     // A node may have closed it since its last use. What is written to such a connection may be lost after it
     // was written whole, so it is looked at before.
-    bool fresh() {
-        char byte;
-        const auto got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) && in.empty();
-    }
+    bool fresh() { return in.empty() && quiet(socket); }
 };
 
 class Pool {
--- a/src/net/sockets.hpp
+++ b/src/net/sockets.hpp
@@ -80,6 +80,13 @@
     co_return error;
 }
 
+// Whether the other side has neither ended the connection nor sent anything that is not read yet.
+inline bool quiet(tcp::socket &socket) {
+    char byte;
+    const auto got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 // Appends what has come. One buffer serves all connections: those that wait need none.
 inline constexpr std::size_t kChunk = 64 * 1024;
 inline boost::system::error_code read_now(tcp::socket &socket, std::string &in, std::size_t most = kChunk) {
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -35,7 +35,6 @@
 constexpr double kTrialAims = 1.5;     // aims after which a trial is given up
 constexpr int kOvertaken = 5;          // later ones served, after which an attempt older than
 constexpr double kLostAims = 0.5;      // this many aims was lost on its way
-constexpr Micros kAskAgain = 1'000'000; // us, first wait after a failed call for the list; doubles to 8
 
 // Queue.
 constexpr double kReach = 0.7;      // part of the usual latency that an answer takes at the least
@@ -147,7 +146,7 @@
     overload::LimitLoans loans;
     ShedFigures shed_by;
     std::set<VolumeId> lacking; // whose limit holds work back here
-    Micros now = 0, born = kNever, ask_wait = kAskAgain, limited_at = kNever;
+    Micros now = 0, born = kNever, limited_at = kNever;
     bool listless = false, retired = false;
     std::size_t wait_here = 0;                 // requests
     std::map<VolumeId, Legacy::Store> bequest; // of stores, by a predecessor
@@ -158,7 +157,7 @@
     std::map<VolumeId, Volume> volumes;
     std::map<DataKey, Key> keys;
     // What is due when: work follows what changed.
-    enum class Due { End, Shard, Node, List, Sweep };
+    enum class Due { End, Shard, Node, Sweep };
     std::set<std::tuple<Micros, Due, std::uint64_t>> agenda;
     Micros armed = INT64_MAX;
     std::set<ShardId> touched; // shards whose queue or nodes this event changed
@@ -210,17 +209,9 @@
         born = now;
         tightest = std::ranges::min(set.classes, {}, &ClassSettings::aim).aim;
         agenda.emplace(now + kHousekeeping, Due::Sweep, 0);
-        if (set.ask_for_list) act(WatchList{true});
     }
 
     void on(const ListUpdate &list) {
-        if (list.kind == ListUpdate::Kind::Failed) { // the old list holds; ask again, later each time
-            agenda.emplace(now + ask_wait + jitter(ask_wait), Due::List, 0);
-            ask_wait = std::min(2 * ask_wait,
-                                set.ask_within > 0 ? std::min(8 * kAskAgain, set.ask_within) : 8 * kAskAgain);
-            return;
-        }
-        if (list.kind != ListUpdate::Kind::Saved) ask_wait = kAskAgain;
         std::set<NodeId> named;
         for (const NodeEntry &entry : list.entries) {
             named.insert(entry.node);
@@ -942,7 +933,6 @@
         while (!agenda.empty() && std::get<0>(*agenda.begin()) <= now) {
             const auto [at, due, id] = *agenda.begin();
             agenda.erase(agenda.begin());
-            if (due == Due::List) act(WatchList{true});
             if (due == Due::Sweep) sweep();
             if (due == Due::Shard) touched.insert(ShardId(id));
             if (due == Due::Node)
--- a/tests/link_test.cpp
+++ b/tests/link_test.cpp
@@ -119,6 +119,36 @@
     }
 }
 
+// The module has no part in it: the adapter opens a watch that failed anew, each time within the time for
+// which a list may go without being asked for, and not in step with other instances.
+TEST(Link, AFailedWatchIsOpenedAnewInTime) {
+    const std::string failed = R"({"t":"Update","scheduler_id":3,"form":"FAILED","generation":1})"
+                               "\n";
+    for (const double most : {6000.0, 2000.0}) { // the adapter's own bound; the settings'
+        double clock = 200, last = 0;
+        std::string input = kStart;
+        const std::string rules = R"("contract":{)";
+        if (most == 2000) input.insert(input.find(rules) + rules.size(), R"("must_ask_in":2000.0,)");
+        for (int k = 1; k <= 8; ++k) {
+            const auto lines = play(input + batch(clock, failed));
+            const auto timers = of(lines, "WakeMe");
+            ASSERT_FALSE(timers.empty());
+            const json timer = timers.back();
+            ASSERT_EQ(timer.at("name"), "watch");
+            const double wait = timer.at("from_now").get<double>();
+            EXPECT_GT(wait, 0);
+            EXPECT_LE(wait, most);
+            EXPECT_NE(wait, last);
+            last = wait;
+            input += batch(clock, failed);
+            clock += wait;
+            input += batch(clock, R"({"t":"Timer","scheduler_id":3,"name":"watch"})"
+                                  "\n");
+            EXPECT_EQ(of(play(input), "StreamChanges").size(), static_cast<std::size_t>(k + 1));
+        }
+    }
+}
+
 TEST(Link, ListNumbersAreReusedWithinABatch) {
     const auto lines = play(
         kStart +
