Begin a keyed repeat within its window even where its connection comes up late

Seen: with a window of 400 ms, an attempt that broke after its last byte and a node whose next connection comes up 1 s later, the write was sent again after the window, where the node may run it twice. Cause: the module looks at the window when it decides (same_group in policy.cpp); Planner::may_write, asked just before the first byte, looked at the attempt's end, the client and the drain alone. Ruled out: a client that has gone and a node that drains meanwhile, which it does see. Change: Send bears start_by, the end of the window of what may have run; may_write holds to it.

--- a/include/marblewood/scheduler.hpp
+++ b/include/marblewood/scheduler.hpp
@@ -226,7 +226,8 @@
 struct Send { // attempts of a request are numbered 0, 1, 2, ... in the order of their Sends
     RequestId id{};
     NodeId node{};
-    Micros expires = 0; // the time at which to give the attempt up
+    Micros expires = 0;  // the time at which to give the attempt up
+    Micros start_by = 0; // a keyed repeat: begun later it might run again; 0: nothing hangs on it
 };
 struct Refuse { // final: nothing was done, trying again is harmless
     RequestId id{};
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -55,7 +55,8 @@
             out->node = send->node;
             out->started = deadlines_.clock.now();
             out->expires = send->expires > 0 ? send->expires : life->until;
-            out->may_write = [this, life = life.get(), node = out->node, until = out->expires] {
+            const Micros until = send->start_by > 0 ? std::min(out->expires, send->start_by) : out->expires;
+            out->may_write = [this, life = life.get(), node = out->node, until] {
                 return may_write(*life, node, until);
             };
             out->written = [this] { ++figures_.sends; };
@@ -141,10 +142,11 @@
 }
 
 // Between a Send and its first byte a connection may have to come up. Meanwhile time may run out, the client
-// may leave, and the node may drain; work sent then would be wasted, or break the rule on drains.
-bool Planner::may_write(const Life &life, NodeId node, Micros expires) const {
+// may leave, the node may drain, and the time in which a repeat is dropped may end; work sent then would be
+// wasted, run twice, or break the rule on drains.
+bool Planner::may_write(const Life &life, NodeId node, Micros until) const {
     const auto listed = nodes_.find(node);
-    return life.answer && deadlines_.clock.now() < expires && listed != nodes_.end() &&
+    return life.answer && deadlines_.clock.now() < until && listed != nodes_.end() &&
            listed->second == NodeState::Ready;
 }
 
--- a/src/core/planner.hpp
+++ b/src/core/planner.hpp
@@ -96,7 +96,7 @@
     boost::asio::awaitable<void> probe(NodeId node);
     void finish(Life &life, Outcome outcome);
     void account(Life &life, const Outcome &outcome);
-    bool may_write(const Life &life, NodeId node, Micros expires) const;
+    bool may_write(const Life &life, NodeId node, Micros until) const;
 
     void tell(Event event);
     void perform(Action action);
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -698,7 +698,9 @@
 
     void send(Request &r, Node &node) {
         dequeue(r);
-        Micros expires = r.gone;
+        Micros expires = r.gone, start_by = 0;
+        if (const Attempt *const ran = r.first_ran(); ran && r.cls->effect == Effect::Keyed)
+            start_by = ran->sent + r.cls->repeat_window;
         if (!node.trusted) {
             expires =
                 std::min(expires, now + static_cast<Micros>(kTrialAims * static_cast<double>(r.cls->aim)));
@@ -714,7 +716,7 @@
         r.attempts.push_back({node.id, now, true, true});
         end_at(r);
         node.last_key = r.in.key;
-        act(Send{r.id, node.id, expires});
+        act(Send{r.id, node.id, expires, start_by});
     }
 
     void on(const AttemptEnded &e) {
