See clients go whatever stands before their end, and let go of none too early

Sessions now read on in all these states (dropping what is of no use, at a bounded pace), and 32 useless commands in a row end a connection. - stop_reading() cancelled all that the socket did, the answer in writing included, and its client lost it. Waiting for bytes has a cancellation of its own now. - drain_turn() closed the acceptor over connections in its queue, some with a request written. The queue is taken first. - Clients with a part of a message each grew past their part of the descriptors: with 256 told of, discovery and nodes got none. Beyond it the loop accepts only once one could be dropped: silent ones first, then those that have only their end to see, then asked and idle ones, old parts of a first message, newcomers. - A start found its address held by the process before and ended with 1. It waits for up to 8 s, and says so.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <thread>
 
 namespace marblewood::net {
 namespace {
@@ -10,6 +11,7 @@
 constexpr Micros kRest = 10'000;      // us before the next accept after a failed one
 constexpr Micros kStillComing =
     250'000; // us without a new connection after which, at a drain without clients, none is awaited
+constexpr std::chrono::milliseconds kAddressHeld{8'000}, kAddressLook{10}; // before anything is served
 constexpr Micros kFrontMoves = 1'000'000; // us from quiescing until clients' connections are closed
 constexpr Micros kAwayAgain = 100'000;    // us between looks at who has come since
 
@@ -22,12 +24,20 @@
 } // namespace
 
 tcp::acceptor listen_at(asio::io_context &io, const tcp::endpoint &at) {
-    tcp::acceptor acceptor(io);
-    acceptor.open(at.protocol());
-    acceptor.set_option(tcp::acceptor::reuse_address(true));
-    acceptor.bind(at);
-    acceptor.listen(1024);
-    return acceptor;
+    // The process that had the address before may still be on its way out.
+    const auto until = std::chrono::steady_clock::now() + kAddressHeld;
+    for (bool said = false;; std::this_thread::sleep_for(kAddressLook)) {
+        tcp::acceptor acceptor(io);
+        acceptor.open(at.protocol());
+        acceptor.set_option(tcp::acceptor::reuse_address(true));
+        boost::system::error_code error;
+        acceptor.bind(at, error);
+        if (!error) acceptor.listen(1024, error);
+        if (!error) return acceptor;
+        if (error != asio::error::address_in_use || std::chrono::steady_clock::now() >= until)
+            throw boost::system::system_error(error, fmt::format("port {}", at.port()));
+        if (!std::exchange(said, true)) core::log("port {} is held by another process: waiting", at.port());
+    }
 }
 
 tcp::acceptor listen_with(asio::io_context &io, Descriptor socket) {
@@ -58,15 +68,19 @@
         // A request may be written to a connection that waits to be accepted, and counts as taken then. So
         // room is made by closing an idle client, never by not accepting: one that holds a connection and
         // says nothing before one that comes back to it.
-        if (budget_.clients_full()) drop_idle();
         boost::system::error_code error;
+        if (budget_.clients_full() && !drop_one()) { // what nodes and discovery need is not given away
+            rest.expires_after(std::chrono::microseconds(kRest));
+            co_await rest.async_wait(asio::redirect_error(asio::use_awaitable, error));
+            continue;
+        }
         tcp::socket socket =
             co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, error));
         if (error) {
             if (paused_ && acceptor_.is_open()) continue;
             if (error == asio::error::operation_aborted || !acceptor_.is_open()) break;
             core::log("accept: {}", error.message()); // out of descriptors, say: it passes
-            if (budget_.clients_full() || error.value() == EMFILE || error.value() == ENFILE) drop_idle();
+            if (error.value() == EMFILE || error.value() == ENFILE) drop_one();
             rest.expires_after(std::chrono::microseconds(kRest));
             co_await rest.async_wait(asio::redirect_error(asio::use_awaitable, error));
             continue;
@@ -85,6 +99,7 @@
     client->early = std::move(early);
     client->pass = pass_;
     client->staying = done_ != nullptr;
+    client->closing = !acceptor_.is_open(); // it came in the moment in which the last ones are let go
     asio::co_spawn(io_, serve(client), asio::detached);
     thin_out();
 }
@@ -109,7 +124,7 @@
 
 void Clients::adopt(Passed passed) {
     budget_.came_over();
-    if (budget_.clients_full()) drop_idle();
+    if (budget_.clients_full()) drop_one();
     tcp::socket socket(io_);
     boost::system::error_code error;
     const int fd = passed.descriptor.get();
@@ -119,19 +134,27 @@
     take(std::move(socket), std::move(passed));
 }
 
-void Clients::drop_idle() {
+bool Clients::drop_one() {
     // A newcomer's first request may be on its way or unread: it is the last to go, however much it looks
-    // like one that says nothing.
+    // like one that says nothing, or no more than a part of its first request.
     const Micros now = deadlines_.clock.now();
-    const auto rank = [now](const Client &c) {
-        return std::pair(c.asked ? 1 : now - c.accepted < kNewcomer ? 2 : 0, c.used);
+    const auto rank = [now](Client &c) -> std::optional<std::pair<int, Micros>> {
+        if (c.ending) return std::pair(1, c.used);
+        boost::system::error_code error;
+        if (c.closing || c.owed > 0 || (c.partial && c.asked) || c.socket.available(error) > 0)
+            return std::nullopt;
+        if (now - c.accepted < kNewcomer && !c.asked) return std::pair(4, c.used);
+        return std::pair(c.partial ? 3 : c.asked ? 2 : 0, c.used);
     };
     Client *first = nullptr;
+    std::pair<int, Micros> least;
     for (Client &client : clients_)
-        if (client.idle() && !client.closing && (!first || rank(client) < rank(*first))) first = &client;
-    if (!first) return;
+        if (const auto its = rank(client); its && (!first || *its < least)) first = &client, least = *its;
+    if (!first) return false;
     first->closing = true;
     first->close();
+    if (first->nudge) first->nudge();
+    return true;
 }
 
 // Some clients ask once and stay, each on a connection of its own. What they hold of the connections that
@@ -196,8 +219,16 @@
         look_ = deadlines_.in(kRest, [this] { drain_turn(); });
         return;
     }
-    boost::system::error_code ignored;
-    acceptor_.close(ignored);
+    // What waits to be accepted may have a request written to it, which counts as taken.
+    boost::system::error_code error;
+    acceptor_.non_blocking(true, error);
+    while (!error) {
+        if (budget_.clients_full()) drop_one();
+        tcp::socket socket(io_);
+        acceptor_.accept(socket, error);
+        if (!error) take(std::move(socket), Passed());
+    }
+    acceptor_.close(error);
     for (Client &client : clients_) {
         client.closing = true;
         if (client.nudge) client.nudge();
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -25,14 +25,15 @@
     tcp::socket socket;
     SocketBudget::Lease lease;
     Micros accepted = 0;
-    Micros used = 0;                  // when something last came or went on it
-    bool asked = false;               // it has asked for something, or made itself known
-    bool lasting = false;             // its protocol keeps it open for good, idle or not
-    std::size_t owed = 0;             // requests taken on it and not yet answered whole
-    bool partial = false;             // part of a request has come
-    bool closing = false;             // takes no more
-    bool staying = false;             // may be idle: this broker drains, and it could not come again
-    std::function<void()> nudge;      // set by the front: look at `closing` and `pass`
+    Micros used = 0;             // when something last came or went on it
+    bool asked = false;          // it has asked for something, or made itself known
+    bool lasting = false;        // its protocol keeps it open for good, idle or not
+    std::size_t owed = 0;        // requests taken on it and not yet answered whole
+    bool partial = false;        // part of a request has come
+    bool closing = false;        // takes no more
+    bool ending = false;         // has all its answers and was told of the end, which it has still to see
+    bool staying = false;        // may be idle: this broker drains, and it could not come again
+    std::function<void()> nudge; // set by the front: look at `closing` and `pass`
     std::function<void(Passed)> pass; // set while connections are handed to another process
     Passed early;                     // what came with it from there
 
@@ -72,8 +73,8 @@
     asio::awaitable<void> accept();
     void take(tcp::socket socket, Passed early);
     asio::awaitable<void> serve(std::list<Client>::iterator client);
-    void drop_idle(); // one that never asked, else one unused the longest
-    void thin_out();  // one that asked and is unused the longest, if too many such stay
+    bool drop_one(); // to make room; false: all are in use
+    void thin_out(); // one that asked and is unused the longest, if too many such stay
     void drain_turn();
     void send_away();
 
--- a/src/net/resp/front.cpp
+++ b/src/net/resp/front.cpp
@@ -13,6 +13,7 @@
 namespace marblewood::net::resp {
 namespace {
 
+constexpr int kMostUseless = 32;       // commands of no use in a row, after which the connection ends
 constexpr Micros kMayIdle = 2'000'000; // us; clients open another connection when they need one
 
 template <typename T> T number(std::string_view text, const char *name, int base = 10) {
@@ -99,6 +100,7 @@
     const char *front() const override { return "resp"; }
     void turn_away(const char *why) { // understood, but of no use
         wrong_ = true;
+        if (++useless_ >= kMostUseless) throw Malformed("too much of no use");
         say(fmt::format("-ERR {}\r\n", why));
     }
 
@@ -130,6 +132,7 @@
         // Its answers could not be told from the other's, and a node takes one for a repeat of the other.
         if (!open_.insert(read.id).second) throw Malformed("the id of an open request");
         client_.asked = true;
+        useless_ = 0;
         read.sent = deadlines_.clock.now(); // its last byte: however slowly it was written
         auto request = std::make_shared<const core::Request>(std::move(read));
         core::Taker &taker = desk_.taker(*request);
@@ -211,6 +214,7 @@
     core::Desk desk_;
     OpenIds &open_;
     Reader reader_;
+    int useless_ = 0;       // commands of no use since the last request
     std::size_t ready_ = 0; // bytes of answers that wait for those before them
     std::deque<Slot> slots_;
     std::uint64_t first_ = 0; // the number of the first slot
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -1,8 +1,10 @@
 #include "net/session.hpp"
 
+#include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
+#include <poll.h>
 
 namespace marblewood::net {
 namespace {
@@ -15,14 +17,19 @@
 constexpr Micros kReadWithin = 10'000'000; // us for a client to read what it is sent
 constexpr Micros kLinger = 200'000;        // us for a client to see the end of a connection
 constexpr std::size_t kMostPassed = 48 * 1024; // bytes of a begun message that another process goes on with
-constexpr int kDiscarded = 8;                  // reads of what it still sends then
+constexpr int kDropped = 8;                    // reads, of what it still sends then, after which there is
+constexpr Micros kDropRest = 10'000; // a rest of so many us: whoever floods does not take the time of all
+constexpr std::size_t kReadAhead = 64 * 1024; // bytes that a crowded connection is read ahead, to see its end
+constexpr Micros kLook = 50'000;              // us between looks at one on which more than that has come
 
 } // namespace
 
 asio::awaitable<void> Session::run() {
     client_.nudge = [this] {
-        boost::system::error_code ignored;
-        if (client_.owed == 0 || over_) client_.socket.cancel(ignored);
+        if (over_)
+            wake();
+        else if (client_.owed == 0)
+            stir();
     };
     if (!client_.early.bytes.empty()) { // read by the process that had this client before
         in_ = std::exchange(client_.early.bytes, {});
@@ -30,6 +37,11 @@
         took(false);
     }
     while (!over_) {
+        if (unread_ && !crowded()) {
+            unread_ = false;
+            took(true);
+            continue;
+        }
         boost::system::error_code error;
         if (client_.pass && hand_over()) break;
         if (client_.closing) { // between requests: only what has come already is still taken
@@ -42,17 +54,33 @@
             if (over_ || client_.idle()) break;
         }
         mind();
+        if (unread_ && (in_.size() >= kReadAhead || memory_.full())) {
+            co_await rest(kLook, true);
+            if (!hung_up()) continue;
+            client_gone();
+            break;
+        }
         const bool fresh = !begun();
-        error = co_await read_more(client_.socket, in_);
-        if (error == asio::error::operation_aborted && client_.socket.is_open()) continue; // nudged
+        error = co_await readable();
+        if (error == asio::error::operation_aborted && client_.socket.is_open()) continue;
+        if (!error) error = read_now(client_.socket, in_);
         if (error) {
-            gone_ = true;
-            left();
+            client_gone();
             break;
         }
-        took(fresh);
-        if (wrong_) co_await rest();
-        while (client_.owed >= kMostOwed && !over_ && !gone_) co_await wake_.take();
+        unread_ = crowded();
+        if (unread_)
+            share_.set(held() + out_.size());
+        else
+            took(fresh);
+        if (wrong_) {
+            wrong_ = false;
+            co_await rest(kRest);
+            if (hung_up()) {
+                client_gone();
+                break;
+            }
+        }
     }
     over_ = true;
     patience_.reset();
@@ -60,6 +88,28 @@
     client_.nudge = nullptr;
 }
 
+bool Session::crowded() const { return client_.owed >= kMostOwed; }
+
+// Whoever waits for an answer and goes is seen here: nothing more is done for it.
+void Session::client_gone() {
+    if (std::exchange(gone_, true)) return;
+    left();
+}
+
+bool Session::hung_up() const {
+    pollfd end{client_.socket.native_handle(), POLLRDHUP, 0};
+    return !client_.socket.is_open() ||
+           (::poll(&end, 1, 0) > 0 && (end.revents & (POLLRDHUP | POLLHUP | POLLERR | POLLNVAL)) != 0);
+}
+
+asio::awaitable<boost::system::error_code> Session::readable() {
+    boost::system::error_code error;
+    co_await client_.socket.async_wait(
+        tcp::socket::wait_read,
+        asio::bind_cancellation_slot(stirred_.slot(), asio::redirect_error(asio::use_awaitable, error)));
+    co_return error;
+}
+
 bool Session::hand_over() {
     if (client_.owed > 0 || writing_ || wrong_) return false;
     auto bytes = unfinished();
@@ -106,14 +156,13 @@
 }
 
 // A client that sends what is of no use, and again as soon as it is told so, is not let take the time of all.
-asio::awaitable<void> Session::rest() {
-    wrong_ = false;
+asio::awaitable<void> Session::rest(Micros length, bool until_room) {
     bool over = false;
-    const auto entry = deadlines_.in(kRest, [&] {
+    const auto entry = deadlines_.in(length, [&] {
         over = true;
         wake();
     });
-    while (!over) co_await wake_.take();
+    while (!over && !(until_room && !crowded())) co_await wake_.take();
 }
 
 void Session::send(std::string bytes, std::size_t answers) {
@@ -151,20 +200,30 @@
     while (writing_ && !gone_) co_await flow_.take();
 }
 
-// All that was asked is answered, then the client sees the end. What it wrote meanwhile was not read; a
-// little of it is now, so that a reset does not take the last answer from it.
+// All that was asked is answered, then the client sees the end. What it wrote meanwhile is read and dropped,
+// so that its leaving is seen, and a reset does not take the last answer from it.
 asio::awaitable<void> Session::end() {
-    while (writing_ || (!gone_ && client_.owed > 0)) co_await wake_.take();
+    std::string dropped;
+    for (int n = 1; !gone_ && (writing_ || client_.owed > 0); ++n, dropped.clear()) {
+        boost::system::error_code error = co_await readable();
+        if (error == asio::error::operation_aborted && client_.socket.is_open()) continue;
+        if (!error) error = read_now(client_.socket, dropped);
+        if (error || hung_up())
+            client_gone();
+        else if (n % kDropped == 0)
+            co_await rest(kDropRest);
+    }
+    while (writing_) co_await wake_.take();
     if (gone_) co_return;
     boost::system::error_code error;
     client_.socket.shutdown(tcp::socket::shutdown_send, error);
+    client_.ending = true;
     const auto limit = deadlines_.in(kLinger, [this] {
         client_.close();
         wake();
     });
-    std::string discarded;
-    for (int n = 0; n < kDiscarded && !error; ++n, discarded.clear())
-        error = co_await read_more(client_.socket, discarded);
+    for (int n = 0; n < kDropped && !error; ++n, dropped.clear())
+        error = co_await read_more(client_.socket, dropped);
     while (!error && client_.socket.is_open()) co_await wake_.take();
 }
 
--- a/src/net/session.hpp
+++ b/src/net/session.hpp
@@ -6,6 +6,8 @@
 #include "core/memory.hpp"
 #include "net/clients.hpp"
 
+#include <boost/asio/cancellation_signal.hpp>
+
 namespace marblewood::net {
 
 class Session : public std::enable_shared_from_this<Session> {
@@ -41,12 +43,18 @@
 
 private:
     void took(bool fresh);
+    bool crowded() const; // as much is owed as one connection may ask for at once
     bool hand_over();
     void mind();
     void stop_reading(const char *why);
-    asio::awaitable<void> rest();
-    void wake() { // at most one call waits to be heard
+    void client_gone();
+    bool hung_up() const; // it has, behind whatever has come and is not read yet
+    asio::awaitable<boost::system::error_code> readable(); // operation_aborted where it was stirred instead
+    asio::awaitable<void> rest(Micros length, bool until_room = false); // or until no longer crowded
+    void stir() { stirred_.emit(asio::cancellation_type::all); }        // ends readable(), and nothing else
+    void wake() {                                                       // at most one call waits to be heard
         if (wake_.empty()) wake_.put(true);
+        if (over_ || unread_) stir();
     }
     asio::awaitable<void> write(std::shared_ptr<Session> self);
     asio::awaitable<void> end();
@@ -55,6 +63,8 @@
     std::string out_;
     std::size_t out_answers_ = 0;
     bool writing_ = false, gone_ = false;
+    bool unread_ = false; // in_ holds what came while this connection was crowded
+    asio::cancellation_signal stirred_;
     core::Memory::Share share_;
     core::Memory &memory_;
     core::Deadlines::Entry patience_;
