Use a node's connection again only once nothing more has come on it for 10 ms

Seen: a node that answers twice, the second time 4 ms late, has its second answer passed on as that of the next request, which was written to the same connection in between (RESP2 answers bear no number). Cause: NodePort::connect took an idle connection at once; Wire::fresh() sees only what has come by then, and taking the one that rested the longest helps only where there are several. Ruled out: more behind an answer in one piece (receive() sees it). Change: a connection given back less than 10 ms ago is waited on first; what comes on it then ends it. Client, drain and expiry are checked after the wait, as before.

--- a/src/net/pool.hpp
+++ b/src/net/pool.hpp
@@ -14,6 +14,7 @@
     tcp::socket socket;
     std::string in; // read, not yet taken
     SocketBudget::Lease lease;
+    Micros returned = 0; // when its last user gave it back
     core::Deadlines::Entry idle_end;
 
     void close() {
@@ -60,6 +61,7 @@
         return wire;
     }
     void give_back(const tcp::endpoint &to, std::shared_ptr<Wire> wire) {
+        wire->returned = deadlines_.clock.now();
         wire->idle_end = deadlines_.in(keep_, [this, to, raw = wire.get()] {
             const auto at = idle_.find(to);
             if (at == idle_.end()) return;
--- a/src/net/resp/node_port.cpp
+++ b/src/net/resp/node_port.cpp
@@ -11,9 +11,10 @@
 namespace marblewood::net::resp {
 namespace {
 
-constexpr Micros kDial = 250'000; // us for a connection to come up, where the settings do not say
-constexpr Micros kGap = 100'000;  // us of silence in an answer that has begun, after which it does not go on
-constexpr Micros kRest = 5'000;   // the same behind a whole value
+constexpr Micros kDial = 250'000;  // us for a connection to come up, where the settings do not say
+constexpr Micros kGap = 100'000;   // us of silence in an answer that has begun, after which it does not go on
+constexpr Micros kRest = 5'000;    // the same behind a whole value
+constexpr Micros kSettle = 10'000; // us from a connection's last answer until it is used again
 constexpr Micros kStreamGap =
     5'000'000; // the same within a long value: its node or the way to it may be slow
 
@@ -155,9 +156,29 @@
     if (const auto at = addresses_.find(node); at != addresses_.end()) pool_.close_idle(at->second);
 }
 
+// Answers bear no number: one that comes twice, the second time some milliseconds late, would be taken for
+// the answer to the next request. So a connection is used again only once nothing more has come for a while.
+asio::awaitable<bool> NodePort::settled(Wire &wire) {
+    const Micros until = wire.returned + kSettle;
+    if (deadlines_.clock.now() >= until) co_return true;
+    boost::system::error_code error;
+    const auto limit = deadlines_.at(until, [&wire] {
+        boost::system::error_code ignored;
+        wire.socket.cancel(ignored);
+    });
+    co_await wire.socket.async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
+    co_return error == asio::error::operation_aborted &&wire.socket.is_open() && wire.fresh();
+}
+
 asio::awaitable<std::shared_ptr<Wire>> NodePort::connect(tcp::endpoint to, core::Attempt &attempt) {
-    auto wire = pool_.reuse(to);
-    if (wire) co_return wire;
+    std::shared_ptr<Wire> wire;
+    while ((wire = pool_.reuse(to)) != nullptr) {
+        attempt.on_stop = [wire = wire.get()] { wire->close(); };
+        const bool quiet = co_await settled(*wire);
+        attempt.on_stop = nullptr;
+        if (quiet || attempt.stopped) co_return wire;
+        wire->close();
+    }
     wire = pool_.open();
     if (!wire) co_return nullptr;
     attempt.on_stop = [wire = wire.get()] { wire->close(); };
--- a/src/net/resp/node_port.hpp
+++ b/src/net/resp/node_port.hpp
@@ -20,6 +20,7 @@
     void close_idle(NodeId node) override;
 
 private:
+    asio::awaitable<bool> settled(Wire &wire); // false: it is of no more use
     asio::awaitable<std::shared_ptr<Wire>> connect(tcp::endpoint to, core::Attempt &attempt);
     void give_back(NodeId node, const tcp::endpoint &to, std::shared_ptr<Wire> wire);
     std::string spell(const core::Attempt &attempt) const;
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -284,6 +284,27 @@
     assert(node.taken().size() == 2);
 }
 
+// A node answers twice, the second time some milliseconds late, while the next request is there already: what
+// comes late is nobody's answer.
+void a_second_answer_that_comes_late_is_nobodys() {
+    Server node([](Socket &s) {
+        while (const auto command = s.value()) {
+            const std::string answer = RespNode::served(command->elements[1].text);
+            s.send(answer);
+            std::this_thread::sleep_for(4ms);
+            s.send(answer);
+        }
+    });
+    const Discovery discovery(member("s-1", node.port, 0));
+    const Program program(discovery);
+    Socket client = program.client();
+    for (int n = 0; n < 20; ++n) {
+        const std::string piece = fmt::format("{:016x}", n);
+        client.send(get(piece));
+        assert(client.value()->text == piece);
+    }
+}
+
 // ---- The end of a connection ----
 
 // A message that does not come whole ends the connection; an answer that is being written then comes whole.
@@ -453,6 +474,7 @@
     a_window_for_repeats_ends_while_the_connection_comes_up();
     a_repeat_within_its_window_is_sent();
     a_client_goes_before_the_second_attempt();
+    a_second_answer_that_comes_late_is_nobodys();
     an_answer_is_written_whole_before_a_connection_ends();
     unread_bytes_do_not_take_the_last_answer();
     requests_in_the_queue_at_the_end_are_answered();
