Hear the old discovery until the new one answers, and ask a crowded one for changes first

Cause: Discovery::move() closed the watch at once, dropping also what was on its way, and then asked for the whole list (some 170 entries, where changes are a few) until it got it: all brokers in step, five times the work of a call for changes. Ruled out: the module (a list once told keeps the rule, Fleet.NothingGoesToADrainingNode...) and renewals, which get no 503 once the moved ones are through (none after 17 s). Change: the old watch is heard until the new address has answered. A moved discovery is asked for its whole list; where that finds too many callers (503), for changes since what is known, and for the whole list 5 to 15 s later. Failed calls pause 0.1 s to 0.2 s at first (25 ms to 50 ms before); a watch waits 2.2 s to 3.2 s (2 s to 2.5 s), since 300 brokers renewing came to some 130 calls a second.

--- a/src/net/discovery/discovery.cpp
+++ b/src/net/discovery/discovery.cpp
@@ -9,12 +9,15 @@
 
 // us. A watch waits for news between kWatch - kSpread and kWatch, so that brokers don't renew in step. The
 // sum of kWatch, kAnswer, the first pauses, a dial and an answer stays under 6 s.
-constexpr Micros kWatch = 2'500'000, kSpread = 500'000;
-constexpr Micros kAnswer = 1'300'000; // for a connection to come up, and for an answer that need not wait
+constexpr Micros kWatch = 3'200'000, kSpread = 1'000'000;
+constexpr Micros kAnswer = 1'100'000; // for a connection to come up, and for an answer that need not wait
 // us until a watch that failed is opened anew, at first and at most. An agent on this machine that is back
 // counts as heard at once; discovery serves all brokers, and its return must not be met by all together.
-constexpr Micros kPause = 50'000, kLongestPause = 2'000'000;
+constexpr Micros kPause = 200'000, kLongestPause = 2'000'000;
 constexpr Micros kAgentPause = 10'000, kLongestAgentPause = 100'000;
+// us until the whole list of a discovery that moved is asked for again where it had too many callers: a list
+// of all nodes is many times the work of a call for changes, and all brokers are moved at once.
+constexpr Micros kWholeAgain = 10'000'000;
 
 Micros longest_pause(const Settings &settings) { // the list may be no older than the settings say
     return settings.ask_within > 0 ? std::clamp(settings.ask_within, kPause, kLongestPause) : kLongestPause;
@@ -40,99 +43,108 @@
 Discovery::Discovery(asio::io_context &io, core::Deadlines &deadlines, const Settings &settings,
                      tcp::endpoint at, std::string host, std::int64_t revision, config::Names &nodes,
                      config::Names &zones, Told told)
-    : deadlines_(deadlines), at_(at), host_(std::move(host)), nodes_(nodes), zones_(zones),
-      told_(std::move(told)), socket_(io), woken_(io.get_executor()), revision_(revision),
-      backoff_(settings.ask_for_list ? core::Backoff(kPause, longest_pause(settings), settings.seed)
-                                     : core::Backoff(kAgentPause, kLongestAgentPause, settings.seed)) {
-    asio::co_spawn(io, watch(), [](const std::exception_ptr &error) {
+    : io_(io), deadlines_(deadlines), settings_(settings), nodes_(nodes), zones_(zones),
+      told_(std::move(told)), revision_(revision), heard_(open(at, std::move(host), false)) {}
+
+void Discovery::move(tcp::endpoint at, std::string host) {
+    if (next_) end(*next_);
+    next_ = open(at, std::move(host), true);
+}
+
+std::shared_ptr<Discovery::Watch> Discovery::open(tcp::endpoint at, std::string host, bool foreign) {
+    const std::uint64_t seed = settings_.seed + opened_++;
+    const core::Backoff wait = settings_.ask_for_list ? core::Backoff(kPause, longest_pause(settings_), seed)
+                                                      : core::Backoff(kAgentPause, kLongestAgentPause, seed);
+    auto watch = std::make_shared<Watch>(io_, at, std::move(host), wait);
+    watch->foreign = foreign;
+    if (foreign) watch->whole_from = 0;
+    asio::co_spawn(io_, run(watch), [](const std::exception_ptr &error) {
         if (error) std::rethrow_exception(error); // a broker that no longer watches must not go on unseen
     });
+    return watch;
 }
 
-void Discovery::move(tcp::endpoint at, std::string host) {
-    at_ = at;
-    host_ = std::move(host);
-    whole_ = true;
-    revision_ = INT64_MIN;
-    lower_.reset();
-    backoff_.reset();
-    ++moves_;
+void Discovery::end(Watch &watch) {
+    watch.over = true;
     boost::system::error_code ignored;
-    socket_.close(ignored);
-    woken_.put(true);
+    watch.socket.close(ignored);
+    watch.woken.put(true);
 }
 
 // Renewed at once after each answer, on the same connection: a gap of over 200 ms would begin a new watch.
-asio::awaitable<void> Discovery::watch() {
-    for (;;) {
-        const int moves = moves_;
-        const Micros wait = whole_ ? 0 : kWatch - backoff_.part(kSpread);
+asio::awaitable<void> Discovery::run(std::shared_ptr<Watch> watch) {
+    while (!watch->over) {
+        const bool whole = deadlines_.clock.now() >= watch->whole_from;
+        const Micros wait = whole ? 0 : kWatch - watch->backoff.part(kSpread);
         std::string path = "/v1/servers";
-        if (!whole_) path += fmt::format("?since={}&timeout_ms={}", revision_, wait / 1000);
-        auto reading = co_await call(std::move(path), wait);
-        if (moves != moves_) {
-            boost::system::error_code ignored;
-            socket_.close(ignored);
-            continue;
-        }
-        if (reading && takes(*reading)) {
+        if (!whole) path += fmt::format("?since={}&timeout_ms={}", revision_, wait / 1000);
+        const auto reading = co_await call(*watch, std::move(path), wait);
+        if (watch->over) break;
+        if (reading && takes(*watch, *reading, whole)) {
             revision_ = reading->revision;
-            whole_ = false;
-            lower_.reset();
-            backoff_.reset();
+            if (whole) watch->foreign = false, watch->whole_from = INT64_MAX;
+            watch->lower.reset();
+            watch->backoff.reset();
+            if (watch == next_) {
+                end(*heard_);
+                heard_ = std::exchange(next_, nullptr);
+            }
             told_(*reading);
             continue;
         }
+        if (whole && watch->foreign && watch->crowded)
+            watch->whole_from = deadlines_.clock.now() + kWholeAgain / 2 + watch->backoff.part(kWholeAgain);
         boost::system::error_code ignored;
-        socket_.close(ignored);
-        co_await pause();
+        watch->socket.close(ignored);
+        co_await pause(*watch);
     }
 }
 
 // An older answer was overtaken on its way, or discovery counts anew: then its whole list, asked for on a new
 // connection, says so again.
-bool Discovery::takes(const Reading &reading) {
-    if (whole_ && reading.update.kind != ListUpdate::Kind::Full) {
+bool Discovery::takes(Watch &watch, const Reading &reading, bool whole) const {
+    if (whole && reading.update.kind != ListUpdate::Kind::Full) {
         core::log("discovery: changes where the whole list was asked for");
         return false;
     }
-    if (reading.revision >= revision_) return true;
-    const bool again = whole_ && lower_ && reading.revision >= *lower_;
+    if (reading.revision >= revision_ || (whole && watch.foreign)) return true;
+    const bool again = whole && watch.lower && reading.revision >= *watch.lower;
     core::log("discovery: revision {} after {}", reading.revision, revision_);
-    lower_ = reading.revision;
-    whole_ = true;
+    watch.lower = reading.revision;
+    watch.whole_from = 0;
     return again;
 }
 
-asio::awaitable<void> Discovery::pause() {
-    const int moves = moves_;
+asio::awaitable<void> Discovery::pause(Watch &watch) {
     bool over = false;
-    const auto entry = deadlines_.in(backoff_.next(), [&] {
+    const auto entry = deadlines_.in(watch.backoff.next(), [&] {
         over = true;
-        woken_.put(true);
+        watch.woken.put(true);
     });
-    while (!over && moves == moves_) co_await woken_.take();
+    while (!over && !watch.over) co_await watch.woken.take();
 }
 
-asio::awaitable<std::optional<Reading>> Discovery::call(std::string path, Micros wait) {
-    const int moves = moves_;
+asio::awaitable<std::optional<Reading>> Discovery::call(Watch &watch, std::string path, Micros wait) {
     const auto failed = [&](std::string_view why) {
-        if (moves == moves_) core::log("discovery: {}", why);
+        if (!watch.over) core::log("discovery: {}", why);
     };
+    watch.crowded = false;
     ++calls_; // one a call, whether it comes through or not
     const std::string request =
-        fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n", path, host_);
+        fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n", path, watch.host);
     boost::system::error_code error;
-    if (socket_.is_open() && !quiet(socket_)) socket_.close(error); // ended, or more than an answer has come
-    if (!socket_.is_open()) {
-        error = co_await dial(socket_, at_, deadlines_.clock.now() + kAnswer, deadlines_);
+    tcp::socket &socket = watch.socket;
+    if (socket.is_open() && !quiet(socket)) socket.close(error); // ended, or more than an answer has come
+    if (!socket.is_open()) {
+        error = co_await dial(socket, watch.at, deadlines_.clock.now() + kAnswer, deadlines_);
         if (error) {
             failed(error.message());
             co_return std::nullopt;
         }
     }
     const auto response =
-        co_await http::exchange(socket_, request, deadlines_.clock.now() + wait + kAnswer, deadlines_);
+        co_await http::exchange(socket, request, deadlines_.clock.now() + wait + kAnswer, deadlines_);
+    watch.crowded = response && response->status == 503;
     if (!response || response->status != 200) {
         failed(response ? fmt::format("status {}", response->status) : "no answer");
         co_return std::nullopt;
--- a/src/net/discovery/discovery.hpp
+++ b/src/net/discovery/discovery.hpp
@@ -36,30 +36,43 @@
     // cost, and whatever the agent has counts as told.
     Discovery(asio::io_context &io, core::Deadlines &deadlines, const Settings &settings, tcp::endpoint at,
               std::string host, std::int64_t revision, config::Names &nodes, config::Names &zones, Told told);
-    // Watches at another address from now on. Its revisions may be counted otherwise: its whole list comes
-    // first. What the discovery of before still says is not heard.
+    // Watches at another address, and there alone once that has answered; until then what is said at the old
+    // address still counts. Its revisions may be counted otherwise, so its whole list is asked for; where it
+    // has too many callers for that, the changes alone at first and the whole list a while later.
     void move(tcp::endpoint at, std::string host);
     std::uint64_t calls() const { return calls_; } // written to discovery since the start, watches included
 
 private:
-    asio::awaitable<void> watch();
-    asio::awaitable<std::optional<Reading>> call(std::string path, Micros wait);
-    bool takes(const Reading &reading);
-    asio::awaitable<void> pause();
+    struct Watch { // at one address
+        Watch(asio::io_context &io, tcp::endpoint where, std::string name, core::Backoff wait)
+            : at(where), host(std::move(name)), socket(io), woken(io.get_executor()), backoff(wait) {}
+        const tcp::endpoint at;
+        const std::string host;
+        tcp::socket socket;
+        core::Mailbox<bool> woken; // out of a pause
+        core::Backoff backoff;
+        bool foreign = false;              // its revisions may be counted otherwise than those known
+        Micros whole_from = INT64_MAX;     // calls ask for the whole list from then on
+        std::optional<std::int64_t> lower; // revision of the last answer, if older than what is known
+        bool crowded = false;              // the last call found too many callers there
+        bool over = false;
+    };
+    std::shared_ptr<Watch> open(tcp::endpoint at, std::string host, bool foreign);
+    static void end(Watch &watch);
+    asio::awaitable<void> run(std::shared_ptr<Watch> watch);
+    asio::awaitable<std::optional<Reading>> call(Watch &watch, std::string path, Micros wait);
+    bool takes(Watch &watch, const Reading &reading, bool whole) const;
+    asio::awaitable<void> pause(Watch &watch);
 
+    asio::io_context &io_;
     core::Deadlines &deadlines_;
-    tcp::endpoint at_;
-    std::string host_;
+    const Settings settings_;
     config::Names &nodes_, &zones_;
     Told told_;
-    tcp::socket socket_;
-    core::Mailbox<bool> woken_;         // out of a pause: it is over, or discovery has moved
-    std::int64_t revision_;             // of what is known
-    bool whole_ = false;                // the next call asks for the whole list
-    std::optional<std::int64_t> lower_; // of the last answer, where that was older than what is known
-    int moves_ = 0;
-    std::uint64_t calls_ = 0;
-    core::Backoff backoff_;
+    std::int64_t revision_; // of what is known
+    std::uint64_t calls_ = 0, opened_ = 0;
+    std::shared_ptr<Watch> heard_; // what it said last is what is known
+    std::shared_ptr<Watch> next_;  // where discovery has moved, until it has answered there
 };
 
 } // namespace marblewood::net::discovery
