--- a/src/net/resp/node_port.cpp
+++ b/src/net/resp/node_port.cpp
@@ -147,6 +147,7 @@
 }
 // Where the node has moved or gone meanwhile, nobody would come for the connection.
 void NodePort::give_back(NodeId node, const tcp::endpoint &to, std::shared_ptr<Wire> wire) {
+    if (!wire->socket.is_open()) return;
     const auto at = addresses_.find(node);
     std::string().swap(wire->in); // its room, too
     if (at != addresses_.end() && at->second == to) pool_.give_back(to, std::move(wire));
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -213,6 +213,7 @@
         else if (n % kDropped == 0)
             co_await rest(kDropRest);
     }
+    if (gone_) client_.close(); // what is still being written has no reader
     while (writing_) co_await wake_.take();
     if (gone_) co_return;
     boost::system::error_code error;
