--- a/tests/helper.hpp
+++ b/tests/helper.hpp
@@ -175,6 +175,20 @@
     }
 }
 
+// The head of the next HTTP request, taken off; nothing at the end of the connection.
+inline std::optional<std::string> next_head(Socket &s) {
+    std::size_t end;
+    while ((end = s.in.find("\r\n\r\n")) == std::string::npos)
+        if (!s.more(600000)) return std::nullopt;
+    std::string head = s.in.substr(0, end);
+    s.in.erase(0, end + 4);
+    return head;
+}
+inline int number_behind(const std::string &head, const char *name, int otherwise) {
+    const std::size_t at = head.find(name);
+    return at == std::string::npos ? otherwise : std::atoi(head.c_str() + at + std::strlen(name));
+}
+
 // Discovery: the list and watches on it.
 class Discovery {
 public:
@@ -214,25 +228,17 @@
         return fmt::format(R"({{"revision":{},"complete":{},"members":[{}]}})", revision, complete, members);
     }
     void serve(Socket &s) {
-        for (;;) {
-            std::size_t end;
-            while ((end = s.in.find("\r\n\r\n")) == std::string::npos)
-                if (!s.more(600000)) return;
-            const std::string head = s.in.substr(0, end);
-            s.in.erase(0, end + 4);
+        while (const auto head = next_head(s)) {
             ++calls;
             if (failures > 0) {
                 --failures;
                 s.send("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
                 continue;
             }
-            const auto number = [&](const char *name) {
-                const std::size_t at = head.find(name);
-                return at == std::string::npos ? -1 : std::atoi(head.c_str() + at + std::strlen(name));
-            };
-            const int seen = number("since=");
+            const int seen = number_behind(*head, "since=", -1);
             if (seen < 0) ++wholes;
-            const auto until = std::chrono::steady_clock::now() + std::max(number("timeout_ms="), 0) * 1ms;
+            const auto until =
+                std::chrono::steady_clock::now() + number_behind(*head, "timeout_ms=", 0) * 1ms;
             std::unique_lock lock(mutex_);
             if (seen == revision_) taken_.insert(&s);
             changed_.notify_all();
--- a/tests/watch_test.cpp
+++ b/tests/watch_test.cpp
@@ -44,17 +44,9 @@
 
 private:
     void serve(Socket &s) {
-        for (;;) {
-            std::size_t end;
-            while ((end = s.in.find("\r\n\r\n")) == std::string::npos)
-                if (!s.more(600000)) return;
-            const std::string head = s.in.substr(0, end);
-            s.in.erase(0, end + 4);
-            const auto number = [&](const char *name, int otherwise) {
-                const std::size_t at = head.find(name);
-                return at == std::string::npos ? otherwise : std::atoi(head.c_str() + at + std::strlen(name));
-            };
-            Call call{0, number("since=", -1), number("timeout_ms=", 0), Clock::now(), &s};
+        while (const auto head = next_head(s)) {
+            Call call{0, number_behind(*head, "since=", -1), number_behind(*head, "timeout_ms=", 0),
+                      Clock::now(), &s};
             {
                 const std::lock_guard lock(mutex_);
                 call.nth = static_cast<int>(calls_.size()) + 1;
