--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -377,7 +377,7 @@
             Host &host = hosts_[h];
             if (now_ >= host.listed && now_ < host.listed + kStep)
                 handle(h, ListUpdate{ListUpdate::Kind::Changes, {entry()}});
-            if (leaves && now_ >= host.listed + kStep && pick(0, 199) == 0) {
+            if (leaves && now_ - kStep >= host.listed && pick(0, 199) == 0) {
                 NodeEntry gone = entry();
                 gone.state = NodeState::Gone;
                 handle(h, ListUpdate{ListUpdate::Kind::Changes, {gone}});
