Keep the order in which clients are closed for newcomers, at one cost for any number

For each new connection accepted at a full budget, Clients::drop_one asked the system for unread bytes on every client and ranked all anew; thin_out walked all clients once more.

Change: EvictionOrder (src/net/eviction_order.*), free of I/O and clock, files each connection by rank and last use as it is used; next() looks at the first, and asks for unread bytes of that one alone. The cap on idle connections that have asked is kept the same way. Clients say how they are used through EvictionOrder::Entry, in place of open fields. Names: drop_one, thin_out, take, nudge are evict_one, limit_idle_askers, admit, notify.

Tests: who goes first is compared with the stated rule, looked up over all connections, in 1,000 random schedules of 120 steps.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -7,10 +7,9 @@
 namespace marblewood::net {
 namespace {
 
-constexpr Micros kNewcomer = 250'000; // us in which a new client's first request is awaited
-constexpr Micros kRest = 10'000;      // us before the next accept after a failed one
-constexpr Micros kStillComing =
-    250'000; // us without a new connection after which, at a drain without clients, none is awaited
+constexpr Micros kRetryAccept = 10'000; // us before the next accept after a failed one
+// us without a new connection after which, at a drain without clients, none is awaited
+constexpr Micros kStillComing = 250'000;
 constexpr std::chrono::milliseconds kAddressHeld{8'000}, kAddressLook{10}; // before anything is served
 constexpr Micros kFrontMoves = 1'000'000; // us from quiescing until clients' connections are closed
 constexpr Micros kAwayAgain = 100'000;    // us between looks at who has come since
@@ -69,8 +68,8 @@
         // room is made by closing an idle client, never by not accepting: one that holds a connection and
         // says nothing before one that comes back to it.
         boost::system::error_code error;
-        if (budget_.clients_full() && !drop_one()) { // what nodes and discovery need is not given away
-            rest.expires_after(std::chrono::microseconds(kRest));
+        if (budget_.clients_full() && !evict_one()) { // what nodes and discovery need is not given away
+            rest.expires_after(std::chrono::microseconds(kRetryAccept));
             co_await rest.async_wait(asio::redirect_error(asio::use_awaitable, error));
             continue;
         }
@@ -80,28 +79,27 @@
             if (paused_ && acceptor_.is_open()) continue;
             if (error == asio::error::operation_aborted || !acceptor_.is_open()) break;
             core::log("accept: {}", error.message()); // out of descriptors, say: it passes
-            if (error.value() == EMFILE || error.value() == ENFILE) drop_one();
-            rest.expires_after(std::chrono::microseconds(kRest));
+            if (error.value() == EMFILE || error.value() == ENFILE) evict_one();
+            rest.expires_after(std::chrono::microseconds(kRetryAccept));
             co_await rest.async_wait(asio::redirect_error(asio::use_awaitable, error));
             continue;
         }
         socket.set_option(tcp::no_delay(true), error);
-        take(std::move(socket), Passed());
+        admit(std::move(socket), Passed());
     }
 }
 
-void Clients::take(tcp::socket socket, Passed early) {
+void Clients::admit(tcp::socket socket, Passed early) {
     last_new_ = deadlines_.clock.now();
-    const auto client = clients_.emplace(clients_.end(), std::move(socket));
+    const auto client = clients_.emplace(clients_.end(), std::move(socket), order_, last_new_);
     client->lease = budget_.client();
-    client->accepted = client->used = last_new_;
-    client->asked = early.asked;
+    if (early.asked) client->mark_asked();
     client->early = std::move(early);
     client->pass = pass_;
     client->staying = done_ != nullptr;
-    client->closing = !acceptor_.is_open(); // it came in the moment in which the last ones are let go
+    if (!acceptor_.is_open()) client->mark_closing(); // it came as the last ones are let go
     asio::co_spawn(io_, serve(client), asio::detached);
-    thin_out();
+    limit_idle_askers();
 }
 
 void Clients::pause() {
@@ -118,60 +116,42 @@
     pass_ = std::move(pass);
     for (Client &client : clients_) {
         client.pass = pass_;
-        if (pass_ && client.nudge) client.nudge();
+        if (pass_ && client.notify) client.notify();
     }
 }
 
 void Clients::adopt(Passed passed) {
     budget_.came_over();
-    if (budget_.clients_full()) drop_one();
+    if (budget_.clients_full()) evict_one();
     tcp::socket socket(io_);
     boost::system::error_code error;
     const int fd = passed.descriptor.get();
     socket.assign(protocol_of(fd), fd, error);
     if (error) return core::log("a client's connection can't be taken over: {}", error.message());
     passed.descriptor.release();
-    take(std::move(socket), std::move(passed));
+    admit(std::move(socket), std::move(passed));
 }
 
-bool Clients::drop_one() {
-    // A newcomer's first request may be on its way or unread: it is the last to go, however much it looks
-    // like one that says nothing, or no more than a part of its first request.
-    const Micros now = deadlines_.clock.now();
-    const auto rank = [now](Client &c) -> std::optional<std::pair<int, Micros>> {
-        if (c.ending) return std::pair(1, c.used);
-        boost::system::error_code error;
-        if (c.closing || c.owed > 0 || (c.partial && c.asked) || c.socket.available(error) > 0)
-            return std::nullopt;
-        if (now - c.accepted < kNewcomer && !c.asked) return std::pair(4, c.used);
-        return std::pair(c.partial ? 3 : c.asked ? 2 : 0, c.used);
-    };
-    Client *first = nullptr;
-    std::pair<int, Micros> least;
-    for (Client &client : clients_)
-        if (const auto its = rank(client); its && (!first || *its < least)) first = &client, least = *its;
-    if (!first) return false;
-    first->closing = true;
-    first->close();
-    if (first->nudge) first->nudge();
+bool Clients::evict_one() {
+    EvictionOrder::Entry *const entry = order_.next(
+        deadlines_.clock.now(), [](EvictionOrder::Entry &e) { return static_cast<Client &>(e).unread(); });
+    if (!entry) return false;
+    Client &client = static_cast<Client &>(*entry);
+    client.mark_closing();
+    client.close();
+    if (client.notify) client.notify();
     return true;
 }
 
 // Some clients ask once and stay, each on a connection of its own. What they hold of the connections that
 // clients may have is missing to those who want to ask.
-void Clients::thin_out() {
-    int kept = 0;
-    Client *first = nullptr;
-    for (Client &client : clients_) {
-        if (!client.asked || client.lasting || client.closing) continue;
-        ++kept;
-        if (client.idle() && (!first || client.used < first->used)) first = &client;
-    }
+void Clients::limit_idle_askers() {
+    if (order_.askers() < static_cast<std::size_t>(budget_.most_kept())) return;
     // At a handover a connection closed as its next request comes would turn that back; at a drain its client
     // could not come again.
-    if (kept < budget_.most_kept() || !first || budget_.shared() || done_) return;
-    first->closing = true;
-    if (first->nudge) first->nudge();
+    if (budget_.shared() || done_) return;
+    if (EvictionOrder::Entry *const entry = order_.longest_idle_asker())
+        static_cast<Client &>(*entry).begin_closing();
 }
 
 asio::awaitable<void> Clients::serve(std::list<Client>::iterator client) {
@@ -191,7 +171,7 @@
     last_new_ = deadlines_.clock.now();
     for (Client &client : clients_) {
         client.staying = true;
-        if (client.nudge) client.nudge();
+        if (client.notify) client.notify();
     }
     drain_turn();
 }
@@ -204,9 +184,10 @@
 void Clients::send_away() {
     const Micros now = deadlines_.clock.now();
     for (Client &client : clients_) {
-        if (client.closing || (client.idle() && !client.asked && now - client.accepted < kNewcomer)) continue;
-        client.closing = true;
-        if (client.nudge) client.nudge();
+        const ConnectionUse &use = client.use();
+        const bool newcomer = !use.asked && now - use.accepted < EvictionOrder::kNewcomerGrace;
+        if (use.closing || (use.idle() && newcomer)) continue;
+        client.begin_closing();
     }
     away_ = deadlines_.in(kAwayAgain, [this] { send_away(); });
 }
@@ -216,23 +197,20 @@
     // Clients go on using what connections they have for as long as those are open, and cannot know of a
     // broker that has gone.
     if (now < drain_until_ && (!clients_.empty() || now - last_new_ < kStillComing)) {
-        look_ = deadlines_.in(kRest, [this] { drain_turn(); });
+        look_ = deadlines_.in(kRetryAccept, [this] { drain_turn(); });
         return;
     }
     // What waits to be accepted may have a request written to it, which counts as taken.
     boost::system::error_code error;
     acceptor_.non_blocking(true, error);
     while (!error) {
-        if (budget_.clients_full()) drop_one();
+        if (budget_.clients_full()) evict_one();
         tcp::socket socket(io_);
         acceptor_.accept(socket, error);
-        if (!error) take(std::move(socket), Passed());
+        if (!error) admit(std::move(socket), Passed());
     }
     acceptor_.close(error);
-    for (Client &client : clients_) {
-        client.closing = true;
-        if (client.nudge) client.nudge();
-    }
+    for (Client &client : clients_) client.begin_closing();
     if (clients_.empty() && done_) std::exchange(done_, nullptr)();
 }
 
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -4,6 +4,7 @@
 #include "core/log.hpp"
 #include "core/mailbox.hpp"
 #include "net/descriptor.hpp"
+#include "net/eviction_order.hpp"
 #include "net/sockets.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -20,24 +21,27 @@
     Descriptor descriptor;
 };
 
-struct Client { // one connection, as its front sees it
-    explicit Client(tcp::socket s) : socket(std::move(s)) {}
+/// One client's connection, as its front sees it. How it is used is said through EvictionOrder::Entry.
+struct Client : EvictionOrder::Entry {
+    Client(tcp::socket s, EvictionOrder &order, Micros accepted)
+        : Entry(order, accepted), socket(std::move(s)) {}
     tcp::socket socket;
     SocketBudget::Lease lease;
-    Micros accepted = 0;
-    Micros used = 0;             // when something last came or went on it
-    bool asked = false;          // it has asked for something, or made itself known
-    bool lasting = false;        // its protocol keeps it open for good, idle or not
-    std::size_t owed = 0;        // requests taken on it and not yet answered whole
-    bool partial = false;        // part of a request has come
-    bool closing = false;        // takes no more
-    bool ending = false;         // has all its answers and was told of the end, which it has still to see
-    bool staying = false;        // may be idle: this broker drains, and it could not come again
-    std::function<void()> nudge; // set by the front: look at `closing` and `pass`
+    bool staying = false;             // may be idle: this broker drains, and it could not come again
+    std::function<void()> notify;     // set by the front: look at `closing` and `pass`
     std::function<void(Passed)> pass; // set while connections are handed to another process
     Passed early;                     // what came with it from there
 
-    bool idle() const { return owed == 0 && !partial; }
+    bool idle() const { return use().idle(); }
+    bool unread() {
+        boost::system::error_code error;
+        return socket.available(error) > 0;
+    }
+    /// Takes no more requests; the front ends the connection once what is owed is paid.
+    void begin_closing() {
+        mark_closing();
+        if (notify) notify();
+    }
     void close() {
         boost::system::error_code ignored;
         socket.shutdown(tcp::socket::shutdown_both, ignored);
@@ -71,10 +75,10 @@
 
 private:
     asio::awaitable<void> accept();
-    void take(tcp::socket socket, Passed early);
+    void admit(tcp::socket socket, Passed early);
     asio::awaitable<void> serve(std::list<Client>::iterator client);
-    bool drop_one(); // to make room; false: all are in use
-    void thin_out(); // one that asked and is unused the longest, if too many such stay
+    bool evict_one();         // to make room; false: all are in use
+    void limit_idle_askers(); // closes the longest unused, if too many clients that asked stay
     void drain_turn();
     void send_away();
 
@@ -83,6 +87,7 @@
     SocketBudget &budget_;
     tcp::acceptor acceptor_;
     Front front_;
+    EvictionOrder order_; // outlives the clients, which are filed in it
     std::list<Client> clients_;
     std::function<void()> done_;
     std::function<void(Passed)> pass_;
--- a/src/net/nvme/front.cpp
+++ b/src/net/nvme/front.cpp
@@ -112,7 +112,7 @@
     void end_now(const char *) {
         std::string().swap(in_);
         over_ = true;
-        client_.owed -= commands_.size(); // these get no answer; what is queued already is still sent
+        client_.settle_answers(commands_.size()); // these get no answer; what is queued already is still sent
         left();
     }
 
@@ -129,10 +129,10 @@
         Command c{pdu.head.substr(8, 64)};
         if (commands_.count(
                 c.cid())) { // two answers under one identifier: the host could not tell them apart
-            ++client_.owed;
+            client_.owe_answer();
             return complete_bytes(c.cid(), {status::kIdConflict, 0, true});
         }
-        ++client_.owed;
+        client_.owe_answer();
         commands_[c.cid()] = {c.opcode() == op::kWrite, deadlines_.clock.now(), nullptr, {}, {}, ++serial_};
         const bool has_data =
             c.opcode() == op::kWrite || (c.opcode() == op::kFabrics && c.fabrics_type() == op::kConnect);
@@ -305,7 +305,8 @@
             controller_ = asked;
         }
         if (!controller_) return complete(c.cid(), wrong);
-        client_.asked = client_.lasting = true;
+        client_.mark_asked();
+        client_.mark_lasting();
         complete(c.cid(), {}, controller_);
     }
 
--- a/src/net/resp/front.cpp
+++ b/src/net/resp/front.cpp
@@ -131,7 +131,7 @@
     void ask(core::Request &&read) {
         // Its answers could not be told from the other's, and a node takes one for a repeat of the other.
         if (!open_.insert(read.id).second) throw Malformed("the id of an open request");
-        client_.asked = true;
+        client_.mark_asked();
         useless_ = 0;
         read.sent = deadlines_.clock.now(); // its last byte: however slowly it was written
         auto request = std::make_shared<const core::Request>(std::move(read));
@@ -152,7 +152,7 @@
 
     std::uint64_t slot() {
         slots_.push_back({});
-        ++client_.owed;
+        client_.owe_answer();
         return first_ + slots_.size() - 1;
     }
     void say(std::string bytes) { answer(slot(), std::move(bytes)); }
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -25,10 +25,10 @@
 } // namespace
 
 asio::awaitable<void> Session::run() {
-    client_.nudge = [this] {
+    client_.notify = [this] {
         if (over_)
             wake();
-        else if (client_.owed == 0)
+        else if (client_.use().owed == 0)
             stir();
     };
     if (!client_.early.bytes.empty()) { // read by the process that had this client before
@@ -44,7 +44,7 @@
         }
         boost::system::error_code error;
         if (client_.pass && hand_over()) break;
-        if (client_.closing) { // between requests: only what has come already is still taken
+        if (client_.use().closing) { // between requests: only what has come already is still taken
             for (std::size_t before = ~0ul; !over_ && !error && in_.size() != before;) {
                 const bool fresh = !begun();
                 before = in_.size();
@@ -85,10 +85,10 @@
     over_ = true;
     patience_.reset();
     co_await end();
-    client_.nudge = nullptr;
+    client_.notify = nullptr;
 }
 
-bool Session::crowded() const { return client_.owed >= kMostOwed; }
+bool Session::crowded() const { return client_.use().owed >= kMostOwed; }
 
 // Whoever waits for an answer and goes is seen here: nothing more is done for it.
 void Session::client_gone() {
@@ -111,24 +111,24 @@
 }
 
 bool Session::hand_over() {
-    if (client_.owed > 0 || writing_ || wrong_) return false;
+    if (client_.use().owed > 0 || writing_ || wrong_) return false;
     auto bytes = unfinished();
     if (!bytes || bytes->size() > kMostPassed) return false;
     boost::system::error_code error;
     Descriptor fd(client_.socket.release(error));
     gone_ = true; // from here
-    if (!error) client_.pass({front(), client_.asked, since_, std::move(*bytes), std::move(fd)});
+    if (!error) client_.pass({front(), client_.use().asked, since_, std::move(*bytes), std::move(fd)});
     return true;
 }
 
 void Session::took(bool fresh) {
-    client_.used = deadlines_.clock.now();
-    if (fresh) since_ = client_.used;
+    client_.received(deadlines_.clock.now());
+    if (fresh) since_ = client_.use().used;
     take_all();
     if (in_.empty()) std::string().swap(in_); // its room, too
     // Many connections with a part of a message each must not add up to more than the machine has.
     if (begun() && !over_ && memory_.full() && held() > kFreeRein) stop_reading("no room for it");
-    client_.partial = begun() && !over_;
+    client_.set_partial(begun() && !over_);
     share_.set(held() + out_.size());
 }
 
@@ -138,21 +138,19 @@
     patience_.reset();
     const Micros idle = may_idle();
     if (over_) return;
-    if (client_.partial)
+    const ConnectionUse &use = client_.use();
+    if (use.partial)
         patience_ = deadlines_.at(since_ + kWholeWithin, [this] { stop_reading("it does not come whole"); });
-    else if (client_.idle() && (!client_.asked || (idle > 0 && !client_.staying)))
-        patience_ =
-            deadlines_.at(client_.asked ? client_.used + idle : client_.accepted + kAskWithin, [this] {
-                client_.closing = true;
-                client_.nudge();
-            });
+    else if (use.idle() && (!use.asked || (idle > 0 && !client_.staying)))
+        patience_ = deadlines_.at(use.asked ? use.used + idle : use.accepted + kAskWithin,
+                                  [this] { client_.begin_closing(); });
 }
 
 void Session::stop_reading(const char *why) {
     spoilt(why);
     over_ = true;
-    client_.partial = false;
-    client_.nudge();
+    client_.set_partial(false);
+    client_.notify();
 }
 
 // A client that sends what is of no use, and again as soon as it is told so, is not let take the time of all.
@@ -182,8 +180,8 @@
         const auto limit = self->deadlines_.in(kReadWithin, [&client = self->client_] { client.close(); });
         co_await asio::async_write(self->client_.socket, asio::buffer(out),
                                    asio::redirect_error(asio::use_awaitable, error));
-        self->client_.owed -= answers;
-        self->client_.used = self->deadlines_.clock.now();
+        self->client_.settle_answers(answers);
+        self->client_.received(self->deadlines_.clock.now());
         self->share_.set(self->held() + self->out_.size());
         if (error) self->client_.close(); // the reader sees it, and tells that the client has gone
         self->wake();
@@ -191,9 +189,9 @@
     self->writing_ = false;
     self->wake();
     if (self->flow_.empty()) self->flow_.put(true);
-    if (!self->client_.nudge) co_return; // it has ended
+    if (!self->client_.notify) co_return; // it has ended
     self->mind();
-    if (self->client_.closing || self->client_.pass) self->client_.nudge();
+    if (self->client_.use().closing || self->client_.pass) self->client_.notify();
 }
 
 asio::awaitable<void> Session::flushed() {
@@ -204,7 +202,7 @@
 // so that its leaving is seen, and a reset does not take the last answer from it.
 asio::awaitable<void> Session::end() {
     std::string dropped;
-    for (int n = 1; !gone_ && (writing_ || client_.owed > 0); ++n, dropped.clear()) {
+    for (int n = 1; !gone_ && (writing_ || client_.use().owed > 0); ++n, dropped.clear()) {
         boost::system::error_code error = co_await readable();
         if (error == asio::error::operation_aborted && client_.socket.is_open()) continue;
         if (!error) error = read_now(client_.socket, dropped);
@@ -218,7 +216,7 @@
     if (gone_) co_return;
     boost::system::error_code error;
     client_.socket.shutdown(tcp::socket::shutdown_send, error);
-    client_.ending = true;
+    client_.mark_ending();
     const auto limit = deadlines_.in(kLinger, [this] {
         client_.close();
         wake();
