Tell a predecessor that still has requests which nodes operators take out or put back

Cause, by reading and by a test: operators' calls go to the successor alone. Its predecessor works on with the requests that it has taken, and knows the list from its own watch, but not what was taken out by hand since. It sent a request that one node had turned away to another that was cordoned 300 ms before. A predecessor that took all back after its successor's death had lost those calls as well. Ruled out: what the successor holds before its own watch answers; it asks for what changed since the configuration's list, which is older.

Change: a successor passes each cordon and uncordon on over the channel of the handover, for as long as the predecessor lives; a predecessor from before ignores the packets.

Test: a_predecessor_hears_what_operators_tell_its_successor fails without the change (the cordoned node gets the request) and passes with it, three times in a row.

--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -261,16 +261,15 @@
         if (residence) text += residence->stats();
         return text;
     };
-    operations.cordon = [&](const std::string &id) {
-        const bool known = fleet.cordon(id);
-        if (residence) residence->ready_nodes(fleet.ready());
-        return known;
-    };
-    operations.uncordon = [&](const std::string &id) {
-        const bool known = fleet.uncordon(id);
+    std::optional<net::handover::Handover> handover;
+    const auto cordon = [&](const std::string &id, bool out) {
+        const bool known = out ? fleet.cordon(id) : fleet.uncordon(id);
         if (residence) residence->ready_nodes(fleet.ready());
+        if (known && handover) handover->tell_predecessor(id, out);
         return known;
     };
+    operations.cordon = [&](const std::string &id) { return cordon(id, true); };
+    operations.uncordon = [&](const std::string &id) { return cordon(id, false); };
     if (residence)
         operations.cells = [&](std::string what, std::string body,
                                bool) -> asio::awaitable<std::pair<int, std::string>> {
@@ -284,7 +283,6 @@
         clients.quiesce(on);
         if (nvme_clients) nvme_clients->quiesce(on);
     };
-    std::optional<net::handover::Handover> handover;
     operations.acts = [&] { return !handover || !handover->yielded(); };
     std::optional<net::control::Control> control;
     if (control_listener) control.emplace(io, deadlines, std::move(*control_listener), std::move(operations));
@@ -331,6 +329,7 @@
     };
     program.adopt = [&](net::Passed passed) { clients.adopt(std::move(passed)); };
     program.alone = [&] { share(false, 0); };
+    program.cordon = [&](const std::string &id, bool out) { cordon(id, out); };
     if (!meeting.empty()) handover.emplace(io, deadlines, meeting, std::move(program));
     if (legacy && legacy->channel.get() >= 0) {
         share(true, static_cast<int>(config::integer_or(legacy->state, "clients", 0)));
--- a/src/net/handover/handover.cpp
+++ b/src/net/handover/handover.cpp
@@ -12,8 +12,8 @@
 namespace {
 
 // What a packet is, by its first byte: the wish to take over; a part of the state, its last part, with the
-// sockets; a client's connection.
-constexpr char kTake = 'T', kPart = 'P', kState = 'S', kClient = 'C';
+// sockets; a client's connection. From a successor: a node that an operator took out, or put back.
+constexpr char kTake = 'T', kPart = 'P', kState = 'S', kClient = 'C', kCordon = 'D', kUncordon = 'U';
 constexpr std::size_t kMostState = 16 * 1024 * 1024;
 constexpr Micros kAsk = 500'000;       // us for a caller to say what it wants
 constexpr timeval kAnswer{1, 500'000}; // for each part of the state
@@ -116,8 +116,7 @@
     successor->send(std::move(last));
     core::log("handed over to a successor");
     program_.pass();
-    while (co_await successor->receive()) // it says nothing more: this ends with it
-        ;
+    while (const auto order = co_await successor->receive()) hear(*order); // this ends with it
     successor_ = nullptr;
     core::log("the successor has gone: serving again");
     listen();
@@ -127,6 +126,15 @@
     co_return true;
 }
 
+void Handover::hear(const Packet &order) {
+    const char kind = order.bytes.front();
+    if (kind == kCordon || kind == kUncordon) program_.cordon(order.bytes.substr(1), kind == kCordon);
+}
+
+void Handover::tell_predecessor(const std::string &id, bool out) {
+    if (predecessor_) predecessor_->send({(out ? kCordon : kUncordon) + id, {}});
+}
+
 void Handover::client(Passed passed) {
     if (!successor_) return;
     Packet packet;
@@ -137,14 +145,15 @@
 }
 
 void Handover::follow(Descriptor predecessor) {
-    asio::co_spawn(io_, take_clients(std::make_shared<Channel>(io_.get_executor(), std::move(predecessor))),
-                   asio::detached);
+    predecessor_ = std::make_shared<Channel>(io_.get_executor(), std::move(predecessor));
+    asio::co_spawn(io_, take_clients(predecessor_), asio::detached);
 }
 
 asio::awaitable<void> Handover::take_clients(std::shared_ptr<Channel> predecessor) {
     while (auto packet = co_await predecessor->receive())
         if (auto passed = read_client(*packet)) program_.adopt(std::move(*passed));
     core::log("the predecessor has gone");
+    predecessor_ = nullptr;
     program_.alone();
 }
 
--- a/src/net/handover/handover.hpp
+++ b/src/net/handover/handover.hpp
@@ -28,11 +28,14 @@
         std::function<void()> recover;      // the successor has gone: all is ours again
         std::function<void(Passed)> adopt;  // a client of the predecessor
         std::function<void()> alone;        // the predecessor has gone
+        std::function<void(const std::string &id, bool out)> cordon; // an operator's word to the successor
     };
     Handover(asio::io_context &io, core::Deadlines &deadlines, std::string path, Program program);
 
     void follow(Descriptor predecessor); // takes its clients, until it is gone
     void client(Passed passed);          // to the successor
+    // An operator took a node out or put it back: a predecessor that still has requests is told, too.
+    void tell_predecessor(const std::string &id, bool out);
     bool yielded() const { return successor_ != nullptr; }
     bool sent() const { return !successor_ || successor_->unsent().empty(); } // nothing waits to go over
 
@@ -41,13 +44,14 @@
     asio::awaitable<void> await_successor();
     asio::awaitable<bool> serve(std::shared_ptr<Channel> successor); // false: it wants nothing
     asio::awaitable<void> take_clients(std::shared_ptr<Channel> predecessor);
+    void hear(const Packet &order); // of the successor
 
     asio::io_context &io_;
     core::Deadlines &deadlines_;
     std::string path_;
     Program program_;
     std::optional<asio::posix::stream_descriptor> listener_;
-    std::shared_ptr<Channel> successor_;
+    std::shared_ptr<Channel> successor_, predecessor_;
 };
 
 } // namespace marblewood::net::handover
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -73,6 +73,41 @@
     while (again.value()->text != "v");
 }
 
+// A predecessor works on with what it had taken. What operators tell its successor holds for it, too: of two
+// nodes that hold the data the one breaks off the request, and the other was taken out meanwhile.
+void a_predecessor_hears_what_operators_tell_its_successor() {
+    std::atomic<bool> taken_out = false;
+    std::atomic<int> first = -1;
+    const auto script = [&](int number) {
+        return [&, number](const auto &words, int) {
+            int none = -1;
+            if (words.size() <= 3 || !first.compare_exchange_strong(none, number)) return RespNode::served("v");
+            while (!taken_out) std::this_thread::sleep_for(5ms);
+            return std::string("-BUSY\r\n");
+        };
+    };
+    RespNode nodes[] = {RespNode(script(0)), RespNode(script(1))};
+    const Discovery discovery(member("s-0", nodes[0].server.port, 0) + "," +
+                              member("s-1", nodes[1].server.port, 0));
+    Program old(discovery);
+    Socket busy = old.client();
+    busy.send(get(kPiece, 0, 6000));
+    while (first < 0) std::this_thread::sleep_for(5ms);
+    const RespNode &other = nodes[1 - first];
+    const std::string out = fmt::format("s-{}", 1 - first);
+    Program fresh(old);
+    assert(fresh.call("POST", "cordon", out).first == 200);
+    std::this_thread::sleep_for(300ms); // what goes to it from now on is too late
+    taken_out = true;
+    assert(busy.value().has_value());
+    assert(other.taken().empty());
+    fresh.signal(SIGKILL); // the predecessor takes all back, and the node is out there, too
+    fresh.exit_code();
+    assert(old.figures().at("cluster_unhealthy") == 1);
+    assert(old.call("POST", "uncordon", out).first == 200);
+    assert(old.figures().at("cluster_unhealthy") == 0);
+}
+
 // The successor dies: the predecessor takes everything back, and can be replaced again.
 void a_dead_successor_leaves_all_to_its_predecessor() {
     RespNode node([](const auto &, int) { return RespNode::served("v"); });
@@ -148,6 +183,7 @@
 int main() {
     connections_go_over();
     what_operators_did_holds();
+    a_predecessor_hears_what_operators_tell_its_successor();
     a_dead_successor_leaves_all_to_its_predecessor();
     strangers_are_not_believed();
     the_platforms_socket_is_used();
