Add distributors, which watch discovery and serve its list to brokers under a byte budget

Change: src/distribution/, free of I/O and clock: ChangeLog (each member with the revision it changed at; who is behind gets the last state of what changed since, removals remembered up to a bound), Delivery (who is answered when: urgent changes at once, others within a budget for each caller and one for the machine, whole lists one at a time and only where the log does not reach), DistributorSelector (rendezvous hashing over zone, region, all). src/net/lists/ serves them over discovery's own long poll; `marblewood distribute FILE` wires them. Brokers ask distributors where the operator's file names some ("distribution"), never take a lower revision from them, and turn to the next after a failed call, whose first answer is not waited for. Discovery counts its traffic and what it refuses; discovery::Reading carries the entries as they were spelt.

Tests: each part against a plain model; a source, three distributors and five brokers in 10,000 random schedules with loss, delay, pauses and restarts (no revision goes back, all hold the list at the end; 9 s in all); on real sockets a distributor lost, paused and restarted empty with the change in force within 7 s and no whole list, ten bad answers of a discovery, bad calls, bad configuration.

--- a/src/app/app.hpp
+++ b/src/app/app.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "config/config.hpp"
+#include "config/distribution.hpp"
 #include "net/address.hpp"
 
 #include <fmt/format.h>
@@ -14,12 +15,16 @@
     throw config::Error(fmt::format("field '{}': '{}' is not an address and port", field, text));
 }
 
+// Where this broker is and which distributors it may ask; throws config::Error naming the field.
+config::Distribution read_distributors(const Json::Value &part);
+
 // The command line, as `marblewood` takes it (README); the process's exit code.
 int command(int argc, char **argv);
 
 // Each returns the process's exit code; what is wrong with the settings is thrown as config::Error.
 int serve(const std::string &path, config::Config config, const config::Operator &added);
 int keep(const std::string &operators);
+int distribute(const std::string &path);
 // One call to the operators' address of a keeper or broker. 0: yes, 1: no, 2: no answer.
 int call_cells(const std::string &control, const std::string &call, const std::vector<std::string> &words);
 
--- a/src/app/command.cpp
+++ b/src/app/command.cpp
@@ -11,6 +11,13 @@
 
 namespace asio = boost::asio;
 
+config::Distribution read_distributors(const Json::Value &part) {
+    config::Distribution distribution = config::read_distribution(part);
+    for (const auto &distributor : distribution.distributors)
+        address<asio::ip::tcp::endpoint>(distributor.address, "distribution.distributors.address");
+    return distribution;
+}
+
 int command(int argc, char **argv) {
     std::signal(SIGPIPE, SIG_IGN);
     CLI::App app{"marblewood, a broker between clients and storage nodes"};
@@ -25,6 +32,10 @@
     auto *check = app.add_subcommand("check-config", "read the configuration and say what is wrong with it");
     app.add_subcommand("serve", "serve clients (the default)");
     auto *keeper = app.add_subcommand("keeper", "keep the map of cells that the operator's file lays out");
+    auto *distributor =
+        app.add_subcommand("distribute", "watch discovery and serve its list to brokers (docs/CAPACITY.md)");
+    std::string distributor_file;
+    distributor->add_option("file", distributor_file, "the distributor's own file")->required();
     auto *cells = app.add_subcommand("cells", "ask a keeper or broker about cells, or have it change them");
     std::string control, call;
     std::vector<std::string> words;
@@ -43,6 +54,7 @@
         }
         if (*cells) return call_cells(control, call, words);
         if (*keeper) return keep(operators);
+        if (*distributor) return distribute(distributor_file);
         if (path.empty()) throw config::Error("no configuration: give --config or set BALANCER_CONFIG");
         config::Config config = config::load(path);
         if (const char *const at = std::getenv("BALANCER_CONTROL"); at && *at) config.control = at;
@@ -51,6 +63,7 @@
         net::nvme::read_mapping(added.nvme, config.settings); // what is wrong there is said now
         if (!added.otlp.isNull()) net::otlp::read_endpoint(added.otlp);
         if (!added.cells.isNull()) net::cells::read_layout(added.cells);
+        if (!added.distribution.isNull()) read_distributors(added.distribution);
         if (*check) {
             fmt::print("{}: in order\n", path);
             return 0;
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -181,7 +181,14 @@
                           address<tcp::endpoint>(config.discovery, "discovery"), config.discovery,
                           config.known.isNull() ? 0 : config::need_integer(config.known, "revision"), nodes,
                           zones, told);
-    else
+    if (!added.distribution.isNull()) {
+        config::Distribution distribution = read_distributors(added.distribution);
+        if (!discovery)
+            throw config::Error("field 'discovery' is missing: distributors are asked in its place");
+        discovery->use(distribution::DistributorSelector(std::move(distribution.distributors), config.name,
+                                                         distribution.locality, config.settings.seed));
+    }
+    if (!discovery)
         core::log("configuration: no 'discovery': the nodes in 'known' are all there are, and none drains");
     if (residence) {
         residence->confined = [&] {
@@ -344,6 +351,8 @@
         hangups.async_wait([&](const boost::system::error_code &error, int) {
             if (error) return;
             reload(path, config, figures, [&](const tcp::endpoint &at, const std::string &host) {
+                if (!added.distribution.isNull())
+                    return core::log("distributors are asked in place of discovery, wherever it is");
                 if (!discovery)
                     discovery.emplace(io, deadlines, config.settings, at, host, 0, nodes, zones, told);
                 discovery->move(at, host);
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -47,14 +47,12 @@
     return c;
 }
 
-namespace {
 std::string read_text(const std::string &path) {
     std::ifstream file(path);
     std::ostringstream text;
     if (!file || !(text << file.rdbuf())) throw Error("cannot read " + path);
     return text.str();
 }
-} // namespace
 
 Config load(const std::string &path) { return read_config(parse(read_text(path))); }
 
@@ -71,6 +69,7 @@
     op.nvme = root["nvme"];
     op.otlp = root["otlp"];
     op.cells = root["cells"];
+    op.distribution = root["distribution"];
     return op;
 }
 
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -21,10 +21,12 @@
     int planners = 1;
     bool lends = false; // units of plans' limits to other brokers, and borrows
     Json::Value nvme, otlp, cells;
+    Json::Value distribution; // see config/distribution.hpp
 };
 Operator load_operator(const std::string &path); // an empty path: nothing added
 
 Config read_config(const Json::Value &root); // throws Error naming the field
 Config load(const std::string &path);
+std::string read_text(const std::string &path); // a whole file; throws Error
 
 } // namespace marblewood::config
--- /dev/null
+++ b/src/config/distribution.hpp
@@ -0,0 +1,30 @@
+// How lists are distributed, as operators write it: a distributor's own file, and the part of the operator's
+// file that names the distributors to a broker.
+#pragma once
+
+#include "config/decode.hpp"
+#include "distribution/delivery.hpp"
+#include "distribution/distributor_selector.hpp"
+
+namespace marblewood::config {
+
+struct DistributorConfig {
+    std::string name, listen, control;
+    distribution::Locality locality;
+    std::vector<distribution::Distributor> parents; // discovery, or other distributors
+    distribution::DeliveryLimits limits;
+    std::size_t most_removed = 0; // members whose removal is remembered
+    std::size_t most_callers = 0;
+};
+/// Throws Error naming the field.
+DistributorConfig load_distributor(const std::string &path);
+
+/// Where a broker is, and whom it may ask.
+struct Distribution {
+    distribution::Locality locality;
+    std::vector<distribution::Distributor> distributors;
+};
+/// `part` was checked against the operator's schema. Throws Error naming the field.
+Distribution read_distribution(const Json::Value &part);
+
+} // namespace marblewood::config
--- a/src/config/schema.cpp
+++ b/src/config/schema.cpp
@@ -16,6 +16,31 @@
   "properties": {
     "planners": {"type": "integer"},
     "lend_limits": {"type": "boolean"},
+    "distribution": {
+      "type": "object",
+      "additionalProperties": false,
+      "required": ["zone", "region", "distributors"],
+      "properties": {
+        "zone": {"type": "string"},
+        "region": {"type": "string"},
+        "distributors": {
+          "type": "array",
+          "minItems": 1,
+          "maxItems": 256,
+          "items": {
+            "type": "object",
+            "additionalProperties": false,
+            "required": ["name", "address", "zone", "region"],
+            "properties": {
+              "name": {"type": "string", "minLength": 1, "maxLength": 64},
+              "address": {"type": "string"},
+              "zone": {"type": "string"},
+              "region": {"type": "string"}
+            }
+          }
+        }
+      }
+    },
     "cells": {
       "type": "object",
       "additionalProperties": false,
@@ -71,6 +96,41 @@
   }
 })";
 
+const char *const kDistributorSchema = R"({
+  "type": "object",
+  "additionalProperties": false,
+  "required": ["name", "listen", "zone", "region", "parents"],
+  "properties": {
+    "name": {"type": "string", "minLength": 1, "maxLength": 64},
+    "listen": {"type": "string"},
+    "control": {"type": "string"},
+    "zone": {"type": "string"},
+    "region": {"type": "string"},
+    "parents": {
+      "type": "array",
+      "minItems": 1,
+      "maxItems": 256,
+      "items": {
+        "type": "object",
+        "additionalProperties": false,
+        "required": ["name", "address"],
+        "properties": {
+          "name": {"type": "string", "minLength": 1, "maxLength": 64},
+          "address": {"type": "string"},
+          "zone": {"type": "string"},
+          "region": {"type": "string"}
+        }
+      }
+    },
+    "caller_bytes_per_second": {"type": "number", "minimum": 100, "maximum": 1e9},
+    "caller_burst_bytes": {"type": "number", "minimum": 100, "maximum": 1e9},
+    "machine_bytes_per_second": {"type": "number", "minimum": 1000, "maximum": 1e10},
+    "machine_burst_bytes": {"type": "number", "minimum": 1000, "maximum": 1e10},
+    "most_removed": {"type": "integer", "minimum": 0, "maximum": 1000000},
+    "most_callers": {"type": "integer", "minimum": 1, "maximum": 100000}
+  }
+})";
+
 namespace {
 
 // The value that valijson's context ("<root>", "[cells]", "[0]", ...) leads to, as far as it leads anywhere.
--- a/src/net/discovery/discovery.cpp
+++ b/src/net/discovery/discovery.cpp
@@ -1,6 +1,7 @@
 #include "net/discovery/discovery.hpp"
 
 #include "core/log.hpp"
+#include "net/address.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 
@@ -28,7 +29,7 @@
 
 } // namespace
 
-Reading read(const Json::Value &answer, config::Names &nodes, config::Names &zones) {
+Reading read(Json::Value answer, config::Names &nodes, config::Names &zones) {
     Reading reading;
     reading.revision = config::need_integer(answer, "revision");
     reading.update.kind =
@@ -40,6 +41,7 @@
         reading.addresses.emplace_back(entry.node, config::text_or(row, "host_port", ""));
         reading.update.entries.push_back(entry);
     }
+    reading.members = std::move(answer["members"]);
     return reading;
 }
 
@@ -60,7 +62,7 @@
                                                       : core::Backoff(kAgentPause, kLongestAgentPause, seed);
     auto watch = std::make_shared<Watch>(io_, at, std::move(host), wait);
     watch->foreign = foreign;
-    if (foreign) watch->whole_from = 0;
+    if (foreign || revision_ < 0) watch->whole_from = 0;
     asio::co_spawn(io_, run(watch), [](const std::exception_ptr &error) {
         if (error) std::rethrow_exception(error); // a broker that no longer watches must not go on unseen
     });
@@ -69,16 +71,31 @@
 
 void Discovery::end(Watch &watch) {
     watch.over = true;
+    close(watch);
+    watch.woken.put(true);
+}
+
+void Discovery::close(Watch &watch) {
     boost::system::error_code ignored;
     watch.socket.close(ignored);
-    watch.woken.put(true);
+}
+
+void Discovery::select_distributor(Watch &watch) {
+    selector_->reconsider(deadlines_.clock.now());
+    const std::string &address = selector_->current().address;
+    if (address == watch.host) return;
+    close(watch);
+    watch.host = address;
+    watch.at = endpoint<tcp::endpoint>(address).value_or(watch.at); // was read at the start
+    watch.unproven = true;
 }
 
 // Renewed at once after each answer, on the same connection: a gap of over 200 ms would begin a new watch.
 asio::awaitable<void> Discovery::run(std::shared_ptr<Watch> watch) {
     while (!watch->over) {
+        if (selector_) select_distributor(*watch);
         const bool whole = deadlines_.clock.now() >= watch->whole_from;
-        const Micros wait = whole ? 0 : kWatch - watch->backoff.part(kSpread);
+        const Micros wait = whole || watch->unproven ? 0 : kWatch - watch->backoff.part(kSpread);
         std::string path = "/v1/servers";
         if (!whole) path += fmt::format("?since={}&timeout_ms={}", revision_, wait / 1000);
         const auto reading = co_await call(*watch, std::move(path), wait);
@@ -88,6 +105,8 @@
             if (whole) watch->foreign = false, watch->whole_from = INT64_MAX;
             watch->lower.reset();
             watch->backoff.reset();
+            watch->unproven = false;
+            if (selector_) selector_->answered();
             if (watch == next_) {
                 end(*heard_);
                 heard_ = std::exchange(next_, nullptr);
@@ -97,20 +116,23 @@
         }
         if (whole && watch->foreign && watch->crowded)
             watch->whole_from = deadlines_.clock.now() + kWholeAgain / 2 + watch->backoff.part(kWholeAgain);
-        boost::system::error_code ignored;
-        watch->socket.close(ignored);
+        close(*watch);
+        if (selector_) selector_->failed(deadlines_.clock.now());
         co_await pause(*watch);
     }
 }
 
 // An older answer was overtaken on its way, or discovery counts anew: then its whole list, asked for on a new
 // connection, says so again.
-bool Discovery::takes(Watch &watch, const Reading &reading, bool whole) const {
+bool Discovery::takes(Watch &watch, const Reading &reading, bool whole) {
     if (whole && reading.update.kind != ListUpdate::Kind::Full) {
+        ++traffic_.partial;
         core::log("discovery: changes where the whole list was asked for");
         return false;
     }
     if (reading.revision >= revision_ || (whole && watch.foreign)) return true;
+    ++traffic_.older;
+    if (selector_) return false; // that distributor is behind: another one is asked
     const bool again = whole && watch.lower && reading.revision >= *watch.lower;
     core::log("discovery: revision {} after {}", reading.revision, revision_);
     watch.lower = reading.revision;
@@ -121,7 +143,7 @@
 asio::awaitable<void> Discovery::pause(Watch &watch) {
     bool over = false;
     Micros length = watch.backoff.next();
-    if (watch.crowded && settings_.ask_for_list)
+    if (watch.crowded && settings_.ask_for_list && !selector_)
         length = std::max(length, kCrowded + watch.backoff.part(kCrowdedSpread));
     const auto entry = deadlines_.in(length, [&] {
         over = true;
@@ -135,7 +157,7 @@
         if (!watch.over) core::log("discovery: {}", why);
     };
     watch.crowded = false;
-    ++calls_; // one a call, whether it comes through or not
+    ++traffic_.calls; // one a call, whether it comes through or not
     const std::string request =
         fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n", path, watch.host);
     boost::system::error_code error;
@@ -148,16 +170,20 @@
             co_return std::nullopt;
         }
     }
+    traffic_.sent_bytes += request.size();
     const auto response =
         co_await http::exchange(socket, request, deadlines_.clock.now() + wait + kAnswer, deadlines_);
     watch.crowded = response && response->status == 503;
+    if (response) traffic_.received_bytes += response->wire_bytes;
     if (!response || response->status != 200) {
+        ++traffic_.failed;
         failed(response ? fmt::format("status {}", response->status) : "no answer");
         co_return std::nullopt;
     }
     try {
         co_return read(config::parse(response->body), nodes_, zones_);
     } catch (const std::exception &wrong) { // whatever a list may hold, the watch goes on
+        ++traffic_.malformed;
         failed(wrong.what());
         co_return std::nullopt;
     }
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -96,14 +96,16 @@
         !line.substr(last + 1).starts_with("HTTP/1."))
         throw std::runtime_error("no request line");
     Request request{
-        std::string(line.substr(0, space)), std::string(line.substr(space + 1, last - space - 1)), {}};
+        std::string(line.substr(0, space)), std::string(line.substr(space + 1, last - space - 1)), {}, 0};
     std::string_view rest = std::string_view(in).substr(head->end);
     if (head->chunked) {
         if (!chunks(rest, request.body)) return std::nullopt;
     } else {
         if (rest.size() < head->size.value_or(0)) return std::nullopt;
         request.body = rest.substr(0, head->size.value_or(0));
+        rest.remove_prefix(request.body.size());
     }
+    request.wire_bytes = in.size() - rest.size();
     return request;
 }
 
@@ -134,6 +136,7 @@
         rest = {};
         response.keep = false;
     }
+    response.wire_bytes = in.size() - rest.size();
     in = std::string(rest);
     return response;
 }
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -14,10 +14,12 @@
     std::string body;
     bool keep = true;                       // the connection may carry a further exchange
     std::optional<std::string> retry_after; // the header's text
+    std::size_t wire_bytes = 0;             // that it took up on the connection
 };
 
 struct Request {
     std::string method, target, body;
+    std::size_t wire_bytes = 0; // that it takes up at the front of what was read
 };
 // Reads a request off the front of `in`, which it leaves as it is. Empty while it is not whole. Throws
 // std::runtime_error where it is malformed or too large.
--- /dev/null
+++ b/src/net/lists/list_server.cpp
@@ -0,0 +1,160 @@
+#include "net/lists/list_server.hpp"
+
+#include "core/log.hpp"
+#include "net/lists/codec.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+
+namespace marblewood::net::lists {
+
+namespace dist = marblewood::distribution;
+
+namespace {
+
+constexpr std::size_t kMostCall = 8192;        // bytes
+constexpr Micros kIdle = 75'000'000;           // us for a caller to begin its next call
+constexpr Micros kWholeCallWithin = 5'000'000; // us for a call that has begun to come whole
+constexpr Micros kReadWithin = 10'000'000;     // us for a caller to read its answer
+constexpr Micros kRetryAccept = 10'000;        // us before the next accept after a failed one
+// us for which a call for the whole list is kept waiting for the byte budget before it is turned away.
+constexpr Micros kWholeWait = 1'000'000;
+constexpr Micros kSecond = 1'000'000;
+
+std::string respond(int status, const char *reason, const std::string &body) {
+    return fmt::format("HTTP/1.1 {} {}\r\nContent-Length: {}\r\n\r\n{}", status, reason, body.size(), body);
+}
+
+std::string respond(const dist::Answer &answer) {
+    if (answer.kind == dist::Answer::Kind::Behind)
+        return respond(503, "Service Unavailable", "no list as new as that one\n");
+    return respond(200, "OK", spell(answer.delta));
+}
+
+} // namespace
+
+ListServer::ListServer(asio::io_context &io, core::Deadlines &deadlines, tcp::acceptor acceptor,
+                       dist::DeliveryLimits limits, std::size_t most_removed, std::size_t most_callers)
+    : io_(io), deadlines_(deadlines), acceptor_(std::move(acceptor)), log_(most_removed),
+      delivery_(log_, limits, deadlines.clock.now()), most_callers_(most_callers) {
+    asio::co_spawn(io_, accept(), asio::detached);
+}
+
+dist::Taken ListServer::take(const dist::Update &update) {
+    const dist::Taken taken = log_.take(update);
+    if (taken == dist::Taken::Yes) {
+        delivery_.published();
+        deliver();
+    }
+    return taken;
+}
+
+void ListServer::deliver() {
+    const Micros now = deadlines_.clock.now();
+    for (const dist::Answer &answer : delivery_.due(now))
+        by_id_.at(answer.caller)->answers.put(respond(answer));
+    next_.reset();
+    if (const auto next = delivery_.next(now)) next_ = deadlines_.at(*next, [this] { deliver(); });
+}
+
+asio::awaitable<void> ListServer::accept() {
+    asio::steady_timer rest(io_);
+    while (acceptor_.is_open()) {
+        boost::system::error_code error;
+        tcp::socket socket =
+            co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, error));
+        if (error == asio::error::operation_aborted) co_return;
+        if (error) {
+            core::log("list server: {}", error.message());
+            rest.expires_after(std::chrono::microseconds(kRetryAccept));
+            co_await rest.async_wait(asio::redirect_error(asio::use_awaitable, error));
+            continue;
+        }
+        if (callers_.size() >= most_callers_) {
+            ++figures_.turned_away;
+            continue;
+        }
+        ++figures_.accepted;
+        socket.set_option(tcp::no_delay(true), error);
+        const auto caller =
+            callers_.emplace(callers_.end(), std::move(socket), delivery_.connect(deadlines_.clock.now()));
+        by_id_[caller->id] = &*caller;
+        asio::co_spawn(io_, serve(caller), asio::detached);
+    }
+}
+
+asio::awaitable<void> ListServer::serve(CallerAt caller) {
+    std::string in;
+    while (co_await serve_call(*caller, in)) {
+    }
+    delivery_.disconnect(caller->id);
+    by_id_.erase(caller->id);
+    callers_.erase(caller);
+    deliver(); // a whole list that did not arrive gives way to the next one
+}
+
+// False: the connection has ended or is of no more use.
+asio::awaitable<bool> ListServer::serve_call(Caller &caller, std::string &in) {
+    std::optional<Call> call;
+    try {
+        const auto request = co_await receive(caller, in);
+        if (!request) co_return false;
+        if (request->method == "GET") call = read_call(request->target);
+    } catch (const std::runtime_error &) {
+        ++figures_.malformed;
+    }
+    if (!call) {
+        co_await send(caller, respond(400, "Bad Request", ""));
+        co_return false;
+    }
+    const Micros wait = call->since ? call->wait : kWholeWait;
+    delivery_.ask(caller.id, call->since, deadlines_.clock.now() + wait);
+    deliver();
+    std::string answer = co_await caller.answers.take();
+    const bool sent = co_await send(caller, std::move(answer));
+    delivery_.whole_written(caller.id);
+    deliver();
+    co_return sent;
+}
+
+asio::awaitable<std::optional<http::Request>> ListServer::receive(Caller &caller, std::string &in) {
+    const auto close = [&caller] {
+        boost::system::error_code ignored;
+        caller.socket.close(ignored);
+    };
+    auto limit = deadlines_.in(in.empty() ? kIdle : kWholeCallWithin, close);
+    for (;;) {
+        if (auto request = http::read_request(in)) {
+            figures_.received_bytes += request->wire_bytes;
+            in.erase(0, request->wire_bytes);
+            co_return request;
+        }
+        if (in.size() > kMostCall) throw std::runtime_error("call too long");
+        const bool first = in.empty();
+        if (co_await read_more(caller.socket, in, kMostCall)) co_return std::nullopt;
+        if (first) limit = deadlines_.in(kWholeCallWithin, close);
+    }
+}
+
+asio::awaitable<bool> ListServer::send(Caller &caller, std::string text) {
+    boost::system::error_code error;
+    const auto limit = deadlines_.in(kReadWithin, [&caller] {
+        boost::system::error_code ignored;
+        caller.socket.close(ignored);
+    });
+    count_sent(text.size());
+    co_await asio::async_write(caller.socket, asio::buffer(text),
+                               asio::redirect_error(asio::use_awaitable, error));
+    co_return !error;
+}
+
+void ListServer::count_sent(std::size_t bytes) {
+    figures_.sent_bytes += bytes;
+    const Micros second = deadlines_.clock.now() / kSecond;
+    if (second != std::exchange(second_, second)) second_bytes_ = 0;
+    second_bytes_ += bytes;
+    figures_.peak_second_bytes = std::max(figures_.peak_second_bytes, second_bytes_);
+}
+
+} // namespace marblewood::net::lists
--- /dev/null
+++ b/tests/distribute_test.cpp
@@ -0,0 +1,284 @@
+// Distributors as processes between a discovery and brokers: what is changed reaches brokers while one is
+// lost, silent or behind, and nothing that a discovery or a caller sends spoils the list.
+#include "helper.hpp"
+
+using namespace test;
+using Clock = std::chrono::steady_clock;
+
+namespace {
+
+constexpr auto kInForce = 7s; // from a change in discovery to every broker
+
+std::string members(int count, const std::string &phase = "up") {
+    std::string all;
+    for (int n = 0; n < count; ++n)
+        all += (n ? "," : "") + member(fmt::format("s-{}", n), 1 + n, n, n == 0 ? phase : "up");
+    return all;
+}
+
+// A folder that goes with its test.
+class Folder {
+public:
+    Folder() : path_(std::filesystem::temp_directory_path() / "marblewood-distribute-XXXXXX") {
+        assert(::mkdtemp(path_.data()));
+    }
+    ~Folder() { std::filesystem::remove_all(path_); }
+    std::string file(const std::string &name) const { return path_ + "/" + name; }
+    const std::string &path() const { return path_; }
+
+private:
+    std::string path_;
+};
+
+class Distributor {
+public:
+    explicit Distributor(int parent, const std::string &name = "d0", const std::string &more = "")
+        : name_(name) {
+        std::ofstream(folder_.file("distributor.json"))
+            << fmt::format(R"({{"name":"{}","listen":"127.0.0.1:{}","control":"127.0.0.1:{}","zone":"a",)"
+                           R"("region":"r","parents":[{{"name":"discovery","address":"127.0.0.1:{}"}}]{}}})",
+                           name, port, control, parent, more);
+        start();
+    }
+    void start() {
+        child.start({"distribute", folder_.file("distributor.json")}, folder_.file("log"), folder_.path(), 0);
+        for (int n = 0; n < 500 && operators_call(control, "GET", "health").first != 200; ++n)
+            std::this_thread::sleep_for(10ms);
+    }
+    long figure(const std::string &name) const { // behind `distribution.`
+        const auto [status, body] = operators_call(control, "GET", "stats");
+        assert(status == 200);
+        const std::size_t at = body.find("distribution." + name + ":");
+        assert(at != std::string::npos);
+        return std::atol(body.c_str() + body.find(':', at) + 1);
+    }
+    void await(const std::string &name, long least) const {
+        for (int n = 0; n < 1500 && figure(name) < least; ++n) std::this_thread::sleep_for(10ms);
+        assert(figure(name) >= least);
+    }
+    std::string entry() const {
+        return fmt::format(R"({{"name":"{}","address":"127.0.0.1:{}","zone":"a","region":"r"}})", name_,
+                           port);
+    }
+    const int port = free_port(), control = free_port();
+    Child child;
+
+private:
+    const std::string name_;
+    Folder folder_;
+};
+
+std::string operators_file(const std::vector<const Distributor *> &distributors) {
+    std::string entries;
+    for (const Distributor *distributor : distributors)
+        entries += (entries.empty() ? "" : ",") + distributor->entry();
+    return fmt::format(R"({{"distribution":{{"zone":"a","region":"r","distributors":[{}]}}}})", entries);
+}
+
+void await_nodes(const Program &broker, long count, Clock::time_point changed) {
+    while (broker.figures().at("cluster_size") != count) {
+        assert(Clock::now() - changed < kInForce);
+        std::this_thread::sleep_for(20ms);
+    }
+}
+
+// One call, on a connection of its own: the status and the body.
+std::pair<int, std::string> ask(int port, const std::string &target) {
+    Socket caller = Socket::to(port);
+    caller.send(fmt::format("GET {} HTTP/1.1\r\nHost: d\r\n\r\n", target));
+    while (caller.in.find("\r\n\r\n") == std::string::npos) assert(caller.more());
+    const std::size_t body = caller.in.find("\r\n\r\n") + 4;
+    const auto length = static_cast<std::size_t>(number_behind(caller.in, "Content-Length: ", -1));
+    while (caller.in.size() < body + length) assert(caller.more());
+    return {std::atoi(caller.in.c_str() + 9), caller.in.substr(body)};
+}
+
+// Which of the two the broker asks: the one with callers.
+Distributor &asked_of(Distributor &a, Distributor &b) { return a.figure("callers") > 0 ? a : b; }
+
+void changes_reach_brokers_though_a_distributor_is_lost_or_silent() {
+    Discovery discovery(members(3));
+    Distributor a(discovery.port(), "d0"), b(discovery.port(), "d1");
+    a.await("members", 3), b.await("members", 3);
+    Program broker(discovery, operators_file({&a, &b}));
+    await_nodes(broker, 3, Clock::now());
+    discovery.change(members(4), member("s-3", 4, 3));
+    await_nodes(broker, 4, Clock::now());
+    while (a.figure("callers") + b.figure("callers") == 0) std::this_thread::sleep_for(10ms);
+
+    Distributor &silent = asked_of(a, b);
+    silent.child.signal(SIGSTOP);
+    discovery.change(members(5), member("s-4", 5, 4));
+    await_nodes(broker, 5, Clock::now());
+    Distributor &other = &silent == &a ? b : a;
+    discovery.change(members(6), member("s-5", 6, 5));
+    await_nodes(broker, 6, Clock::now());
+    silent.child.signal(SIGCONT); // awake, with an old log
+    silent.await("members", 6);
+
+    other.child.kill();
+    discovery.change(members(7), member("s-6", 7, 6));
+    await_nodes(broker, 7, Clock::now());
+    other.start(); // with nothing
+    other.await("members", 7);
+    assert(a.figure("answers_whole") + b.figure("answers_whole") == 0);
+}
+
+void a_new_distributor_has_nothing_to_say_until_it_knows_the_list() {
+    Discovery discovery(members(2));
+    discovery.failures = 1'000'000;
+    const Distributor distributor(discovery.port());
+    assert(ask(distributor.port, "/v1/servers?since=0&timeout_ms=10").first == 503);
+    assert(ask(distributor.port, "/v1/servers").first == 503);
+    discovery.failures = 0;
+    distributor.await("members", 2);
+    const auto [status, body] = ask(distributor.port, "/v1/servers");
+    assert(status == 200 && body.find("\"complete\":true") != std::string::npos);
+    assert(body.find("\"flavor\":\"m\"") != std::string::npos); // passed on unread
+    const auto [again, same] = ask(distributor.port, "/v1/servers?since=1&timeout_ms=0");
+    assert(again == 200 && same == R"({"revision":1,"complete":false,"members":[]})");
+    assert(ask(distributor.port, "/v1/servers?since=9&timeout_ms=0").first == 503); // it is behind
+}
+
+std::string answer_of(int revision, const std::string &body, bool complete) {
+    return fmt::format(R"({{"revision":{},"complete":{},"members":[{}]}})", revision, complete, body);
+}
+std::string spell(const std::string &body) {
+    return fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", body.size(), body);
+}
+
+// What a discovery that goes wrong may send: nothing of it is taken, and the list that is held stays.
+void bad_answers_change_nothing() {
+    const std::string good = answer_of(40, members(2), true);
+    const std::string wrong[] = {
+        spell("{\"revision\":41,\"complete\":true,\"members\":[{"),               // malformed
+        spell(answer_of(41, R"({"id":"s-0","phase":"asleep","cell":0})", false)), // an unknown phase
+        spell(answer_of(41, R"({"phase":"up","cell":0})", true)),                 // nobody's
+        spell(answer_of(39, members(1), true)),                                   // older
+        spell(answer_of(39, member("s-0", 1, 0, "removed"), false)),              // replayed
+        spell("[1,2,3]"),                                                         // foreign
+        "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n",                    // oversized
+        "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{\"revision\":41",         // truncated
+        "HTTP/1.1 200 OK\r\n" + std::string(40'000, 'x'),                         // a head without end
+        "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n",
+    };
+    std::atomic<std::size_t> told = 0;
+    Server discovery([&](Socket &s) {
+        while (const auto head = next_head(s)) {
+            if (head->find("since=") == std::string::npos && told == 0) {
+                s.send(spell(good));
+                continue;
+            }
+            const std::size_t n = told++;
+            if (n >= std::size(wrong)) {
+                s.send(spell(answer_of(42, member("s-9", 9, 9), false)));
+                std::this_thread::sleep_for(100ms);
+                continue;
+            }
+            s.send(wrong[n]);
+            return;
+        }
+    });
+    const Distributor distributor(discovery.port);
+    while (told <= std::size(wrong)) {
+        assert(distributor.figure("members") <= 3);
+        const long revision = distributor.figure("revision");
+        assert(revision == -1 || revision == 40 || revision == 42);
+        std::this_thread::sleep_for(20ms);
+    }
+    distributor.await("revision", 42);
+    assert(distributor.figure("members") == 3);
+    assert(distributor.figure("parent_malformed") == 4 && distributor.figure("parent_older") == 2);
+    assert(distributor.figure("parent_failed") == 4);
+}
+
+void bad_calls_are_refused() {
+    Discovery discovery(members(2));
+    Distributor distributor(discovery.port(), "d0", R"(,"most_callers":4)");
+    distributor.await("members", 2);
+    for (const char *const target : {"/v1/other", "/v1/servers?since=x", "/v1/servers?since=-1",
+                                     "/v1/servers?since=1&timeout_ms=99999999999999999999"})
+        assert(ask(distributor.port, target).first == 400);
+    for (const std::string &text : {std::string("nonsense\r\n\r\n"), std::string(20'000, 'x'),
+                                    std::string("POST /v1/servers HTTP/1.1\r\n\r\n")}) {
+        Socket caller = Socket::to(distributor.port);
+        caller.send(text);
+        assert(caller.ended());
+    }
+    assert(distributor.figure("malformed_calls") >= 5);
+    std::vector<Socket> callers;
+    for (int n = 0; n < 4; ++n) callers.push_back(Socket::to(distributor.port));
+    distributor.await("callers", 4);
+    Socket fifth = Socket::to(distributor.port);
+    assert(fifth.ended());
+    assert(distributor.figure("turned_away") == 1);
+    callers.front().send("GET /v1/servers?since=1&timeout_ms=0 HTTP/1.1\r\n\r\nGET /v1/ser");
+    while (callers.front().in.find("\"members\":[]}") == std::string::npos) assert(callers.front().more());
+    callers.clear();
+    while (distributor.figure("callers") > 0) std::this_thread::sleep_for(10ms);
+}
+
+// One line naming the field, and an exit code that is not 0.
+void a_bad_configuration_is_one_line() {
+    const std::string rest = R"("listen":"127.0.0.1:1","zone":"a","region":"r")";
+    const std::string parents = R"("parents":[{"name":"p","address":"127.0.0.1:1"}])";
+    const std::pair<std::string, std::string> wrong[] = {
+        {"{" + rest + "," + parents + "}", "name"},
+        {R"({"name":"d",)" + rest + R"(,"parents":[]})", "parents"},
+        {R"({"name":"d",)" + rest + R"(,"parents":[{"name":"p","address":"nowhere"}]})", "parents.address"},
+        {R"({"name":"d",)" + rest + "," + parents + R"(,"machine_bytes_per_second":-1})",
+         "machine_bytes_per_second"},
+        {R"({"name":"d",)" + rest + "," + parents + R"(,"most_callers":"many"})", "most_callers"},
+        {R"({"name":"d",)" + rest + "," + parents + R"(,"speed":1})", "speed"},
+        {R"({"name":"d",)" + rest +
+             R"(,"parents":[{"name":"p","address":"127.0.0.1:1"},)"
+             R"({"name":"p","address":"127.0.0.1:2"}]})",
+         "parents"},
+        {"{", ""},
+    };
+    for (const auto &[text, field] : wrong) {
+        const Folder folder;
+        std::ofstream(folder.file("distributor.json")) << text;
+        Child child;
+        child.start({"distribute", folder.file("distributor.json")}, folder.file("log"), folder.path(), 0);
+        assert(child.exit_code() != 0);
+        std::ostringstream said;
+        said << std::ifstream(folder.file("log")).rdbuf();
+        const std::string line = said.str();
+        assert(std::count(line.begin(), line.end(), '\n') == 1);
+        if (line.find(field) == std::string::npos) fmt::print("{}: {}", field, line);
+        assert(line.find(field) != std::string::npos);
+    }
+}
+
+void a_brokers_own_part_is_checked() {
+    const Folder folder;
+    std::ofstream(folder.file("config.json")) << fmt::format(
+        R"({{"name":"n0","listen":"127.0.0.1:1","discovery":"127.0.0.1:1","settings":{}}})", kSettings);
+    for (const auto &[part, field] :
+         {std::pair(R"({"zone":"a","region":"r","distributors":[]})", "distribution.distributors"),
+          std::pair(R"({"zone":"a","region":"r","distributors":[{"name":"d","address":"x","zone":"a",)"
+                    R"("region":"r"}]})",
+                    "distribution.distributors.address")}) {
+        std::ofstream(folder.file("operator.json")) << fmt::format(R"({{"distribution":{}}})", part);
+        Child child;
+        child.start({"check-config", "--config", folder.file("config.json"), "--operator",
+                     folder.file("operator.json")},
+                    folder.file("log"), folder.path(), 0);
+        assert(child.exit_code() == 1);
+        std::ostringstream said;
+        said << std::ifstream(folder.file("log")).rdbuf();
+        assert(said.str().find(field) != std::string::npos);
+    }
+}
+
+} // namespace
+
+int main() {
+    changes_reach_brokers_though_a_distributor_is_lost_or_silent();
+    a_new_distributor_has_nothing_to_say_until_it_knows_the_list();
+    bad_answers_change_nothing();
+    bad_calls_are_refused();
+    a_bad_configuration_is_one_line();
+    a_brokers_own_part_is_checked();
+}
