--- a/src/lab/node.cpp
+++ b/src/lab/node.cpp
@@ -1,4 +1,4 @@
-#include "lab/world.hpp"
+#include "lab/node.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
