Add scale experiments: hollow brokers, slopes and the target's fleet

Change: `marblewood-lab scale FILE` (src/lab/scale/). Hollow brokers are the shipped Discovery, Fleet, Planner and Peers on real sockets, with no clients and no nodes behind; discovery is the shipped list server without a budget; distributors are processes. A fleet over half of the memory or over 300 processes is refused before it starts. lab/scale.json, lab/scale-slopes.json, lab/scale-faults.json.

--- a/src/config/distribution.cpp
+++ b/src/config/distribution.cpp
@@ -11,7 +11,7 @@
 // 2 KB a second is what a broker may spend on control; the burst is what it may get within the 7 s in which a
 // change has to be in force.
 constexpr distribution::ByteBudget kCallerBudget{2'000, 14'000};
-constexpr distribution::ByteBudget kMachineBudget{2'000'000, 2'000'000};
+constexpr distribution::ByteBudget kMachineBudget{10'000'000, 10'000'000};
 constexpr std::int64_t kMostRemoved = 20'000, kMostCallers = 4'000;
 
 std::vector<distribution::Distributor> read_distributors(const Json::Value &rows, const char *field) {
--- a/src/lab/report.hpp
+++ b/src/lab/report.hpp
@@ -13,7 +13,8 @@
     bool holds = false;
 };
 // Each check against the figures. One whose figure is missing does not hold.
-std::vector<Verdict> judge(const Experiment &experiment, const std::map<std::string, double> &metrics);
+std::vector<Verdict> judge(const std::vector<Check> &checks, const std::map<std::string, double> &metrics);
+Json::Value to_json(const std::vector<Verdict> &verdicts);
 
 // Figures of a run beside those of the run it is compared with: kept.*, and all of that run's as base.*
 void compare(const Experiment &experiment, std::map<std::string, double> &metrics,
--- /dev/null
+++ b/src/lab/scale/hollow_broker.cpp
@@ -0,0 +1,73 @@
+#include "lab/scale/hollow_broker.hpp"
+
+#include "net/address.hpp"
+
+namespace marblewood::lab::scale {
+namespace {
+
+constexpr int kSockets = 1024;
+constexpr std::size_t kMemory = 16 << 20; // bytes for clients, of whom there are none
+constexpr int kPeerPort = 7946;
+
+// Each broker has a loopback address of its own for datagrams.
+asio::ip::udp::endpoint peer_address(int position) {
+    constexpr std::uint32_t kFirst = 0x7f010001; // 127.1.0.1
+    return {asio::ip::address_v4(kFirst + static_cast<std::uint32_t>(position)), kPeerPort};
+}
+
+} // namespace
+
+HollowBroker::HollowBroker(asio::io_context &io, core::Deadlines &deadlines, const HollowConfig &config,
+                           int position, distribution::Locality locality)
+    : name_(fmt::format("n{}", position)), budget_(kSockets), memory_(kMemory),
+      settings_(own_settings(config, position)), figures_(settings_.classes.size()),
+      resp_port_(io.get_executor(), deadlines, memory_, budget_, settings_),
+      nvme_port_(io.get_executor(), deadlines, budget_, settings_, mapping_.block_bytes), ports_(resp_port_),
+      fleet_(nodes_, zones_, mapping_, resp_port_, nvme_port_, ports_, planners_) {
+    core::Surroundings around;
+    around.tell_peers = [this](std::optional<int> peer, const std::string &data) {
+        if (peers_) peers_->tell(peer, data);
+    };
+    planners_.push_back(std::make_unique<core::Planner>(io.get_executor(), deadlines, memory_, figures_,
+                                                        settings_, ports_, around));
+    if (settings_.peers) listen_to_peers(io, config, position);
+    net::discovery::Reading saved; // at revision 0, as a broker without a list begins
+    if (!config.known.isNull()) saved = net::discovery::read(config.known, nodes_, zones_);
+    saved.update.kind = ListUpdate::Kind::Saved;
+    revision_ = saved.revision;
+    fleet_.told(saved);
+    const bool distributed = !config.distributors.empty();
+    const std::string at = distributed ? config.distributors.front().address : config.discovery;
+    discovery_.emplace(
+        io, deadlines, settings_, net::endpoint<asio::ip::tcp::endpoint>(at).value(), at, saved.revision,
+        nodes_, zones_,
+        [this, &deadlines](const net::discovery::Reading &reading) { told(reading, deadlines.clock.now()); });
+    if (distributed)
+        discovery_->use(
+            distribution::DistributorSelector(config.distributors, name_, locality, settings_.seed));
+}
+
+Settings HollowBroker::own_settings(const HollowConfig &config, int position) const {
+    Settings own = config.settings;
+    own.hosts = config.hosts;
+    own.position = position;
+    own.seed = config.settings.seed + static_cast<std::uint64_t>(position) * 0x9e3779b97f4a7c15;
+    own.lends = own.peers;
+    return own;
+}
+
+void HollowBroker::listen_to_peers(asio::io_context &io, const HollowConfig &config, int position) {
+    std::vector<asio::ip::udp::endpoint> all;
+    for (int n = 0; n < config.hosts; ++n) all.push_back(peer_address(n));
+    peers_.emplace(asio::ip::udp::socket(io, peer_address(position)), std::move(all), std::nullopt,
+                   [this](const PeerMessage &message) { planners_.front()->peer_message(message); });
+}
+
+void HollowBroker::told(const net::discovery::Reading &reading, Micros now) {
+    if (reading.revision < revision_) ++went_back_;
+    if (reading.revision > revision_) adopted_.push_back({reading.revision, now});
+    revision_ = reading.revision;
+    fleet_.told(reading);
+}
+
+} // namespace marblewood::lab::scale
