Name the sharing of cold nodes' budgets by terms of the field: allocator, grant

The names of the withdrawn house style go: stewards, gifts, calls, turns, deals and hosts are allocators, grants, requests, time slices, shares and brokers in src/overload/, its tests and its pages. Words on the wire and the figures' names stay as they are. ColdDeal is ColdQuota, TurnFigures GrantFigures; the files follow.

No decision changes.

--- a/include/marblewood/scheduler.hpp
+++ b/include/marblewood/scheduler.hpp
@@ -260,10 +260,10 @@
 
 using Action = std::variant<Send, Refuse, Fail, Cancel, Probe, CloseIdle, SetTimer, TellPeers, Log>;
 
-// What cold nodes bear, given out by stewards, since the start (src/overload/cold_stewards.hpp).
-struct TurnFigures {
-    std::uint64_t asked = 0;   // calls to a steward
-    std::uint64_t given = 0;   // gifts of this host as a steward
+// What cold nodes bear, granted by allocators, since the start (src/overload/cold_allocator.hpp).
+struct GrantFigures {
+    std::uint64_t asked = 0;   // requests to an allocator
+    std::uint64_t given = 0;   // grants of this broker as an allocator
     std::uint64_t taken = 0;   // that came in time
     std::uint64_t used = 0;    // sends that spent some of one that was taken
     std::uint64_t wasted = 0;  // that came too late, or were not spent whole in their time
@@ -291,7 +291,7 @@
 };
 
 struct OverloadFigures {
-    TurnFigures turns;
+    GrantFigures grants;
     LoanFigures loans;
     ShedFigures shed;
 };
--- a/src/net/costs.cpp
+++ b/src/net/costs.cpp
@@ -15,9 +15,9 @@
 
 Counts counts(const OverloadFigures &f) {
     const auto whole = [](double units) { return static_cast<std::uint64_t>(units); };
-    return {{{"cold_asked", f.turns.asked},       {"cold_given", f.turns.given},
-             {"cold_taken", f.turns.taken},       {"cold_used", f.turns.used},
-             {"cold_wasted", f.turns.wasted},     {"cold_strange", f.turns.strange},
+    return {{{"cold_asked", f.grants.asked},      {"cold_given", f.grants.given},
+             {"cold_taken", f.grants.taken},      {"cold_used", f.grants.used},
+             {"cold_wasted", f.grants.wasted},    {"cold_strange", f.grants.strange},
              {"loans_asked", f.loans.asked},      {"loans_met", f.loans.met},
              {"units_lent", whole(f.loans.lent)}, {"units_taken", whole(f.loans.taken)},
              {"units_used", whole(f.loans.used)}, {"units_wasted", whole(f.loans.wasted)},
--- a/src/overload/limit_loans.cpp
+++ b/src/overload/limit_loans.cpp
@@ -11,15 +11,15 @@
 constexpr Micros kLife = 500'000;  // us that a loan lives, at the most
 constexpr double kDrift = 1.05;    // by which the lender's clock may run faster than the borrower's,
 constexpr Micros kMargin = 20'000; // and us besides
-constexpr double kLentPart = 0.5;  // of its room that a host lends at once
+constexpr double kLentPart = 0.5;  // of its room that a broker lends at once
 constexpr double kDemand = 1e6;    // us over which the demand is averaged
-constexpr double kAhead = 0.25;    // s of its demand that a host calls for, and that a lender keeps
-constexpr Micros kAskGap = 30'000; // us between calls for one volume
+constexpr double kAhead = 0.25;    // s of its demand that a broker requests for, and that a lender keeps
+constexpr Micros kAskGap = 30'000; // us between requests for one volume
 constexpr Micros kDryGap = 60'000, kMostDryGap = 1'000'000; // us until one that had nothing is asked again,
                                                             // at first and at most; doubled each time
 constexpr Micros kMeetGap = 8'000'000;                      // us between words to the meeting place
 constexpr Micros kHeard = 20'000'000;      // us after which a sharer that says nothing is forgotten
-constexpr std::size_t kMostCalls = 16;     // that may still be answered
+constexpr std::size_t kMostRequests = 16;  // that may still be answered
 constexpr const char *kMark = "mw-loan1 "; // then a letter for the kind of word
 constexpr char kAsk = 'a', kGive = 'g', kMeet = 'm', kHere = 'h';
 constexpr std::size_t kMostHosts = 16; // named in one word
@@ -132,12 +132,12 @@
     sharer.gap = std::clamp(2 * sharer.gap, kDryGap, kMostDryGap);
     sharer.next = now + sharer.gap;
     ledger.last = *whom, ledger.asked = now;
-    if (ledger.calls.size() >= kMostCalls) ledger.calls.pop_front();
+    if (ledger.requests.size() >= kMostRequests) ledger.requests.pop_front();
     const double wanted =
         std::ceil(std::clamp(units - left(ledger, now) + kAhead * ledger.demand, 1.0, ledger.burst));
-    // With the time in it, no forerunner or successor of this process calls by the same number.
-    const std::uint64_t number = static_cast<std::uint64_t>(now) << 8 | (++calls_ & 255);
-    ledger.calls.push_back({number, now, wanted});
+    // With the time in it, no forerunner or successor of this process requests by the same number.
+    const std::uint64_t number = static_cast<std::uint64_t>(now) << 8 | (++requests_ & 255);
+    ledger.requests.push_back({number, now, wanted});
     ++figures_.asked;
     return TellPeers{whom, spell(kAsk, volume, number, wanted)};
 }
@@ -182,7 +182,7 @@
     LimitLedger *const ledger = ledgers(word->volume);
     if (!ledger) return {};
     if (word->kind == kHere) meet(*ledger, word->hosts, now);
-    if (word->kind == kAsk) return {give(*ledger, *word, message.from, now), {}};
+    if (word->kind == kAsk) return {answer(*ledger, *word, message.from, now), {}};
     if (word->kind == kGive && take(*ledger, *word, message.from, now)) return {{}, word->volume};
     return {};
 }
@@ -205,40 +205,40 @@
         if (host != set_.position) ledger.sharers[host].heard = now;
 }
 
-std::optional<TellPeers> LimitLoans::give(LimitLedger &ledger, const Word &call, int to, Micros now) {
+std::optional<TellPeers> LimitLoans::answer(LimitLedger &ledger, const Word &request, int to, Micros now) {
     if (!set_.peers || !set_.lends || ledger.frozen || ledger.at == 0 || life(ledger) <= 0)
         return std::nullopt;
     settle(ledger, now);
     ledger.sharers[to].heard = now;
     const double keeps = ledger.demand > 0 ? kAhead * ledger.demand + set_.mean_units : 0;
     const double may = std::min(ledger.store - keeps, kLentPart * ledger.burst - sum(ledger.lent, now));
-    const double units = std::floor(std::min(call.units, may));
+    const double units = std::floor(std::min(request.units, may));
     if (units >= 1) {
         ledger.store -= units;
         ledger.lent.push_back(
             {now + static_cast<Micros>(static_cast<double>(life(ledger)) * kDrift) + kMargin, units});
         std::ranges::sort(ledger.lent, {}, &LimitLedger::Loan::until);
         figures_.lent += units;
-    } // else the answer says only that this host shares the volume
-    return TellPeers{to, spell(kGive, call.volume, call.number, std::max(units, 0.0))};
+    } // else the answer says only that this broker shares the volume
+    return TellPeers{to, spell(kGive, request.volume, request.number, std::max(units, 0.0))};
 }
 
-bool LimitLoans::take(LimitLedger &ledger, const Word &gift, int from, Micros now) {
-    const auto at = std::ranges::find(ledger.calls, gift.number, &LimitLedger::Call::number);
-    if (at == ledger.calls.end()) return false;
-    const LimitLedger::Call call = *at;
-    ledger.calls.erase(at);
+bool LimitLoans::take(LimitLedger &ledger, const Word &grant, int from, Micros now) {
+    const auto at = std::ranges::find(ledger.requests, grant.number, &LimitLedger::PendingRequest::number);
+    if (at == ledger.requests.end()) return false;
+    const LimitLedger::PendingRequest request = *at;
+    ledger.requests.erase(at);
     LimitLedger::Sharer &sharer = ledger.sharers[from];
     sharer.heard = now;
-    if (gift.units < 1 || gift.units > call.units || ledger.frozen) return false;
+    if (grant.units < 1 || grant.units > request.units || ledger.frozen) return false;
     sharer.next = sharer.gap = 0;
-    const Micros until = call.at + life(ledger);
+    const Micros until = request.at + life(ledger);
     if (now >= until) {
-        figures_.wasted += gift.units;
+        figures_.wasted += grant.units;
         return false;
     }
-    figures_.taken += gift.units;
-    ledger.borrowed.push_back({until, gift.units});
+    figures_.taken += grant.units;
+    ledger.borrowed.push_back({until, grant.units});
     std::ranges::sort(ledger.borrowed, {}, &LimitLedger::Loan::until);
     return true;
 }
--- a/src/overload/limit_loans.hpp
+++ b/src/overload/limit_loans.hpp
@@ -1,23 +1,23 @@
-// Limit loans: a volume's limit over the hosts through which its requests come, and units of it lent between
-// them. No I/O and no clock.
+// Limit loans: a volume's limit over the brokers through which its requests come, and units of it lent
+// between them. No I/O and no clock.
 //
-// Bound promised. Whatever becomes of datagrams and processes, what all hosts together spend of a volume in
-// any stretch of time t is at most burst + rate * t, rate and burst being the plan's. Each of the h hosts has
-// a part: a store of burst / h units at the most, empty at the start of a process, which fills at rate / h.
-// Units lent leave the lender's store and count against its room until the lender may be sure that the
+// Bound promised. Whatever becomes of datagrams and processes, what all brokers together spend of a volume in
+// any stretch of time t is at most burst + rate * t, rate and burst being the plan's. Each of the h brokers
+// has a part: a store of burst / h units at the most, empty at the start of a process, which fills at rate /
+// h. Units lent leave the lender's store and count against its room until the lender may be sure that the
 // borrower can't spend them any more; the borrower may spend them until `life` after it called for them, by
-// its own clock, which only runs and is read at each spending. The lender counts from when the call came,
+// its own clock, which only runs and is read at each spending. The lender counts from when the request came,
 // which is later, and adds a margin for clocks that run at different speeds. What is lent and not spent in
 // time is lost. So with F = units in all stores + units out on loan, F <= burst at any time, it rises by no
 // more than rate * t, and falls by what is spent: the bound follows. A process that starts anew knows nothing
-// of what its forerunner lent: no host lends more than half of its room at once, and a loan lives no longer
-// than the other half takes to fill, so that both together still have room. A gift answers one call, by its
-// number, once; lost, late, doubled or reordered datagrams only lose units.
+// of what its forerunner lent: no broker lends more than half of its room at once, and a loan lives no longer
+// than the other half takes to fill, so that both together still have room. A grant answers one request, by
+// its number, once; lost, late, doubled or reordered datagrams only lose units.
 //
-// Who shares a volume. Each host that serves a volume with a limit says so now and then at the volume's
-// meeting place, a host that follows from the volume's number, and is told there who else does. (A call to
-// all would cost as many datagrams as there are hosts.) What is not known, or wrong, costs units, never the
-// bound.
+// Who shares a volume. Each broker that serves a volume with a limit says so now and then at the volume's
+// meeting place, a broker that follows from the volume's number, and is told there who else does. (A request
+// to all would cost as many datagrams as there are brokers.) What is not known, or wrong, costs units, never
+// the bound.
 #pragma once
 
 #include "marblewood/scheduler.hpp"
@@ -28,9 +28,9 @@
 
 namespace marblewood::overload {
 
-struct LimitLedger { // a volume's, at one host; units unless said otherwise
+struct LimitLedger { // a volume's, at one broker; units unless said otherwise
     int hosts = 1;
-    double rate = 0, burst = 0; // of this host's part: units a second, units
+    double rate = 0, burst = 0; // of this broker's part: units a second, units
     double store = 0;
     Micros at = 0;       // up to when the store is filled
     bool frozen = false; // a successor has the store: nothing fills it here, and nothing is lent
@@ -39,18 +39,18 @@
         double units = 0;
     };
     std::deque<Loan> lent, borrowed; // in the order of their ends
-    struct Call {
+    struct PendingRequest {
         std::uint64_t number = 0;
         Micros at = 0;
         double units = 0;
     };
-    std::deque<Call> calls; // not yet answered
-    struct Sharer {         // another host through which the volume's requests come
+    std::deque<PendingRequest> requests; // not yet answered
+    struct Sharer {                      // another broker through which the volume's requests come
         Micros heard = 0;
         Micros next = 0, gap = 0; // asked in vain lately: not again before then
     };
     std::map<int, Sharer> sharers;
-    double demand = 0; // units asked of this host, decayed over kDemand
+    double demand = 0; // units asked of this broker, decayed over kDemand
     Micros demand_at = 0, asked = INT64_MIN / 4, met = INT64_MIN / 4;
     int last = -1; // the sharer asked last: each is asked in turn
 };
@@ -59,16 +59,16 @@
 public:
     explicit LimitLoans(const Settings &settings) : set_(settings) {}
 
-    // This host's part as of now; `burst` and `rate` are the plan's, `hosts` as the request says.
+    // This broker's part as of now; `burst` and `rate` are the plan's, `brokers` as the request says.
     void fill(LimitLedger &ledger, double rate, double burst, int hosts, Micros now);
-    // A request has come. Now and then this host says at the volume's meeting place that it shares the
+    // A request has come. Now and then this broker says at the volume's meeting place that it shares the
     // volume.
     std::optional<TellPeers> wants(LimitLedger &ledger, VolumeId volume, double units, Micros now);
     double left(const LimitLedger &ledger, Micros now) const;  // may be spent now
     void spend(LimitLedger &ledger, double units, Micros now); // `left` allows it
 
-    // So many units are wanted now. Whom to call for what is missing, and what to say; nothing where nobody
-    // can help, or not yet again.
+    // So many units are wanted now. Whom to request for what is missing, and what to say; nothing where
+    // nobody can help, or not yet again.
     std::optional<TellPeers> ask(LimitLedger &ledger, VolumeId volume, double units, Micros now);
     // What a peer says: whether it is of loans; then the answer, and the volume of which there is more to
     // spend. What makes no sense is counted and dropped.
@@ -77,7 +77,7 @@
         std::optional<TellPeers> answer;
         std::optional<VolumeId> richer;
     };
-    using Ledgers = std::function<LimitLedger *(VolumeId)>; // null where this host does not know the volume
+    using Ledgers = std::function<LimitLedger *(VolumeId)>; // null where this broker does not know the volume
     Heard hear(const PeerMessage &message, const Ledgers &ledgers, Micros now);
 
     double store(const LimitLedger &ledger, Micros now) const; // units of its own
@@ -97,15 +97,15 @@
         std::vector<int> hosts = {};
     };
     std::optional<Word> read(const std::string &data) const;
-    std::optional<TellPeers> give(LimitLedger &ledger, const Word &call, int to, Micros now);
-    bool take(LimitLedger &ledger, const Word &gift, int from, Micros now);
+    std::optional<TellPeers> answer(LimitLedger &ledger, const Word &request, int to, Micros now);
+    bool take(LimitLedger &ledger, const Word &grant, int from, Micros now);
     std::optional<TellPeers> introduce(VolumeId volume, int who, Micros now);
     void meet(LimitLedger &ledger, const std::vector<int> &hosts, Micros now) const;
-    Micros life(const LimitLedger &ledger) const; // us for which units may be spent, from the call on
+    Micros life(const LimitLedger &ledger) const; // us for which units may be spent, from the request on
     void settle(LimitLedger &ledger, Micros now);
 
     Settings set_;
-    std::uint64_t calls_ = 0;
+    std::uint64_t requests_ = 0;
     std::map<VolumeId, std::map<int, Micros>> meetings_; // who shares a volume, and when it said so
     LoanFigures figures_;
 };
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -1,7 +1,7 @@
 // marblewood: every decision, in five parts: nodes, bound, queue, attempts, guards.
 // Interface (settings, events, actions): include/marblewood/scheduler.hpp. Reasons: docs/design.md.
 #include "marblewood/scheduler.hpp"
-#include "overload/cold_deal.hpp"
+#include "overload/cold_quota.hpp"
 #include "overload/limit_loans.hpp"
 
 #include <algorithm>
@@ -142,7 +142,7 @@
 
     Settings set;
     std::uint64_t random;
-    overload::ColdDeal cold;
+    overload::ColdQuota cold;
     overload::LimitLoans loans;
     ShedFigures shed_by;
     std::set<VolumeId> lacking; // whose limit holds work back here
@@ -164,7 +164,7 @@
     double queued = kReportPrior, waited = kReportScale * kReportPrior; // see expect()
     Micros waited_at = 0;
     double probes = kProbesFree; // that may be sent
-    double chilled = 0;          // units of timely work that a cold node's deal holds back
+    double chilled = 0;          // units of timely work that a cold node's quota holds back
     mutable bool blind = false;  // work is held back for want of evidence
     Micros tightest = 0;         // the shortest aim of a class
     std::map<std::tuple<VolumeId, DataKey, int>, Micros> unserved; // due time of what ended so
@@ -619,7 +619,7 @@
                 continue;
             }
             const bool timely = on_time(*r, node), safe = node.trusted || r->cls->effect == Effect::Safe;
-            if (!cold.bears(node, r->in.units, now, awake())) { // a steward may have some
+            if (!cold.bears(node, r->in.units, now, awake())) { // an allocator may grant some
                 if (timely && chilled == 0) chilled = r->in.units;
                 continue;
             }
@@ -668,7 +668,7 @@
             Request *r = node ? pick(shard, *node) : nullptr;
             if (node && blind && !r) ask(*node);
             if (node && chilled > 0 && !r && !retired)
-                if (auto call = cold.ask(*node, chilled, now)) act(std::move(*call));
+                if (auto request = cold.ask(*node, chilled, now)) act(std::move(*request));
             if (!r) return;
             send(*r, *node);
         }
@@ -855,17 +855,18 @@
         for (const auto &[id, r] : requests)
             if (r.waiting && heard.richer == r.in.volume) touched.insert(r.shard);
     }
-    void on(const PeerMessage &e) { // of cold nodes: a call to this host as a steward, or a gift
+    void on(const PeerMessage &e) { // of cold nodes: a request to this broker as an allocator, or a grant
         if (overload::LimitLoans::speaks(e.data)) return loan(e);
-        const auto word = cold.stewards().read(e.data);
+        const auto word = cold.allocator().read(e.data);
         if (!word) return;
         const auto it = std::ranges::find_if(
             nodes, [&](const auto &n) { return n.second.usable && n.second.entry.named == word->node; });
         if (it == nodes.end()) return;
         Node &node = it->second;
-        if (word->gift && cold.stewards().take(node, *word, now)) touched.insert(node.entry.shard);
-        if (!word->gift)
-            if (auto gift = cold.stewards().give(node, *word, e.from, now, awake())) act(std::move(*gift));
+        if (word->grant && cold.allocator().take(node, *word, now)) touched.insert(node.entry.shard);
+        if (!word->grant)
+            if (auto grant = cold.allocator().answer(node, *word, e.from, now, awake()))
+                act(std::move(*grant));
     }
 
     // ---- Guards ----
--- a/tests/turns_test.cpp
+++ b/tests/cold_grants_test.cpp
@@ -29,10 +29,10 @@
 }
 
 // The nodes start anew, as every broker is told; three brokers have work for them. They get what the nodes'
-// stewards give out, also when one broker is paused and another dies, and what comes to a node in any window
-// stays under what it bears. Who is a steward follows from names and the clock: of four nodes some are
-// others'.
-void stewards_give_out_what_cold_nodes_bear() {
+// allocators give out, also when one broker is paused and another dies, and what comes to a node in any
+// window stays under what it bears. Who is an allocator follows from names and the clock: of four nodes some
+// are others'.
+void allocators_grant_what_cold_nodes_bear() {
     std::mutex mutex;
     std::array<std::deque<std::pair<Clock::time_point, double>>, kNodes> sent;
     std::vector<std::unique_ptr<RespNode>> nodes;
@@ -69,7 +69,7 @@
     const auto counted = Clock::now();
     std::atomic<int> served = 0;
     std::atomic<bool> enough =
-        false; // stewards change by the clock: which give, and when, differs from run to run
+        false; // allocators change by the clock: which give, and when, differs from run to run
     std::vector<std::thread> clients;
     for (int n = 0; n < kBusy; ++n)
         clients.emplace_back([&, n] {
@@ -96,7 +96,7 @@
         used += figures.at("cold_used"), given += figures.at("cold_given"), taken += figures.at("cold_taken");
         assert(figures.at("cold_strange") == 0);
     }
-    fmt::print("served {}, gifts given {}, taken {}, used {}\n", served.load(), given, taken, used);
+    fmt::print("served {}, grants given {}, taken {}, used {}\n", served.load(), given, taken, used);
     assert(used > 0 && given > 0 && taken > 0);
     const std::lock_guard lock(mutex);
     for (auto &to : sent) {
@@ -114,4 +114,4 @@
 
 } // namespace
 
-int main() { stewards_give_out_what_cold_nodes_bear(); }
+int main() { allocators_grant_what_cold_nodes_bear(); }
--- a/tests/cold_turns_test.cpp
+++ b/tests/cold_quota_test.cpp
@@ -1,7 +1,7 @@
-// The deal of cold nodes by itself, alone and with talk: random schedules of hosts and datagrams, and all
-// orders at small size. What all hosts send one cold node in any window stays under what it bears, counted
+// The share of cold nodes by itself, alone and with talk: random schedules of brokers and datagrams, and all
+// orders at small size. What all brokers send one cold node in any window stays under what it bears, counted
 // from outside.
-#include "overload/cold_deal.hpp"
+#include "overload/cold_quota.hpp"
 
 #include <algorithm>
 #include <gtest/gtest.h>
@@ -9,8 +9,8 @@
 #include <random>
 
 using namespace marblewood;
-using overload::ColdDeal;
 using overload::ColdNode;
+using overload::ColdQuota;
 
 namespace {
 
@@ -31,7 +31,7 @@
         node.entry.named = 5, node.entry.shard = ShardId{3};
         node.cold_since = started, node.declared = true;
     }
-    ColdDeal deal;
+    ColdQuota deal;
     Settings own;
     ColdNode node;
     Micros born;
@@ -66,15 +66,15 @@
     }
     std::optional<Word> deliver(const Word &word) {
         Host &host = hosts_[static_cast<std::size_t>(word.to)];
-        overload::ColdStewards &stewards = host.deal.stewards();
-        const auto read = stewards.read(word.data);
+        overload::ColdAllocator &allocators = host.deal.allocator();
+        const auto read = allocators.read(word.data);
         if (!read || read->node != host.node.entry.named) return std::nullopt;
-        if (read->gift) {
-            stewards.take(host.node, *read, clock(word.to));
+        if (read->grant) {
+            allocators.take(host.node, *read, clock(word.to));
             return std::nullopt;
         }
-        const auto gift = stewards.give(host.node, *read, word.from, clock(word.to), host.born);
-        return gift ? std::optional(Word{now, word.to, word.from, gift->data}) : std::nullopt;
+        const auto grant = allocators.answer(host.node, *read, word.from, clock(word.to), host.born);
+        return grant ? std::optional(Word{now, word.to, word.from, grant->data}) : std::nullopt;
     }
     void restart(int h) {
         Host &host = hosts_[static_cast<std::size_t>(h)];
@@ -112,7 +112,7 @@
 
 } // namespace
 
-TEST(ColdTurns, TenThousandSchedulesKeepEveryWindow) {
+TEST(ColdTimeSlices, TenThousandSchedulesKeepEveryWindow) {
     std::uint64_t used = 0;
     double units[2] = {};
     for (unsigned seed = 1; seed <= 10'000; ++seed) {
@@ -155,23 +155,23 @@
         used += world.used();
         for (const auto &[at, size] : world.sent) units[talk] += size;
     }
-    EXPECT_GT(used, 1'000u); // gifts were spent, and much was sent
+    EXPECT_GT(used, 1'000u); // grants were spent, and much was sent
     EXPECT_GT(units[false], 20'000.0);
     EXPECT_GT(units[true], 100'000.0);
 }
 
-// Two hosts that talk: calls, gifts, both spending all they may, one datagram twice, a restart, a wait, in
-// every order.
-TEST(ColdTurns, AllOrdersOfTwoHostsKeepEveryWindow) {
+// Two brokers that talk: requests, grants, both spending all they may, one datagram twice, a restart, a wait,
+// in every order.
+TEST(ColdTimeSlices, AllOrdersOfTwoHostsKeepEveryWindow) {
     std::vector<int> order(8);
     std::iota(order.begin(), order.end(), 0);
     World scout(2, 8, true, {}, 500 * kWindow);
     for (bool given = false; !given; scout.now += kWindow / 4) { // until the one can give to the other
-        const auto call = scout.ask(0, 2);
-        given = call && scout.deliver(*call);
+        const auto request = scout.ask(0, 2);
+        given = request && scout.deliver(*request);
     }
     std::uint64_t used = 0;
-    for (const int dies : {0, 1}) // who calls, or who gives
+    for (const int dies : {0, 1}) // who requests, or who gives
         do {
             World world(2, 8, true, {}, 500 * kWindow);
             std::vector<Word> words;
@@ -205,17 +205,17 @@
     EXPECT_GT(used, 0u);
 }
 
-TEST(ColdTurns, WithTalkMostOfWhatItBearsIsUsed) {
+TEST(ColdTimeSlices, WithTalkMostOfWhatItBearsIsUsed) {
     constexpr int kHosts = 100;
     double units[2] = {};
     for (const bool talk : {false, true}) {
         World world(kHosts, 24, talk);
         for (int step = 0; step < 8000;
-             ++step, world.now += kWindow / 1000) { // each host has work now and then
+             ++step, world.now += kWindow / 1000) { // each broker has work now and then
             const int h = step * 37 % kHosts;
             if (world.spend(h, 2)) continue;
-            if (const auto call = world.ask(h, 2))
-                if (const auto gift = world.deliver(*call)) world.deliver(*gift), world.spend(h, 2);
+            if (const auto request = world.ask(h, 2))
+                if (const auto grant = world.deliver(*request)) world.deliver(*grant), world.spend(h, 2);
         }
         for (const auto &[at, size] : world.sent) units[talk] += size;
         EXPECT_LE(world.worst(), 1 + 1e-9);
@@ -225,14 +225,14 @@
     EXPECT_GT(units[true], 0.5 * bears);
 }
 
-TEST(ColdTurns, WhatMakesNoSenseIsCountedAndDropped) {
-    overload::ColdStewards stewards(settings_for(8, 0, 6, kWindow, true));
+TEST(ColdTimeSlices, WhatMakesNoSenseIsCountedAndDropped) {
+    overload::ColdAllocator allocators(settings_for(8, 0, 6, kWindow, true));
     for (const char *const bad : {"", "mw-cold1", "mw-cold1 ask ", "mw-cold1 ask 1 2", "mw-cold1 ask 1 2 0",
                                   "mw-cold1 give 1 2 -3", "mw-cold1 give 1 2 99999999999",
                                   "mw-cold2 ask 1 2 3", "mw-cold1 ask 1 2 3 4", "mw-turn1 ask 1 2 0 0"})
-        EXPECT_FALSE(stewards.read(bad)) << bad;
-    EXPECT_EQ(stewards.figures().strange, 10u);
-    const auto good = stewards.read("mw-cold1 give ffffffffffffffff a 3");
+        EXPECT_FALSE(allocators.read(bad)) << bad;
+    EXPECT_EQ(allocators.figures().strange, 10u);
+    const auto good = allocators.read("mw-cold1 give ffffffffffffffff a 3");
     ASSERT_TRUE(good);
-    EXPECT_TRUE(good->gift && good->node == ~0ull && good->number == 10 && good->units == 3);
+    EXPECT_TRUE(good->grant && good->node == ~0ull && good->number == 10 && good->units == 3);
 }
--- a/tests/limit_loans_test.cpp
+++ b/tests/limit_loans_test.cpp
@@ -1,5 +1,5 @@
-// The loans of a limit's units by themselves: random schedules of hosts and datagrams, and all orders at
-// small size. What all hosts spend of one volume stays under its limit, counted from outside.
+// The loans of a limit's units by themselves: random schedules of brokers and datagrams, and all orders at
+// small size. What all brokers spend of one volume stays under its limit, counted from outside.
 #include "overload/limit_loans.hpp"
 
 #include <algorithm>
@@ -36,7 +36,7 @@
         return kBegin + h * 77'000'000 +
                static_cast<Micros>(static_cast<double>(now - kBegin) * speeds_[static_cast<std::size_t>(h)]);
     }
-    // A request comes: spent where it may be; and what the host says.
+    // A request comes: spent where it may be; and what the broker says.
     std::vector<Letter> request(int h, double units) {
         Host &host = fresh(h);
         std::vector<Letter> out;
@@ -53,7 +53,7 @@
         at_ = now, least = std::min(least, store_), spent += units;
         return out;
     }
-    void drain() { // every host spends all that it may
+    void drain() { // every broker spends all that it may
         for (int h = 0; h < static_cast<int>(hosts_.size()); ++h)
             while (fresh(h).loans.left(fresh(h).ledger, clock(h)) >= 0.25) request(h, 0.25);
     }
@@ -116,7 +116,8 @@
     Micros at_ = kBegin;
 };
 
-// Of a clock that runs up to 2% fast a host fills a little more than its part; the plan's slack is for that.
+// Of a clock that runs up to 2% fast a broker fills a little more than its part; the plan's slack is for
+// that.
 constexpr double kClocks = 0.02;
 
 } // namespace
@@ -154,9 +155,9 @@
                 letters.erase(letters.begin() + static_cast<std::ptrdiff_t>(n));
                 if (auto reply = world.deliver(letter)) post(*reply);
             }
-            if (pick(0, 39) == 0) busy = pick(0, hosts - 1); // the busiest host moves
-            for (const Letter &call : world.request(pick(0, 3) ? busy : pick(0, hosts - 1), pick(1, 6)))
-                post(call);
+            if (pick(0, 39) == 0) busy = pick(0, hosts - 1); // the busiest broker moves
+            for (const Letter &request : world.request(pick(0, 3) ? busy : pick(0, hosts - 1), pick(1, 6)))
+                post(request);
             if (pick(0, 39) == 0) world.drain();
             if (pick(0, 99) == 0) world.restart(pick(0, hosts - 1));
             if (pick(0, 99) == 0) world.hand_over(pick(0, hosts - 1));
@@ -169,8 +170,8 @@
     EXPECT_GT(spent, 100'000.0);
 }
 
-// Two hosts, all the same speed: calls, gifts, a datagram twice, both spending all, a wait past the loan's
-// end, a restart, a handover, in every order.
+// Two brokers, all the same speed: requests, grants, a datagram twice, both spending all, a wait past the
+// loan's end, a restart, a handover, in every order.
 TEST(LimitLoans, AllOrdersOfTwoHostsKeepTheLimit) {
     std::vector<int> order(8);
     std::iota(order.begin(), order.end(), 0);
@@ -185,7 +186,7 @@
             for (const int what : order) {
                 world.now += 35'000;
                 if (what == 0 || what == 1)
-                    for (const Letter &call : world.request(borrower, 4)) letters.push_back(call);
+                    for (const Letter &request : world.request(borrower, 4)) letters.push_back(request);
                 if ((what == 2 || what == 3) && !letters.empty()) {
                     last = letters.front();
                     letters.erase(letters.begin());
