--- a/src/app/distribute.cpp
+++ b/src/app/distribute.cpp
@@ -1,10 +1,11 @@
 #include "app/app.hpp"
 
 #include "config/distribution.hpp"
+#include "config/operations.hpp"
 #include "core/log.hpp"
 #include "net/clients.hpp"
 #include "net/control/control.hpp"
-#include "net/lists/codec.hpp"
+#include "net/lists/document_watch.hpp"
 #include "net/lists/list_server.hpp"
 
 #include <boost/asio/signal_set.hpp>
@@ -18,103 +19,227 @@
 namespace {
 
 using net::discovery::Discovery;
+using net::lists::Channel;
 using net::lists::ListServer;
 
-std::string spell(const ListServer &server, const Discovery &parent) {
-    std::string out;
-    const auto gauge = [&out](std::string_view name, auto value) {
-        out += fmt::format("distribution.{}:{}|g\n", name, value);
-    };
-    const auto count = [&out](std::string_view name, std::uint64_t value) {
-        out += fmt::format("distribution.{}:{}|c\n", name, value);
-    };
-    const auto &log = server.log();
-    gauge("revision", log.revision());
-    gauge("oldest_revision", log.oldest());
-    gauge("members", log.size());
-    gauge("callers", server.delivery().callers());
+class Figures {
+public:
+    void gauge(std::string_view name, auto value) { put(name, value, 'g'); }
+    void count(std::string_view name, std::uint64_t value) { put(name, value, 'c'); }
+    std::string text;
+
+private:
+    void put(std::string_view name, auto value, char kind) {
+        text += fmt::format("distribution.{}:{}|{}\n", name, value, kind);
+    }
+};
+
+void put_callers(Figures &figures, const ListServer &server) {
+    const auto &log = server.log(Channel::Nodes);
+    const auto &delivery = server.delivery(Channel::Nodes);
     std::size_t current = 0;
     std::optional<distribution::Revision> lowest;
-    for (const auto &[revision, callers] : server.delivery().revisions_held()) {
+    for (const auto &[revision, callers] : delivery.revisions_held()) {
         if (!lowest) lowest = revision;
         if (revision >= log.revision()) current += callers;
     }
-    gauge("callers_with_revision", current);
-    gauge("lowest_revision_held", lowest.value_or(log.revision()));
-    const auto &delivery = server.delivery().figures();
-    count("calls", delivery.calls);
-    count("answers_nothing", delivery.nothing);
-    count("answers_changes", delivery.changes);
-    count("answers_whole", delivery.whole);
-    count("answers_behind", delivery.behind);
-    count("put_off", delivery.put_off);
-    const auto &figures = server.figures();
-    count("accepted", figures.accepted);
-    count("turned_away", figures.turned_away);
-    count("malformed_calls", figures.malformed);
-    count("received_bytes", figures.received_bytes);
-    count("sent_bytes", figures.sent_bytes);
-    gauge("peak_second_bytes", figures.peak_second_bytes);
-    const auto &traffic = parent.traffic();
-    count("parent_calls", traffic.calls);
-    count("parent_sent_bytes", traffic.sent_bytes);
-    count("parent_received_bytes", traffic.received_bytes);
-    count("parent_failed", traffic.failed);
-    count("parent_malformed", traffic.malformed);
-    count("parent_older", traffic.older);
-    count("parent_partial", traffic.partial);
-    return out;
+    figures.gauge("callers", server.callers());
+    figures.gauge("callers_with_revision", current);
+    figures.gauge("lowest_revision_held", lowest.value_or(log.revision()));
 }
 
-// How discovery is asked: as a service that many share, not an agent on this machine.
-Settings parent_settings(std::uint64_t seed) {
-    Settings settings;
-    settings.ask_for_list = true;
-    settings.seed = seed;
-    return settings;
+void put_answers(Figures &figures, const ListServer &server) {
+    distribution::DeliveryFigures sum;
+    for (const Channel channel : {Channel::Nodes, Channel::Documents}) {
+        const auto &delivery = server.delivery(channel).figures();
+        sum.calls += delivery.calls;
+        sum.nothing += delivery.nothing;
+        sum.changes += delivery.changes;
+        sum.behind += delivery.behind;
+        sum.put_off += delivery.put_off;
+    }
+    figures.count("calls", sum.calls);
+    figures.count("answers_nothing", sum.nothing);
+    figures.count("answers_changes", sum.changes);
+    figures.count("answers_whole", server.delivery(Channel::Nodes).figures().whole);
+    figures.count("documents.answers_whole", server.delivery(Channel::Documents).figures().whole);
+    figures.count("answers_behind", sum.behind);
+    figures.count("put_off", sum.put_off);
+}
+
+void put_traffic(Figures &figures, const ListServer &server, const net::discovery::Traffic &parent) {
+    const auto &own = server.figures();
+    figures.count("accepted", own.accepted);
+    figures.count("turned_away", own.turned_away);
+    figures.count("malformed_calls", own.malformed);
+    figures.count("received_bytes", own.received_bytes);
+    figures.count("sent_bytes", own.sent_bytes);
+    figures.gauge("peak_second_bytes", own.peak_second_bytes);
+    figures.count("parent_calls", parent.calls);
+    figures.count("parent_sent_bytes", parent.sent_bytes);
+    figures.count("parent_received_bytes", parent.received_bytes);
+    figures.count("parent_failed", parent.failed);
+    figures.count("parent_malformed", parent.malformed);
+    figures.count("parent_older", parent.older);
+    figures.count("parent_partial", parent.partial);
+}
+
+// How far the configuration's newest version has come: who has it, who has not, and for how long (ms).
+void put_documents(Figures &figures, const ListServer &server, Micros now) {
+    const auto summary = server.reports().summary(now);
+    figures.gauge("documents.version", server.log(Channel::Documents).revision());
+    figures.gauge("documents.brokers", summary.brokers);
+    figures.gauge("documents.brokers_with_version", summary.current);
+    for (const auto &one : summary.lacking)
+        figures.gauge("documents.lacking_ms." + one.broker, one.for_us / 1000);
+}
+
+// The distributor as a whole: what it watches, and what it serves.
+class DistributorProcess {
+public:
+    DistributorProcess(const config::DistributorConfig &config, std::uint64_t seed)
+        : config_(config), server_(io_, deadlines_, net::listen_at(io_, listen_address(config)),
+                                   config.limits, config.most_removed, config.most_callers) {
+        watch_nodes(seed);
+        if (!config.document_file.empty()) load_documents();
+        if (!config.document_parents.empty()) watch_documents(seed);
+        if (!config.control.empty()) serve_control();
+    }
+
+    void run() {
+        core::log("distributor {} serves at {}", config_.name, config_.listen);
+        await_hangup();
+        asio::signal_set signals(io_, SIGTERM, SIGINT);
+        signals.async_wait([&](const boost::system::error_code &error, int) {
+            if (!error) io_.stop();
+        });
+        io_.run();
+        core::log("ended");
+    }
+
+private:
+    static tcp::endpoint listen_address(const config::DistributorConfig &config) {
+        return address<tcp::endpoint>(config.listen, "listen");
+    }
+    distribution::DistributorSelector selector(const std::vector<distribution::Distributor> &parents,
+                                               std::uint64_t seed) const {
+        return {parents, config_.name, config_.locality, seed};
+    }
+
+    void watch_nodes(std::uint64_t seed) {
+        auto parents = selector(config_.parents, seed);
+        const std::string first = parents.current().address;
+        nodes_watch_.emplace(
+            io_, deadlines_, net::lists::shared_service(seed),
+            address<tcp::endpoint>(first, "parents.address"), first, net::discovery::kNothingKnown,
+            net::discovery::list_feed(nodes_, zones_), [this](const net::discovery::Reading &reading) {
+                nodes_.forget_if([](std::uint32_t) { return true; }); // names of one answer at a time
+                zones_.forget_if([](std::uint32_t) { return true; });
+                take(Channel::Nodes, net::lists::to_update(reading));
+            });
+        nodes_watch_->use(std::move(parents));
+    }
+
+    void watch_documents(std::uint64_t seed) {
+        auto parents = selector(config_.document_parents, seed);
+        const std::string first = parents.current().address;
+        net::discovery::Feed feed{net::lists::kDocumentsPath, net::lists::read_documents, [this] {
+                                      const auto below = server_.reports().subtree(clock_.now());
+                                      return spell(net::lists::Report{config_.name, std::nullopt, below});
+                                  }};
+        documents_watch_.emplace(io_, deadlines_, net::lists::shared_service(seed),
+                                 address<tcp::endpoint>(first, "documents.parents.address"), first,
+                                 net::discovery::kNothingKnown, std::move(feed),
+                                 [this](const net::discovery::Reading &reading) {
+                                     take(Channel::Documents, net::lists::to_update(reading));
+                                 });
+        documents_watch_->use(std::move(parents));
+    }
+
+    void take(Channel channel, const distribution::Update &update) {
+        if (server_.take(channel, update) == distribution::Taken::Older)
+            core::log("revision {} is not above the one that is held", update.revision);
+    }
+
+    // The file is taken whole or not at all; throws config::Error.
+    void load_documents() {
+        const config::DocumentFile file = config::load_documents(config_.document_file);
+        const distribution::Revision held = server_.log(Channel::Documents).revision();
+        if (file.version <= held)
+            throw config::Error(
+                fmt::format("field 'version': {} is not above {}, which is in force", file.version, held));
+        take(Channel::Documents,
+             {file.version,
+              true,
+              {net::lists::document_member(config::kOperationsDocument, file.operations)}});
+        core::log("documents: version {}", file.version);
+    }
+
+    void await_hangup() {
+        hangups_.async_wait([this](const boost::system::error_code &error, int) {
+            if (error) return;
+            try {
+                if (!config_.document_file.empty()) load_documents();
+            } catch (const std::exception &wrong) { // what is served stays
+                core::log("documents: not taken: {}", wrong.what());
+            }
+            await_hangup();
+        });
+    }
+
+    void serve_control() {
+        net::control::Operations operations;
+        operations.stats = [this] { return stats(); };
+        operations.acts = [] { return true; };
+        control_.emplace(io_, deadlines_,
+                         net::listen_at(io_, address<tcp::endpoint>(config_.control, "control")),
+                         std::move(operations));
+    }
+
+    std::string stats() const {
+        const auto &log = server_.log(Channel::Nodes);
+        Figures figures;
+        figures.gauge("revision", log.revision());
+        figures.gauge("oldest_revision", log.oldest());
+        figures.gauge("members", log.size());
+        put_callers(figures, server_);
+        put_answers(figures, server_);
+        put_traffic(figures, server_, nodes_watch_->traffic());
+        put_documents(figures, server_, clock_.now());
+        return figures.text;
+    }
+
+    const config::DistributorConfig &config_;
+    asio::io_context io_{1};
+    core::Clock clock_;
+    core::Deadlines deadlines_{io_, clock_};
+    ListServer server_;
+    config::Names nodes_, zones_;
+    std::optional<Discovery> nodes_watch_, documents_watch_;
+    std::optional<net::control::Control> control_;
+    asio::signal_set hangups_{io_, SIGHUP};
+};
+
+// All addresses, before anything is opened.
+void check_addresses(const config::DistributorConfig &config) {
+    for (const auto &parent : config.parents) address<tcp::endpoint>(parent.address, "parents.address");
+    for (const auto &parent : config.document_parents)
+        address<tcp::endpoint>(parent.address, "documents.parents.address");
+    address<tcp::endpoint>(config.listen, "listen");
+    if (!config.control.empty()) address<tcp::endpoint>(config.control, "control");
 }
 
 } // namespace
 
 int distribute(const std::string &path) {
     const config::DistributorConfig config = config::load_distributor(path);
-    for (const auto &parent : config.parents) address<tcp::endpoint>(parent.address, "parents.address");
-    const auto listen = address<tcp::endpoint>(config.listen, "listen");
-    std::optional<tcp::endpoint> control_at;
-    if (!config.control.empty()) control_at = address<tcp::endpoint>(config.control, "control");
-
-    asio::io_context io(1);
-    core::Clock clock;
-    core::Deadlines deadlines(io, clock);
+    check_addresses(config);
     std::random_device random;
     const std::uint64_t seed = static_cast<std::uint64_t>(random()) << 32 | random();
-    ListServer server(io, deadlines, net::listen_at(io, listen), config.limits, config.most_removed,
-                      config.most_callers);
-    distribution::DistributorSelector selector(config.parents, config.name, config.locality, seed);
-    config::Names nodes, zones; // of one answer at a time
-    const auto told = [&](const net::discovery::Reading &reading) {
-        nodes.forget_if([](std::uint32_t) { return true; });
-        zones.forget_if([](std::uint32_t) { return true; });
-        if (server.take(net::lists::to_update(reading)) == distribution::Taken::Older)
-            core::log("an older list was not taken: {}", reading.revision);
-    };
-    const std::string first = selector.current().address;
-    Discovery parent(io, deadlines, parent_settings(seed), address<tcp::endpoint>(first, "parents.address"),
-                     first, net::discovery::kNothingKnown, nodes, zones, told);
-    parent.use(std::move(selector));
-    net::control::Operations operations;
-    operations.stats = [&] { return spell(server, parent); };
-    operations.acts = [] { return true; };
-    std::optional<net::control::Control> control;
-    if (control_at) control.emplace(io, deadlines, net::listen_at(io, *control_at), std::move(operations));
-    core::log("distributor {} serves at {}", config.name, config.listen);
-    asio::signal_set signals(io, SIGTERM, SIGINT);
-    signals.async_wait([&](const boost::system::error_code &error, int) {
-        if (!error) io.stop();
-    });
-    io.run();
-    core::log("ended");
-    std::fflush(nullptr); // coroutines refer to what stands above: see serve()
+    // Its loop holds coroutines that refer to it, so it is never destroyed: see serve().
+    auto *const process = new DistributorProcess(config, seed);
+    process->run();
+    std::fflush(nullptr);
     std::quick_exit(0);
 }
 
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -8,6 +8,7 @@
 #include "net/costs.hpp"
 #include "net/fleet.hpp"
 #include "net/handover/handover.hpp"
+#include "net/lists/document_watch.hpp"
 #include "net/nvme/front.hpp"
 #include "net/otlp/exporter.hpp"
 #include "net/peers/peers.hpp"
@@ -122,6 +123,7 @@
     };
 
     std::optional<net::discovery::Discovery> discovery;
+    std::optional<net::lists::DocumentWatch> documents;
     std::optional<net::peers::Peers> peers;
     core::Surroundings around;
     around.tell_peers = [&](std::optional<int> peer, const std::string &data) {
@@ -179,14 +181,21 @@
     if (!config.discovery.empty())
         discovery.emplace(io, deadlines, config.settings,
                           address<tcp::endpoint>(config.discovery, "discovery"), config.discovery,
-                          config.known.isNull() ? 0 : config::need_integer(config.known, "revision"), nodes,
-                          zones, told);
+                          config.known.isNull() ? 0 : config::need_integer(config.known, "revision"),
+                          net::discovery::list_feed(nodes, zones), told);
     if (!added.distribution.isNull()) {
         config::Distribution distribution = read_distributors(added.distribution);
         if (!discovery)
             throw config::Error("field 'discovery' is missing: distributors are asked in its place");
-        discovery->use(distribution::DistributorSelector(std::move(distribution.distributors), config.name,
-                                                         distribution.locality, config.settings.seed));
+        distribution::DistributorSelector selector(std::move(distribution.distributors), config.name,
+                                                   distribution.locality, config.settings.seed);
+        if (distribution.documents)
+            documents.emplace(io, deadlines, selector, config.name, config.settings.seed,
+                              [&](const config::Operations &operations, distribution::Revision) {
+                                  fleet.cordon_fleet(operations.cordons);
+                                  if (residence) residence->ready_nodes(fleet.ready());
+                              });
+        discovery->use(std::move(selector));
     }
     if (!discovery)
         core::log("configuration: no 'discovery': the nodes in 'known' are all there are, and none drains");
@@ -265,6 +274,9 @@
     operations.stats = [&] {
         std::string text = net::control::spell(figures, config.settings,
                                                {fleet.open(), fleet.size(), fleet.avoided(), costs()});
+        if (documents)
+            text += fmt::format("balancer.configuration_version:{}|g\nbalancer.configuration_refused:{}|c\n",
+                                documents->in_force(), documents->refused());
         if (residence) text += residence->stats();
         return text;
     };
@@ -354,7 +366,8 @@
                 if (!added.distribution.isNull())
                     return core::log("distributors are asked in place of discovery, wherever it is");
                 if (!discovery)
-                    discovery.emplace(io, deadlines, config.settings, at, host, 0, nodes, zones, told);
+                    discovery.emplace(io, deadlines, config.settings, at, host, 0,
+                                      net::discovery::list_feed(nodes, zones), told);
                 discovery->move(at, host);
             });
             await_hangup();
--- a/src/config/distribution.cpp
+++ b/src/config/distribution.cpp
@@ -44,6 +44,13 @@
     config.control = text_or(root, "control", "");
     config.locality = {need_text(root, "zone"), need_text(root, "region")};
     config.parents = read_distributors(root["parents"], "parents");
+    if (root.isMember("documents")) {
+        const Json::Value &documents = root["documents"];
+        config.document_file = text_or(documents, "file", "");
+        config.document_parents = read_distributors(documents["parents"], "documents.parents");
+        if (config.document_file.empty() == config.document_parents.empty())
+            throw Error("field 'documents': wanted is either 'file' or 'parents'");
+    }
     config.limits.caller = read_budget(root, "caller_bytes_per_second", "caller_burst_bytes", kCallerBudget);
     config.limits.machine =
         read_budget(root, "machine_bytes_per_second", "machine_burst_bytes", kMachineBudget);
@@ -54,7 +61,8 @@
 
 Distribution read_distribution(const Json::Value &part) {
     return {{need_text(part, "zone"), need_text(part, "region")},
-            read_distributors(part["distributors"], "distribution.distributors")};
+            read_distributors(part["distributors"], "distribution.distributors"),
+            flag_or(part, "documents", false)};
 }
 
 } // namespace marblewood::config
--- a/src/config/schema.cpp
+++ b/src/config/schema.cpp
@@ -23,6 +23,7 @@
       "properties": {
         "zone": {"type": "string"},
         "region": {"type": "string"},
+        "documents": {"type": "boolean"},
         "distributors": {
           "type": "array",
           "minItems": 1,
@@ -106,6 +107,23 @@
     "control": {"type": "string"},
     "zone": {"type": "string"},
     "region": {"type": "string"},
+    "parents": {"$ref": "#/definitions/parents"},
+    "documents": {
+      "type": "object",
+      "additionalProperties": false,
+      "properties": {
+        "file": {"type": "string", "minLength": 1},
+        "parents": {"$ref": "#/definitions/parents"}
+      }
+    },
+    "caller_bytes_per_second": {"type": "number", "minimum": 100, "maximum": 1e9},
+    "caller_burst_bytes": {"type": "number", "minimum": 100, "maximum": 1e9},
+    "machine_bytes_per_second": {"type": "number", "minimum": 1000, "maximum": 1e10},
+    "machine_burst_bytes": {"type": "number", "minimum": 1000, "maximum": 1e10},
+    "most_removed": {"type": "integer", "minimum": 0, "maximum": 1000000},
+    "most_callers": {"type": "integer", "minimum": 1, "maximum": 100000}
+  },
+  "definitions": {
     "parents": {
       "type": "array",
       "minItems": 1,
@@ -121,13 +139,7 @@
           "region": {"type": "string"}
         }
       }
-    },
-    "caller_bytes_per_second": {"type": "number", "minimum": 100, "maximum": 1e9},
-    "caller_burst_bytes": {"type": "number", "minimum": 100, "maximum": 1e9},
-    "machine_bytes_per_second": {"type": "number", "minimum": 1000, "maximum": 1e10},
-    "machine_burst_bytes": {"type": "number", "minimum": 1000, "maximum": 1e10},
-    "most_removed": {"type": "integer", "minimum": 0, "maximum": 1000000},
-    "most_callers": {"type": "integer", "minimum": 1, "maximum": 100000}
+    }
   }
 })";
 
--- a/src/core/roster.hpp
+++ b/src/core/roster.hpp
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <set>
+#include <utility>
 
 namespace marblewood::core {
 
@@ -24,16 +25,30 @@
         return update;
     }
     bool listed(NodeId node) const { return listed_.count(node) > 0; }
-    bool cordoned(NodeId node) const { return out_.count(node) > 0; }
+    bool cordoned(NodeId node) const { return out_.contains(node) || fleet_out_.contains(node); }
     // What the call changes for those who are told of the nodes.
     ListUpdate cordon(NodeId node) {
         out_.insert(node);
         return change(node, false);
     }
-    ListUpdate uncordon(NodeId node) { return change(node, out_.erase(node) > 0); }
+    ListUpdate uncordon(NodeId node) { return change(node, out_.erase(node) > 0 && !cordoned(node)); }
+    // The nodes that are out on all brokers, beside those that are out here by hand.
+    ListUpdate cordon_fleet(std::set<NodeId> nodes) {
+        ListUpdate all{ListUpdate::Kind::Changes, {}};
+        std::set<NodeId> touched = nodes;
+        touched.insert(fleet_out_.begin(), fleet_out_.end());
+        const std::set<NodeId> before = std::exchange(fleet_out_, std::move(nodes));
+        for (const NodeId node : touched) {
+            if (before.contains(node) == fleet_out_.contains(node)) continue;
+            const ListUpdate one = change(node, !cordoned(node));
+            all.entries.insert(all.entries.end(), one.entries.begin(), one.entries.end());
+        }
+        return all;
+    }
 
     const std::map<NodeId, NodeEntry> &entries() const { return listed_; }
     const std::set<NodeId> &out() const { return out_; }
+    const std::set<NodeId> &fleet_out() const { return fleet_out_; }
 
 private:
     NodeEntry seen(NodeEntry entry) const {
@@ -51,7 +66,8 @@
     }
 
     std::map<NodeId, NodeEntry> listed_; // as discovery says
-    std::set<NodeId> out_;               // also those that are not listed at present
+    std::set<NodeId> out_;               // by hand; also those that are not listed at present
+    std::set<NodeId> fleet_out_;         // on all brokers; the same
 };
 
 } // namespace marblewood::core
--- a/src/lab/scale/experiment.cpp
+++ b/src/lab/scale/experiment.cpp
@@ -20,7 +20,7 @@
     if (sweep.of == Sweep::Of::Nodes) fleet.size.nodes = static_cast<int>(value);
     if (sweep.of == Sweep::Of::Brokers) fleet.size.brokers = static_cast<int>(value);
     if (sweep.of == Sweep::Of::Changes) changes = value;
-    fleet.phases.push_back({"rest", sweep.seconds, changes});
+    fleet.phases.push_back({"rest", sweep.seconds, changes, 0});
     return fleet;
 }
 
@@ -121,6 +121,8 @@
     if (plan.fleet && plan.compare_direct) {
         FleetPlan direct = *plan.fleet;
         direct.size.distributors = 0;
+        direct.size.documents = false; // there is no other way for them
+        for (Phase &phase : direct.phases) phase.documents_per_second = 0;
         std::erase_if(direct.events, [](const Event &event) {
             return event.kind != Event::Kind::StartZone && event.kind != Event::Kind::RemoveNodes;
         });
--- a/src/lab/scale/hollow_broker.cpp
+++ b/src/lab/scale/hollow_broker.cpp
@@ -7,12 +7,12 @@
 
 constexpr int kSockets = 1024;
 constexpr std::size_t kMemory = 16 << 20; // bytes for clients, of whom there are none
-constexpr int kPeerPort = 7946;
 
 // Each broker has a loopback address of its own for datagrams.
-asio::ip::udp::endpoint peer_address(int position) {
+asio::ip::udp::endpoint peer_address(int position, int port) {
     constexpr std::uint32_t kFirst = 0x7f010001; // 127.1.0.1
-    return {asio::ip::address_v4(kFirst + static_cast<std::uint32_t>(position)), kPeerPort};
+    return {asio::ip::address_v4(kFirst + static_cast<std::uint32_t>(position)),
+            static_cast<std::uint16_t>(port)};
 }
 
 } // namespace
@@ -40,11 +40,29 @@
     const std::string at = distributed ? config.distributors.front().address : config.discovery;
     discovery_.emplace(
         io, deadlines, settings_, net::endpoint<asio::ip::tcp::endpoint>(at).value(), at, saved.revision,
-        nodes_, zones_,
+        net::discovery::list_feed(nodes_, zones_),
         [this, &deadlines](const net::discovery::Reading &reading) { told(reading, deadlines.clock.now()); });
-    if (distributed)
-        discovery_->use(
-            distribution::DistributorSelector(config.distributors, name_, locality, settings_.seed));
+    if (!distributed) return;
+    const distribution::DistributorSelector selector(config.distributors, name_, locality, settings_.seed);
+    discovery_->use(selector);
+    if (!config.documents) return;
+    documents_.emplace(
+        io, deadlines, selector, name_, settings_.seed,
+        [this, &deadlines](const config::Operations &operations, distribution::Revision version) {
+            fleet_.cordon_fleet(operations.cordons);
+            configured_.push_back({version, deadlines.clock.now()});
+        });
+}
+
+net::discovery::Traffic HollowBroker::traffic() const {
+    net::discovery::Traffic sum = discovery_->traffic();
+    if (!documents_) return sum;
+    const net::discovery::Traffic &more = documents_->traffic();
+    sum.calls += more.calls;
+    sum.failed += more.failed;
+    sum.sent_bytes += more.sent_bytes;
+    sum.received_bytes += more.received_bytes;
+    return sum;
 }
 
 Settings HollowBroker::own_settings(const HollowConfig &config, int position) const {
@@ -58,8 +76,9 @@
 
 void HollowBroker::listen_to_peers(asio::io_context &io, const HollowConfig &config, int position) {
     std::vector<asio::ip::udp::endpoint> all;
-    for (int n = 0; n < config.hosts; ++n) all.push_back(peer_address(n));
-    peers_.emplace(asio::ip::udp::socket(io, peer_address(position)), std::move(all), std::nullopt,
+    for (int n = 0; n < config.hosts; ++n) all.push_back(peer_address(n, config.peer_port));
+    peers_.emplace(asio::ip::udp::socket(io, peer_address(position, config.peer_port)), std::move(all),
+                   std::nullopt,
                    [this](const PeerMessage &message) { planners_.front()->peer_message(message); });
 }
 
--- a/src/lab/scale/hollow_broker.hpp
+++ b/src/lab/scale/hollow_broker.hpp
@@ -4,6 +4,7 @@
 
 #include "config/distribution.hpp"
 #include "net/fleet.hpp"
+#include "net/lists/document_watch.hpp"
 #include "net/peers/peers.hpp"
 
 #include <map>
@@ -17,8 +18,10 @@
     Settings settings;
     std::string discovery; // its address, where there are no distributors
     std::vector<distribution::Distributor> distributors;
-    Json::Value known; // in discovery's form; null: they begin with nothing
-    int hosts = 1;     // in the whole fleet
+    Json::Value known;      // in discovery's form; null: they begin with nothing
+    int peer_port = 7946;   // for datagrams, at addresses of their own
+    int hosts = 1;          // in the whole fleet
+    bool documents = false; // they watch the configuration's, too
 };
 
 /// How one broker came to hold a revision of the list.
@@ -36,7 +39,10 @@
     const std::vector<Adoption> &adopted() const { return adopted_; }
     /// Answers after which it would have held a lower revision than before.
     int went_back() const { return went_back_; }
-    const net::discovery::Traffic &traffic() const { return discovery_->traffic(); }
+    /// The configuration's versions, in the same way.
+    const std::vector<Adoption> &configured() const { return configured_; }
+    /// Bytes both ways, calls and failures of all its watches.
+    net::discovery::Traffic traffic() const;
     std::uint64_t datagrams() const { return peers_ ? peers_->sent() : 0; }
     std::size_t nodes() const { return fleet_.size(); }
 
@@ -60,7 +66,8 @@
     std::optional<net::peers::Peers> peers_;
     std::optional<net::discovery::Discovery> discovery_;
     std::int64_t revision_ = 0;
-    std::vector<Adoption> adopted_;
+    std::optional<net::lists::DocumentWatch> documents_;
+    std::vector<Adoption> adopted_, configured_;
     int went_back_ = 0;
 };
 
--- a/src/lab/scale/hollow_process.cpp
+++ b/src/lab/scale/hollow_process.cpp
@@ -21,6 +21,8 @@
     if (root.isMember("known"))
         config.known = config::parse(config::read_text(config::need_text(root, "known")));
     config.hosts = static_cast<int>(config::need_integer(root, "hosts"));
+    config.peer_port = static_cast<int>(config::integer_or(root, "peer_port", config.peer_port));
+    config.documents = config::flag_or(root, "documents", false);
     return config;
 }
 
@@ -48,12 +50,21 @@
     }
 
 private:
+    static Json::Value to_json(const std::vector<Adoption> &adoptions) { // revision, time, revision, ...
+        Json::Value all(Json::arrayValue);
+        for (const Adoption &adoption : adoptions) {
+            all.append(static_cast<Json::Int64>(adoption.revision));
+            all.append(static_cast<Json::Int64>(adoption.at));
+        }
+        return all;
+    }
+
     void sample() {
         const Micros now = clock_.now();
         if (first_sample_ == 0) first_sample_ = now - now % kSample;
         std::size_t number = 0;
         for (const HollowBroker &broker : brokers_) {
-            const net::discovery::Traffic &traffic = broker.traffic();
+            const net::discovery::Traffic traffic = broker.traffic();
             traffic_[number++].push_back(traffic.sent_bytes + traffic.received_bytes);
         }
         next_ = deadlines_.at(now - now % kSample + kSample, [this] { sample(); });
@@ -72,11 +83,8 @@
             row["calls"] = static_cast<Json::UInt64>(broker.traffic().calls);
             row["failed"] = static_cast<Json::UInt64>(broker.traffic().failed);
             row["datagrams"] = static_cast<Json::UInt64>(broker.datagrams());
-            row["adopted"] = Json::arrayValue;
-            for (const Adoption &adoption : broker.adopted()) {
-                row["adopted"].append(static_cast<Json::Int64>(adoption.revision));
-                row["adopted"].append(static_cast<Json::Int64>(adoption.at));
-            }
+            row["adopted"] = to_json(broker.adopted());
+            row["configured"] = to_json(broker.configured());
             row["traffic"] = Json::arrayValue;
             for (const std::uint64_t bytes : traffic_[number])
                 row["traffic"].append(static_cast<Json::UInt64>(bytes));
--- a/src/lab/scale/list_source.cpp
+++ b/src/lab/scale/list_source.cpp
@@ -44,14 +44,16 @@
     return {node.id, fmt::format(R"({},"up_since_ms":{})", node.fixed, node.started / 1000), node.phase};
 }
 
-std::string ListSource::whole() const { return net::lists::spell(server_.log().whole()); }
+std::string ListSource::whole() const {
+    return net::lists::spell(server_.log(net::lists::Channel::Nodes).whole());
+}
 
 void ListSource::publish(const std::vector<std::size_t> &changed, const std::string &event, bool complete) {
     const distribution::Revision revision = published_.empty() ? kFirst : published_.back().revision + 1;
     distribution::Update update{revision, complete, {}};
     for (const std::size_t number : changed) update.members.push_back(member(nodes_[number]));
     published_.push_back({revision, deadlines_.clock.now(), event, changed.size()});
-    server_.take(update);
+    server_.take(net::lists::Channel::Nodes, update);
 }
 
 void ListSource::change_one() {
--- a/src/lab/scale/list_source.hpp
+++ b/src/lab/scale/list_source.hpp
@@ -33,7 +33,7 @@
 
     const std::vector<Published> &published() const { return published_; }
     const net::lists::ListServerFigures &figures() const { return server_.figures(); }
-    const distribution::Delivery &delivery() const { return server_.delivery(); }
+    const distribution::Delivery &delivery() const { return server_.delivery(net::lists::Channel::Nodes); }
 
 private:
     struct Node {
--- a/src/lab/scale/observations.cpp
+++ b/src/lab/scale/observations.cpp
@@ -8,11 +8,11 @@
 constexpr Micros kSecond = 1'000'000;
 
 // When the broker first held the revision or a later one.
-std::optional<Micros> held_from(const BrokerRecord &broker, distribution::Revision revision) {
+std::optional<Micros> held_from(const std::vector<Adoption> &adoptions, distribution::Revision revision) {
     const auto at = std::lower_bound(
-        broker.adopted.begin(), broker.adopted.end(), revision,
+        adoptions.begin(), adoptions.end(), revision,
         [](const Adoption &adoption, distribution::Revision wanted) { return adoption.revision < wanted; });
-    if (at == broker.adopted.end()) return std::nullopt;
+    if (at == adoptions.end()) return std::nullopt;
     return at->at;
 }
 
@@ -36,19 +36,19 @@
 }
 
 Latencies latencies(const std::vector<Published> &changes, const std::vector<BrokerRecord> &brokers,
-                    const std::vector<Outage> &outages,
+                    std::vector<Adoption> BrokerRecord::*held, const std::vector<Outage> &outages,
                     const std::function<bool(const Published &)> &counts) {
     Latencies found;
     std::vector<double> all;
     for (const Published &change : changes) {
         if (!counts(change)) continue;
         for (const BrokerRecord &broker : brokers) {
-            const auto held = held_from(broker, change.revision);
-            if (!held) {
+            const auto at = held_from(broker.*held, change.revision);
+            if (!at) {
                 ++found.missed;
                 continue;
             }
-            const Micros late = std::max<Micros>(*held - due_from(change, broker, outages), 0);
+            const Micros late = std::max<Micros>(*at - due_from(change, broker, outages), 0);
             all.push_back(static_cast<double>(late) / 1e6);
             if (all.back() < found.worst_s) continue;
             found.worst_s = all.back();
--- a/src/lab/scale/observations.hpp
+++ b/src/lab/scale/observations.hpp
@@ -10,8 +10,8 @@
 
 struct BrokerRecord {
     std::string name, region;
-    Micros started = 0; // when its process was started
-    std::vector<Adoption> adopted;
+    Micros started = 0;                        // when its process was started
+    std::vector<Adoption> adopted, configured; // revisions of the list, versions of the configuration
     std::vector<double> traffic; // bytes both ways so far, at each whole second from `first_sample`
     Micros first_sample = 0;
     int went_back = 0;
@@ -34,9 +34,11 @@
     int missed = 0; // changes that a broker did not hold at the end
     int counted = 0;
 };
-/// From a change until it was held, over all brokers and the changes that `counts` takes.
+/// From a change until it was held, over all brokers and the changes that `counts` takes. `held` says in
+/// which of the brokers' records.
 Latencies latencies(const std::vector<Published> &changes, const std::vector<BrokerRecord> &brokers,
-                    const std::vector<Outage> &outages, const std::function<bool(const Published &)> &counts);
+                    std::vector<Adoption> BrokerRecord::*held, const std::vector<Outage> &outages,
+                    const std::function<bool(const Published &)> &counts);
 
 /// Bytes a second both ways: of the mean broker between two times, and of the worst one in its worst window.
 struct Rates {
--- a/src/lab/scale/plan.cpp
+++ b/src/lab/scale/plan.cpp
@@ -25,7 +25,8 @@
         "zones": {"type": "integer", "minimum": 1, "maximum": 100},
         "regions": {"type": "integer", "minimum": 1, "maximum": 100},
         "distributors": {"type": "integer", "minimum": 0, "maximum": 100},
-        "per_process": {"type": "integer", "minimum": 1, "maximum": 1000}
+        "per_process": {"type": "integer", "minimum": 1, "maximum": 1000},
+        "documents": {"type": "boolean"}
       }
     },
     "compare_direct": {"type": "boolean"},
@@ -39,7 +40,8 @@
         "properties": {
           "name": {"type": "string", "pattern": "^[a-z0-9-]+$"},
           "seconds": {"type": "number", "minimum": 1, "maximum": 3600},
-          "changes_per_second": {"type": "number", "minimum": 0, "maximum": 1000}
+          "changes_per_second": {"type": "number", "minimum": 0, "maximum": 1000},
+          "documents_per_second": {"type": "number", "minimum": 0, "maximum": 1000}
         }
       }
     },
@@ -153,6 +155,7 @@
     size.regions = count(row, "regions", size.regions);
     size.distributors = count(row, "distributors", size.distributors);
     size.per_process = count(row, "per_process", size.per_process);
+    size.documents = config::flag_or(row, "documents", false);
     return size;
 }
 
@@ -183,7 +186,10 @@
     double seconds = 0;
     for (const Json::Value &row : root["phases"]) {
         fleet.phases.push_back({config::need_text(row, "name"), config::need_number(row, "seconds"),
-                                config::number_or(row, "changes_per_second", 0)});
+                                config::number_or(row, "changes_per_second", 0),
+                                config::number_or(row, "documents_per_second", 0)});
+        if (fleet.phases.back().documents_per_second > 0 && !fleet.size.documents)
+            throw config::Error("field 'phases': no documents are carried without 'documents' in 'fleet'");
         seconds += fleet.phases.back().seconds;
     }
     for (const Json::Value &row : root["events"]) {
--- a/src/lab/scale/plan.hpp
+++ b/src/lab/scale/plan.hpp
@@ -11,15 +11,17 @@
 /// How many of each stand. Brokers and distributors are spread over zones, zones over regions.
 struct FleetSize {
     int brokers = 100, nodes = 100, zones = 1, regions = 1;
-    int distributors = 0;  // 0: brokers ask discovery
-    int per_process = 100; // hollow brokers in one process
+    int distributors = 0;   // 0: brokers ask discovery
+    int per_process = 100;  // hollow brokers in one process
+    bool documents = false; // distributors carry the configuration's documents, too
 };
 
 /// A stretch of time over which traffic and processor time are counted.
 struct Phase {
     std::string name;
     double seconds = 10;
-    double changes_per_second = 0; // of the list, one entry each
+    double changes_per_second = 0;   // of the list, one entry each
+    double documents_per_second = 0; // versions of the configuration
 };
 
 struct Event {
--- a/src/net/discovery/discovery.cpp
+++ b/src/net/discovery/discovery.cpp
@@ -45,11 +45,15 @@
     return reading;
 }
 
+Feed list_feed(config::Names &nodes, config::Names &zones) {
+    return {"/v1/servers",
+            [&nodes, &zones](Json::Value answer) { return read(std::move(answer), nodes, zones); }};
+}
+
 Discovery::Discovery(asio::io_context &io, core::Deadlines &deadlines, const Settings &settings,
-                     tcp::endpoint at, std::string host, std::int64_t revision, config::Names &nodes,
-                     config::Names &zones, Told told)
-    : io_(io), deadlines_(deadlines), settings_(settings), nodes_(nodes), zones_(zones),
-      told_(std::move(told)), revision_(revision), heard_(open(at, std::move(host), false)) {}
+                     tcp::endpoint at, std::string host, std::int64_t revision, Feed feed, Told told)
+    : io_(io), deadlines_(deadlines), settings_(settings), feed_(std::move(feed)), told_(std::move(told)),
+      revision_(revision), heard_(open(at, std::move(host), false)) {}
 
 void Discovery::move(tcp::endpoint at, std::string host) {
     if (next_) end(*next_);
@@ -96,8 +100,7 @@
         if (selector_) select_distributor(*watch);
         const bool whole = deadlines_.clock.now() >= watch->whole_from;
         const Micros wait = whole || watch->unproven ? 0 : kWatch - watch->backoff.part(kSpread);
-        std::string path = "/v1/servers";
-        if (!whole) path += fmt::format("?since={}&timeout_ms={}", revision_, wait / 1000);
+        std::string path = target(whole ? std::nullopt : std::optional(revision_), wait);
         const auto reading = co_await call(*watch, std::move(path), wait);
         if (watch->over) break;
         if (reading && takes(*watch, *reading, whole)) {
@@ -152,6 +155,13 @@
     while (!over && !watch.over) co_await watch.woken.take();
 }
 
+std::string Discovery::target(std::optional<std::int64_t> since, Micros wait) const {
+    std::string query;
+    if (since) query = fmt::format("since={}&timeout_ms={}", *since, wait / 1000);
+    if (feed_.report) query += (query.empty() ? "" : "&") + feed_.report();
+    return query.empty() ? feed_.path : feed_.path + "?" + query;
+}
+
 asio::awaitable<std::optional<Reading>> Discovery::call(Watch &watch, std::string path, Micros wait) {
     const auto failed = [&](std::string_view why) {
         if (!watch.over) core::log("discovery: {}", why);
@@ -181,7 +191,7 @@
         co_return std::nullopt;
     }
     try {
-        co_return read(config::parse(response->body), nodes_, zones_);
+        co_return feed_.read(config::parse(response->body));
     } catch (const std::exception &wrong) { // whatever a list may hold, the watch goes on
         ++traffic_.malformed;
         failed(wrong.what());
--- a/src/net/discovery/discovery.hpp
+++ b/src/net/discovery/discovery.hpp
@@ -46,6 +46,15 @@
 /// The revision of one who has no list at all, and begins by asking for the whole one.
 constexpr std::int64_t kNothingKnown = -1;
 
+/// What is watched: by which path, how an answer is read, and what calls say beside what they ask.
+struct Feed {
+    std::string path;
+    std::function<Reading(Json::Value answer)> read; // throws config::Error
+    std::function<std::string()> report = nullptr;   // "name=value&...", sent with each call
+};
+/// The list of nodes. The names outlive the feed.
+Feed list_feed(config::Names &nodes, config::Names &zones);
+
 class Discovery {
 public:
     using Told = std::function<void(const Reading &)>;
@@ -54,7 +63,7 @@
     // costs it; where they are pushed, the address belongs to an agent on this machine, which answers at no
     // cost, and whatever the agent has counts as told.
     Discovery(asio::io_context &io, core::Deadlines &deadlines, const Settings &settings, tcp::endpoint at,
-              std::string host, std::int64_t revision, config::Names &nodes, config::Names &zones, Told told);
+              std::string host, std::int64_t revision, Feed feed, Told told);
     // Watches at another address, and there alone once that has answered; until then what is said at the old
     // address still counts. Its revisions may be counted otherwise, so its whole list is asked for; where it
     // has too many callers for that, the changes alone at first and the whole list a while later.
@@ -84,6 +93,7 @@
     std::shared_ptr<Watch> open(tcp::endpoint at, std::string host, bool foreign);
     static void end(Watch &watch);
     asio::awaitable<void> run(std::shared_ptr<Watch> watch);
+    std::string target(std::optional<std::int64_t> since, Micros wait) const; // of a call
     asio::awaitable<std::optional<Reading>> call(Watch &watch, std::string path, Micros wait);
     bool takes(Watch &watch, const Reading &reading, bool whole);
     void select_distributor(Watch &watch);
@@ -93,7 +103,7 @@
     asio::io_context &io_;
     core::Deadlines &deadlines_;
     const Settings settings_;
-    config::Names &nodes_, &zones_;
+    Feed feed_;
     Told told_;
     std::int64_t revision_; // of what is known
     std::uint64_t opened_ = 0;
--- a/src/net/fleet.cpp
+++ b/src/net/fleet.cpp
@@ -75,6 +75,12 @@
     return node.has_value();
 }
 
+void Fleet::cordon_fleet(const std::set<std::string> &ids) {
+    std::set<NodeId> nodes;
+    for (const std::string &id : ids) nodes.insert(NodeId{names_.number(id)});
+    tell(roster_.cordon_fleet(std::move(nodes)));
+}
+
 Json::Value Fleet::state() const {
     const auto name = [&](NodeId node) { return names_.text(static_cast<std::uint32_t>(node)); };
     Json::Value all;
@@ -82,6 +88,7 @@
     all["list"]["revision"] = static_cast<Json::Int64>(revision_);
     all["list"]["complete"] = true;
     all["list"]["members"] = all["cordons"] = all["limits"] = all["nodes"] = Json::arrayValue;
+    all["fleet_cordons"] = Json::arrayValue;
     for (const auto &[node, entry] : roster_.entries()) {
         Json::Value row;
         row["id"] = name(node);
@@ -93,6 +100,7 @@
         all["list"]["members"].append(std::move(row));
     }
     for (const NodeId node : roster_.out()) all["cordons"].append(name(node));
+    for (const NodeId node : roster_.fleet_out()) all["fleet_cordons"].append(name(node));
     for (const auto &planner : planners_) {
         const Legacy legacy = planner->legacy();
         all["born"] = static_cast<Json::Int64>(legacy.born);
@@ -138,6 +146,11 @@
         if (!id.isString()) throw Error("field 'cordons' is not a list of ids");
         out.push_back(NodeId{names_.number(id.asString())});
     }
+    std::set<std::string> fleet_out; // a predecessor from before has none
+    for (const Json::Value &id : state.isMember("fleet_cordons") ? state["fleet_cordons"] : Json::Value()) {
+        if (!id.isString()) throw Error("field 'fleet_cordons' is not a list of ids");
+        fleet_out.insert(id.asString());
+    }
     Legacy legacy;
     legacy.born = need_integer(state, "born");
     for (const Json::Value &row : rows(state, "limits")) {
@@ -159,6 +172,7 @@
                                                  static_cast<int>(need_integer(one, "layer"))});
     }
     for (const NodeId node : out) tell(roster_.cordon(node));
+    cordon_fleet(fleet_out);
     told(list);
     for (const auto &planner : planners_) planner->inherit(legacy);
 }
--- a/src/net/fleet.hpp
+++ b/src/net/fleet.hpp
@@ -28,6 +28,8 @@
     // By hand. False: nobody has the id.
     bool cordon(const std::string &id);
     bool uncordon(const std::string &id);
+    // The nodes that are out on all brokers, by id, known here or not; replaces those told before.
+    void cordon_fleet(const std::set<std::string> &ids);
 
     // For a successor, and from a predecessor: the list, what is out by hand, what the module leaves. A state
     // that can't be read throws config::Error and changes nothing.
--- a/src/net/lists/list_server.cpp
+++ b/src/net/lists/list_server.cpp
@@ -36,26 +36,43 @@
 
 ListServer::ListServer(asio::io_context &io, core::Deadlines &deadlines, tcp::acceptor acceptor,
                        dist::DeliveryLimits limits, std::size_t most_removed, std::size_t most_callers)
-    : io_(io), deadlines_(deadlines), acceptor_(std::move(acceptor)), log_(most_removed),
-      delivery_(log_, limits, deadlines.clock.now()), most_callers_(most_callers) {
+    : io_(io), deadlines_(deadlines),
+      acceptor_(std::move(acceptor)), served_{Served(limits, most_removed, deadlines.clock.now()),
+                                              Served(limits, most_removed, deadlines.clock.now())},
+      most_callers_(most_callers) {
     asio::co_spawn(io_, accept(), asio::detached);
 }
 
-dist::Taken ListServer::take(const dist::Update &update) {
-    const dist::Taken taken = log_.take(update);
-    if (taken == dist::Taken::Yes) {
-        delivery_.published();
-        deliver();
-    }
+dist::Taken ListServer::take(Channel channel, const dist::Update &update) {
+    Served &served = served_[static_cast<std::size_t>(channel)];
+    const dist::Taken taken = served.log.take(update);
+    if (taken == dist::Taken::Older) return taken;
+    if (channel == Channel::Documents) reports_.published(update.revision, deadlines_.clock.now());
+    served.delivery.published();
+    deliver();
     return taken;
 }
 
+void ListServer::take_report(const Report &report) {
+    const Micros now = deadlines_.clock.now();
+    if (report.caller.empty()) return;
+    if (report.subtree)
+        reports_.report(report.caller, *report.subtree, now);
+    else if (report.applied)
+        reports_.report(report.caller, *report.applied, now);
+}
+
 void ListServer::deliver() {
     const Micros now = deadlines_.clock.now();
-    for (const dist::Answer &answer : delivery_.due(now))
-        by_id_.at(answer.caller)->answers.put(respond(answer));
+    std::optional<Micros> next;
+    for (std::size_t channel = 0; channel < kChannels; ++channel) {
+        dist::Delivery &delivery = served_[channel].delivery;
+        for (const dist::Answer &answer : delivery.due(now))
+            by_id_[channel].at(answer.caller)->answers.put(respond(answer));
+        if (const auto own = delivery.next(now)) next = std::min(*own, next.value_or(*own));
+    }
     next_.reset();
-    if (const auto next = delivery_.next(now)) next_ = deadlines_.at(*next, [this] { deliver(); });
+    if (next) next_ = deadlines_.at(*next, [this] { deliver(); });
 }
 
 asio::awaitable<void> ListServer::accept() {
@@ -77,9 +94,11 @@
         }
         ++figures_.accepted;
         socket.set_option(tcp::no_delay(true), error);
-        const auto caller =
-            callers_.emplace(callers_.end(), std::move(socket), delivery_.connect(deadlines_.clock.now()));
-        by_id_[caller->id] = &*caller;
+        const auto caller = callers_.emplace(callers_.end(), std::move(socket));
+        for (std::size_t channel = 0; channel < kChannels; ++channel) {
+            caller->ids[channel] = served_[channel].delivery.connect(deadlines_.clock.now());
+            by_id_[channel][caller->ids[channel]] = &*caller;
+        }
         asio::co_spawn(io_, serve(caller), asio::detached);
     }
 }
@@ -88,8 +107,10 @@
     std::string in;
     while (co_await serve_call(*caller, in)) {
     }
-    delivery_.disconnect(caller->id);
-    by_id_.erase(caller->id);
+    for (std::size_t channel = 0; channel < kChannels; ++channel) {
+        served_[channel].delivery.disconnect(caller->ids[channel]);
+        by_id_[channel].erase(caller->ids[channel]);
+    }
     callers_.erase(caller);
     deliver(); // a whole list that did not arrive gives way to the next one
 }
@@ -108,12 +129,15 @@
         co_await send(caller, respond(400, "Bad Request", ""));
         co_return false;
     }
+    take_report(call->report);
+    const auto channel = static_cast<std::size_t>(call->channel);
+    dist::Delivery &delivery = served_[channel].delivery;
     const Micros wait = call->since ? call->wait : kWholeWait;
-    delivery_.ask(caller.id, call->since, deadlines_.clock.now() + wait);
+    delivery.ask(caller.ids[channel], call->since, deadlines_.clock.now() + wait);
     deliver();
     std::string answer = co_await caller.answers.take();
     const bool sent = co_await send(caller, std::move(answer));
-    delivery_.whole_written(caller.id);
+    delivery.whole_written(caller.ids[channel]);
     deliver();
     co_return sent;
 }
--- a/src/net/lists/list_server.hpp
+++ b/src/net/lists/list_server.hpp
@@ -1,5 +1,5 @@
-// Serves a list of members over HTTP in discovery's form: the whole list, and long polls for what has
-// changed. Which caller gets what and when is decided by distribution::Delivery.
+// Serves nodes, and documents of the configuration, over HTTP in discovery's form: the whole of it, and long
+// polls for what has changed. Which caller gets what and when is decided by distribution::Delivery.
 //
 // A call that is malformed, too long or slow to come is answered with an error, or closed; so is a caller
 // beyond the most. Nothing that a caller sends changes the list.
@@ -8,7 +8,9 @@
 #include "core/mailbox.hpp"
 #include "distribution/delivery.hpp"
 #include "net/http.hpp"
+#include "net/lists/codec.hpp"
 
+#include <array>
 #include <list>
 
 namespace marblewood::net::lists {
@@ -22,24 +24,32 @@
 class ListServer {
 public:
     ListServer(asio::io_context &io, core::Deadlines &deadlines, tcp::acceptor acceptor,
-               distribution::DeliveryLimits limits, std::size_t most_removed,
-               std::size_t most_callers);
+               distribution::DeliveryLimits limits, std::size_t most_removed, std::size_t most_callers);
 
     /// What a source has answered. An older one changes nothing.
-    distribution::Taken take(const distribution::Update &update);
+    distribution::Taken take(Channel channel, const distribution::Update &update);
 
-    const distribution::ChangeLog &log() const { return log_; }
-    const distribution::Delivery &delivery() const { return delivery_; }
+    const distribution::ChangeLog &log(Channel channel) const { return at(channel).log; }
+    const distribution::Delivery &delivery(Channel channel) const { return at(channel).delivery; }
+    const distribution::ReportBook &reports() const { return reports_; }
     const ListServerFigures &figures() const { return figures_; }
+    std::size_t callers() const { return callers_.size(); }
 
 private:
-    struct Caller {
-        Caller(tcp::socket s, distribution::CallerId number)
-            : socket(std::move(s)), id(number), answers(socket.get_executor()) {}
+    struct Served {                      // one channel
+        Served(const Served &) = delete; // the one refers to the other
+        Served(distribution::DeliveryLimits limits, std::size_t most_removed, Micros now)
+            : log(most_removed), delivery(log, limits, now) {}
+        distribution::ChangeLog log;
+        distribution::Delivery delivery;
+    };
+    struct Caller { // one connection
+        explicit Caller(tcp::socket s) : socket(std::move(s)), answers(socket.get_executor()) {}
         tcp::socket socket;
-        const distribution::CallerId id;
+        std::array<distribution::CallerId, kChannels> ids{}; // in each channel
         core::Mailbox<std::string> answers;
     };
+    const Served &at(Channel channel) const { return served_[static_cast<std::size_t>(channel)]; }
     using CallerAt = std::list<Caller>::iterator;
 
     asio::awaitable<void> accept();
@@ -47,17 +57,18 @@
     asio::awaitable<bool> serve_call(Caller &caller, std::string &in);
     asio::awaitable<std::optional<http::Request>> receive(Caller &caller, std::string &in);
     asio::awaitable<bool> send(Caller &caller, std::string text);
+    void take_report(const Report &report);
     void deliver();
     void count_sent(std::size_t bytes);
 
     asio::io_context &io_;
     core::Deadlines &deadlines_;
     tcp::acceptor acceptor_;
-    distribution::ChangeLog log_;
-    distribution::Delivery delivery_;
+    std::array<Served, kChannels> served_;
+    distribution::ReportBook reports_;
     const std::size_t most_callers_;
     std::list<Caller> callers_;
-    std::unordered_map<distribution::CallerId, Caller *> by_id_;
+    std::array<std::unordered_map<distribution::CallerId, Caller *>, kChannels> by_id_;
     core::Deadlines::Entry next_;
     ListServerFigures figures_;
     Micros second_ = 0;
--- a/tests/distribute_test.cpp
+++ b/tests/distribute_test.cpp
@@ -93,6 +93,110 @@
     return {std::atoi(caller.in.c_str() + 9), caller.in.substr(body)};
 }
 
+std::string answer_of(int revision, const std::string &body, bool complete) {
+    return fmt::format(R"({{"revision":{},"complete":{},"members":[{}]}})", revision, complete, body);
+}
+std::string spell(const std::string &body) {
+    return fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", body.size(), body);
+}
+
+// What operators tell all brokers goes through two levels, is taken whole or not at all, and is reported
+// back.
+void documents_reach_brokers_and_reports_come_back() {
+    Discovery discovery(members(3));
+    const Folder folder;
+    const auto write = [&](const std::string &text) { std::ofstream(folder.file("documents.json")) << text; };
+    write(R"({"version":1,"operations":{"cordons":[]}})");
+    Distributor top(discovery.port(), "d0",
+                    fmt::format(R"(,"documents":{{"file":"{}"}})", folder.file("documents.json")));
+    Distributor below(
+        discovery.port(), "d1",
+        fmt::format(R"(,"documents":{{"parents":[{{"name":"d0","address":"127.0.0.1:{}"}}]}})", top.port));
+    below.await("members", 3);
+    std::string operators = operators_file({&below});
+    operators.insert(operators.find("\"zone\""), "\"documents\":true,");
+    Program broker(discovery, operators);
+    const auto in_force = [&] { return broker.figures().at("configuration_version"); };
+    const auto await_version = [&](long version, Clock::time_point since) {
+        while (in_force() != version) {
+            assert(Clock::now() - since < kInForce);
+            std::this_thread::sleep_for(20ms);
+        }
+    };
+    await_version(1, Clock::now());
+    write(R"({"version":2,"operations":{"cordons":["s-1","s-not-there"]}})");
+    top.child.signal(SIGHUP);
+    await_version(2, Clock::now());
+    assert(broker.figures().at("cluster_unhealthy") == 1);
+    top.await("documents.brokers_with_version", 1); // through the distributor below
+    assert(top.figure("documents.brokers") == 1);
+
+    for (const char *const wrong :
+         {R"({"version":3,"operations":{"cordons":"all"}})", R"({"version":2,"operations":{"cordons":[]}})",
+          R"({"version":1,"operations":{"cordons":[]}})", "{"}) {
+        write(wrong);
+        top.child.signal(SIGHUP);
+    }
+    std::this_thread::sleep_for(300ms);
+    assert(top.figure("documents.version") == 2 && in_force() == 2);
+
+    write(R"({"version":5,"operations":{"cordons":[]}})");
+    top.child.signal(SIGHUP);
+    await_version(5, Clock::now());
+    assert(broker.figures().at("cluster_unhealthy") == 0);
+    assert(broker.figures().at("configuration_refused") == 0);
+}
+
+// A distributor from later may carry what this broker can't read: what is in force stays, and is said so.
+void a_wrong_document_is_refused_by_the_broker() {
+    Discovery discovery(members(2));
+    std::atomic<int> version = 1;
+    const auto document = [&]() -> std::string {
+        const char *const operations = version == 2 ? R"({"cordons":[7]})" : R"({"cordons":["s-1"]})";
+        return answer_of(
+            version, fmt::format(R"({{"id":"operations","phase":"up","document":{}}})", operations), true);
+    };
+    std::mutex mutex;
+    std::string applied; // as the broker said last
+    Server distributor([&](Socket &s) {
+        while (const auto head = next_head(s)) {
+            if (head->find("/v1/documents") == std::string::npos) return;
+            {
+                const std::lock_guard lock(mutex);
+                const std::size_t at = head->find("applied=");
+                applied = at == std::string::npos ? "" : head->substr(at + 8, 1);
+            }
+            if (number_behind(*head, "since=", -1) == version) std::this_thread::sleep_for(50ms);
+            s.send(number_behind(*head, "since=", -1) == version ? spell(answer_of(version, "", false))
+                                                                 : spell(document()));
+        }
+    });
+    const std::string operators =
+        fmt::format(R"({{"distribution":{{"zone":"a","region":"r","documents":true,"distributors":)"
+                    R"([{{"name":"d0","address":"127.0.0.1:{}","zone":"a","region":"r"}}]}}}})",
+                    distributor.port);
+    Program broker(discovery, operators);
+    const auto await = [&](const char *figure, long value) {
+        for (int n = 0; n < 700 && broker.figures().at(figure) != value; ++n)
+            std::this_thread::sleep_for(10ms);
+        assert(broker.figures().at(figure) == value);
+    };
+    await("configuration_version", 1);
+    version = 2;
+    await("configuration_refused", 1);
+    std::this_thread::sleep_for(300ms);
+    assert(broker.figures().at("configuration_version") == 1);
+    assert(broker.figures().at("cluster_unhealthy") == 1); // as version 1 has it
+    {
+        const std::lock_guard lock(mutex);
+        assert(applied == "1");
+    }
+    broker.await_log("cordons[0]");
+    version = 3;
+    await("configuration_version", 3);
+    assert(broker.figures().at("configuration_refused") == 1);
+}
+
 // Which of the two the broker asks: the one with callers.
 Distributor &asked_of(Distributor &a, Distributor &b) { return a.figure("callers") > 0 ? a : b; }
 
@@ -140,13 +244,6 @@
     assert(ask(distributor.port, "/v1/servers?since=9&timeout_ms=0").first == 503); // it is behind
 }
 
-std::string answer_of(int revision, const std::string &body, bool complete) {
-    return fmt::format(R"({{"revision":{},"complete":{},"members":[{}]}})", revision, complete, body);
-}
-std::string spell(const std::string &body) {
-    return fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", body.size(), body);
-}
-
 // What a discovery that goes wrong may send: nothing of it is taken, and the list that is held stays.
 void bad_answers_change_nothing() {
     const std::string good = answer_of(40, members(2), true);
@@ -276,6 +373,8 @@
 
 int main() {
     changes_reach_brokers_though_a_distributor_is_lost_or_silent();
+    documents_reach_brokers_and_reports_come_back();
+    a_wrong_document_is_refused_by_the_broker();
     a_new_distributor_has_nothing_to_say_until_it_knows_the_list();
     bad_answers_change_nothing();
     bad_calls_are_refused();
--- a/tests/distribution_test.cpp
+++ b/tests/distribution_test.cpp
@@ -1,7 +1,11 @@
 // What distributors decide: the log of changes, who gets what when, and whom a broker asks; each against a
 // plain model, and all together in random schedules with loss, delay, pauses and restarts.
+#include "config/operations.hpp"
+#include "core/roster.hpp"
 #include "distribution/delivery.hpp"
 #include "distribution/distributor_selector.hpp"
+#include "distribution/report_book.hpp"
+#include "net/lists/codec.hpp"
 
 #include <cmath>
 #include <deque>
@@ -294,6 +298,105 @@
     EXPECT_EQ(delivery.due(3'000).size(), 1u) << "it has caught up";
 }
 
+TEST(ReportBook, AddsUpOverLevelsAndNamesWhoLacksTheNewestLongestFirst) {
+    ReportBook top, below;
+    top.published(3, 0);
+    below.published(3, 1'000);
+    for (int n = 0; n < 20; ++n) below.report(fmt::format("n{}", n), n < 15 ? 3 : 2, 2'000);
+    top.report("a", 3, 2'000);
+    top.report("b", 2, 2'000);
+    top.report("d1", below.subtree(5'000), 5'000);
+    const ReportSummary all = top.summary(6'000);
+    EXPECT_EQ(all.brokers, 22u);
+    EXPECT_EQ(all.current, 16u);
+    ASSERT_EQ(all.lacking.size(), 6u);
+    EXPECT_EQ(all.lacking.front().broker, "b"); // since the version was published at the top
+    EXPECT_EQ(all.lacking.front().for_us, 6'000);
+    EXPECT_EQ(all.lacking.back().for_us, 4'000);
+    for (int n = 15; n < 20; ++n) below.report(fmt::format("n{}", n), 3, 7'000);
+    top.report("d1", below.subtree(7'000), 7'000);
+    top.report("b", 3, 7'000);
+    EXPECT_EQ(top.summary(7'000).current, 22u);
+    EXPECT_TRUE(top.summary(7'000).lacking.empty());
+    top.published(4, 8'000);
+    EXPECT_EQ(top.summary(8'000).current, 0u);
+}
+
+TEST(ReportBook, LeavesOutWhoHasNotReportedAndNamesNoMoreThanItsBound) {
+    ReportBook book;
+    book.published(2, 0);
+    for (int n = 0; n < 100; ++n) book.report(fmt::format("n{}", n), 1, n < 50 ? 0 : 1'000'000);
+    EXPECT_EQ(book.summary(ReportBook::kKept).brokers, 100u);
+    EXPECT_EQ(book.summary(ReportBook::kKept).lacking.size(), ReportBook::kMostNamed);
+    EXPECT_EQ(book.summary(ReportBook::kKept + 1).brokers, 50u);
+    EXPECT_EQ(book.summary(ReportBook::kKept + 1'000'001).brokers, 0u);
+    book.published(1, 5); // older: the newest stays
+    book.report("n0", 2, ReportBook::kKept);
+    EXPECT_EQ(book.summary(ReportBook::kKept).current, 1u);
+}
+
+// What is out by hand and what is out on all brokers are two things: the end of one is not the other's.
+TEST(Roster, KeepsNodesOutAsLongAsOneOfTheTwoSaysSo) {
+    core::Roster roster;
+    const NodeId a{1}, b{2}, c{3};
+    roster.lay({ListUpdate::Kind::Full, {{.node = a}, {.node = b}}});
+    EXPECT_EQ(roster.cordon_fleet({a, b, c}).entries.size(), 2u); // c is not listed
+    EXPECT_TRUE(roster.cordoned(c));
+    roster.cordon(a);
+    const ListUpdate fewer = roster.cordon_fleet({b});
+    ASSERT_EQ(fewer.entries.size(), 1u); // a stays out by hand
+    EXPECT_EQ(fewer.entries[0].state, NodeState::Draining);
+    EXPECT_FALSE(fewer.entries[0].returned);
+    EXPECT_TRUE(roster.cordoned(a) && roster.cordoned(b) && !roster.cordoned(c));
+    const ListUpdate by_hand = roster.uncordon(a);
+    ASSERT_EQ(by_hand.entries.size(), 1u);
+    EXPECT_EQ(by_hand.entries[0].state, NodeState::Ready);
+    EXPECT_TRUE(by_hand.entries[0].returned);
+    roster.cordon(b);
+    EXPECT_FALSE(roster.uncordon(b).entries[0].returned); // it is still out on all brokers
+    EXPECT_TRUE(roster.cordon_fleet({}).entries[0].returned);
+    EXPECT_TRUE(roster.cordon_fleet({}).entries.empty());
+}
+
+TEST(Operations, AreReadWholeOrNotAtAll) {
+    const auto read = [](const char *text) {
+        return config::read_operations(config::parse(std::string(text)));
+    };
+    EXPECT_EQ(read(R"({"cordons":["a","b"]})").cordons.size(), 2u);
+    const auto why = [&](const char *text) -> std::string {
+        try {
+            read(text);
+        } catch (const config::Error &error) {
+            return error.what();
+        }
+        return "";
+    };
+    EXPECT_NE(why(R"({})").find("cordons"), std::string::npos);
+    EXPECT_NE(why(R"({"cordons":"a"})").find("cordons"), std::string::npos);
+    EXPECT_NE(why(R"({"cordons":["a",7]})").find("cordons[1]"), std::string::npos);
+    EXPECT_NE(why(R"({"cordons":[],"speed":1})").find("speed"), std::string::npos);
+}
+
+TEST(ListCodec, ReadsTheCallsThatItSpellsAndRefusesOthers) {
+    namespace lists = net::lists;
+    SubtreeReport subtree{{{3, 100}, {4, 7}}, {{"n7", 5'000'000}}};
+    const lists::Report report{"d 1", std::nullopt, subtree};
+    const auto call = lists::read_call("/v1/documents?since=4&timeout_ms=90000&" + lists::spell(report));
+    ASSERT_TRUE(call);
+    EXPECT_EQ(call->channel, lists::Channel::Documents);
+    EXPECT_EQ(call->since, 4);
+    EXPECT_EQ(call->wait, lists::kLongestWait);
+    EXPECT_EQ(call->report.caller, "d_1");
+    ASSERT_TRUE(call->report.subtree);
+    EXPECT_EQ(call->report.subtree->brokers, subtree.brokers);
+    ASSERT_EQ(call->report.subtree->lacking.size(), 1u);
+    EXPECT_EQ(call->report.subtree->lacking[0].for_us, 5'000'000);
+    EXPECT_FALSE(lists::read_call("/v1/other?since=1"));
+    for (const char *const wrong : {"since=", "since=-1", "since=1x", "timeout_ms=9e9", "below=3", "below=:1",
+                                    "below=x:1", "lacking=n1:", "applied=one"})
+        EXPECT_THROW(lists::read_call(std::string("/v1/documents?") + wrong), std::runtime_error) << wrong;
+}
+
 std::vector<Distributor> distributors(int count, int regions) {
     std::vector<Distributor> all;
     for (int n = 0; n < count; ++n)
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -1,6 +1,7 @@
 // The laboratory's own rules and distributions: a check that can't fail is none.
 #include "lab/oracle.hpp"
 #include "lab/report.hpp"
+#include "lab/scale/plan.hpp"
 #include "lab/weather.hpp"
 
 #include <fstream>
@@ -120,7 +121,9 @@
     for (const auto &file : std::filesystem::directory_iterator(MARBLEWOOD_LAB_FOLDER)) {
         std::ostringstream text;
         text << std::ifstream(file.path()).rdbuf();
-        EXPECT_EQ(read_experiment(text.str()).name, file.path().stem()) << file.path();
+        const std::string stem = file.path().stem();
+        const bool scale = stem.starts_with("scale"); // another form, by its name
+        EXPECT_EQ(scale ? scale::read_plan(text.str()).name : read_experiment(text.str()).name, stem);
         ++read;
     }
     EXPECT_GE(read, 4);
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -81,7 +81,8 @@
     const auto script = [&](int number) {
         return [&, number](const auto &words, int) {
             int none = -1;
-            if (words.size() <= 3 || !first.compare_exchange_strong(none, number)) return RespNode::served("v");
+            if (words.size() <= 3 || !first.compare_exchange_strong(none, number))
+                return RespNode::served("v");
             while (!taken_out) std::this_thread::sleep_for(5ms);
             return std::string("-BUSY\r\n");
         };
