--- a/src/distribution/delivery.cpp
+++ b/src/distribution/delivery.cpp
@@ -65,6 +65,7 @@
     }
     std::sort(order.begin(), order.end());
     std::vector<CallerId> ids;
+    ids.reserve(order.size());
     for (const Order &one : order) ids.push_back(std::get<CallerId>(one));
     return ids;
 }
--- a/src/lab/scale/fleet_layout.hpp
+++ b/src/lab/scale/fleet_layout.hpp
@@ -27,8 +27,8 @@
     Micros started = 0; // 0: not yet
 };
 
-/// Zones are assigned to distributors and brokers one by one; the brokers that an event starts make up a zone of
-/// their own. Zones are assigned to regions in the same way.
+/// Zones are assigned to distributors and brokers one by one; the brokers that an event starts make up a zone
+/// of their own. Zones are assigned to regions in the same way.
 class FleetLayout {
 public:
     /// `list` is discovery's, as brokers know it at their start; `parent_port` is where the distributors of a
--- a/src/lab/scale/hollow_broker.cpp
+++ b/src/lab/scale/hollow_broker.cpp
@@ -18,7 +18,7 @@
 } // namespace
 
 HollowBroker::HollowBroker(asio::io_context &io, core::Deadlines &deadlines, const HollowConfig &config,
-                           int position, distribution::Locality locality)
+                           int position, const distribution::Locality &locality)
     : name_(fmt::format("n{}", position)), budget_(kSockets), memory_(kMemory),
       settings_(own_settings(config, position)), figures_(settings_.classes.size()),
       resp_port_(io.get_executor(), deadlines, memory_, budget_, settings_),
@@ -76,6 +76,7 @@
 
 void HollowBroker::listen_to_peers(asio::io_context &io, const HollowConfig &config, int position) {
     std::vector<asio::ip::udp::endpoint> all;
+    all.reserve(static_cast<std::size_t>(config.hosts));
     for (int n = 0; n < config.hosts; ++n) all.push_back(peer_address(n, config.peer_port));
     peers_.emplace(asio::ip::udp::socket(io, peer_address(position, config.peer_port)), std::move(all),
                    std::nullopt,
--- a/src/lab/scale/hollow_broker.hpp
+++ b/src/lab/scale/hollow_broker.hpp
@@ -33,7 +33,7 @@
 class HollowBroker {
 public:
     HollowBroker(asio::io_context &io, core::Deadlines &deadlines, const HollowConfig &config, int position,
-                 distribution::Locality locality);
+                 const distribution::Locality &locality);
 
     const std::string &name() const { return name_; }
     const std::vector<Adoption> &adopted() const { return adopted_; }
--- a/src/net/discovery/discovery.cpp
+++ b/src/net/discovery/discovery.cpp
@@ -51,16 +51,16 @@
 }
 
 Discovery::Discovery(asio::io_context &io, core::Deadlines &deadlines, const Settings &settings,
-                     tcp::endpoint at, std::string host, std::int64_t revision, Feed feed, Told told)
+                     const tcp::endpoint &at, std::string host, std::int64_t revision, Feed feed, Told told)
     : io_(io), deadlines_(deadlines), settings_(settings), feed_(std::move(feed)), told_(std::move(told)),
       revision_(revision), heard_(open(at, std::move(host), false)) {}
 
-void Discovery::move(tcp::endpoint at, std::string host) {
+void Discovery::move(const tcp::endpoint &at, std::string host) {
     if (next_) end(*next_);
     next_ = open(at, std::move(host), true);
 }
 
-std::shared_ptr<Discovery::Watch> Discovery::open(tcp::endpoint at, std::string host, bool foreign) {
+std::shared_ptr<Discovery::Watch> Discovery::open(const tcp::endpoint &at, std::string host, bool foreign) {
     const std::uint64_t seed = settings_.seed + opened_++;
     const core::Backoff wait = settings_.ask_for_list ? core::Backoff(kPause, longest_pause(settings_), seed)
                                                       : core::Backoff(kAgentPause, kLongestAgentPause, seed);
--- a/src/net/discovery/discovery.hpp
+++ b/src/net/discovery/discovery.hpp
@@ -62,12 +62,12 @@
     // Where the settings say that lists are asked for, discovery is one service for all brokers and each call
     // costs it; where they are pushed, the address belongs to an agent on this machine, which answers at no
     // cost, and whatever the agent has counts as told.
-    Discovery(asio::io_context &io, core::Deadlines &deadlines, const Settings &settings, tcp::endpoint at,
-              std::string host, std::int64_t revision, Feed feed, Told told);
+    Discovery(asio::io_context &io, core::Deadlines &deadlines, const Settings &settings,
+              const tcp::endpoint &at, std::string host, std::int64_t revision, Feed feed, Told told);
     // Watches at another address, and there alone once that has answered; until then what is said at the old
     // address still counts. Its revisions may be counted otherwise, so its whole list is asked for; where it
     // has too many callers for that, the changes alone at first and the whole list a while later.
-    void move(tcp::endpoint at, std::string host);
+    void move(const tcp::endpoint &at, std::string host);
     // Asks distributors, which all hold the list of one discovery, from now on: when one fails, the next is
     // asked for what has changed since. A lower revision is never taken from them.
     void use(distribution::DistributorSelector selector) { selector_ = std::move(selector); }
@@ -90,7 +90,7 @@
         bool over = false;
         bool unproven = false; // has not answered yet: the first call to a distributor does not wait
     };
-    std::shared_ptr<Watch> open(tcp::endpoint at, std::string host, bool foreign);
+    std::shared_ptr<Watch> open(const tcp::endpoint &at, std::string host, bool foreign);
     static void end(Watch &watch);
     asio::awaitable<void> run(std::shared_ptr<Watch> watch);
     std::string target(std::optional<std::int64_t> since, Micros wait) const; // of a call
--- a/src/net/handover/handover.cpp
+++ b/src/net/handover/handover.cpp
@@ -14,7 +14,7 @@
 // What a packet is, by its first byte: the wish to take over; a part of the state, its last part, with the
 // sockets; a client's connection. From a successor: a node that an operator took out, or put back.
 constexpr char kTake = 'T', kPart = 'P', kState = 'S', kClient = 'C', kCordon = 'D', kUncordon = 'U';
-constexpr std::size_t kMostState = 16 * 1024 * 1024;
+constexpr std::size_t kMostState = std::size_t{16} << 20;
 constexpr Micros kAsk = 500'000;       // us for a caller to say what it wants
 constexpr timeval kAnswer{1, 500'000}; // for each part of the state
 
--- a/src/overload/cold_time_slices.cpp
+++ b/src/overload/cold_time_slices.cpp
@@ -21,7 +21,8 @@
 double ColdTimeSlices::total(const ColdNode &node, int layer, Micros at) const {
     if (layer == 0) return set_.cold_units;
     const Micros age = at - node.cold_since - set_.fall_window;
-    return node.declared ? grown_a_slot() * std::max(0.0, static_cast<double>(age / slot() - 2)) : 0;
+    const Micros slots = age / slot() - 2; // whole ones
+    return node.declared ? grown_a_slot() * std::max(0.0, static_cast<double>(slots)) : 0;
 }
 double ColdTimeSlices::slices(int layer, double k) const { // A(k): time slices shared out before slot k
     const double each = (kSlots + 2 + kHold) * usual();
