--- a/src/distribution/change_log.cpp
+++ b/src/distribution/change_log.cpp
@@ -27,7 +27,7 @@
             of.erase(key);
     };
     apply(by_revision_);
-    if (urgent(row.phase)) apply(urgent_);
+    if (row.urgent) apply(urgent_);
     if (row.phase == Phase::Removed) {
         apply(removed_);
     } else if (present) {
@@ -39,12 +39,14 @@
 
 void ChangeLog::put(const Member &member, Revision revision) {
     const auto at = rows_.find(member.id);
+    bool urgent = member.phase != Phase::Up;
     if (at != rows_.end()) {
+        urgent |= at->second.phase != Phase::Removed && at->second.shard != member.shard;
         if (at->second.text == member.text && at->second.phase == member.phase) return;
         index(member.id, at->second, false);
         rows_.erase(at);
     }
-    const Row &row = rows_[member.id] = {member.text, member.phase, revision};
+    const Row &row = rows_[member.id] = {member.text, member.phase, member.shard, urgent, revision};
     index(member.id, row, true);
 }
 
@@ -55,7 +57,7 @@
     std::vector<Member> gone;
     for (const auto &[id, row] : rows_)
         if (row.phase != Phase::Removed && !named.contains(id))
-            gone.push_back({id, row.text, Phase::Removed});
+            gone.push_back({id, row.text, Phase::Removed, row.shard});
     for (const Member &member : gone) put(member, update.revision);
 }
 
--- a/src/distribution/change_log.hpp
+++ b/src/distribution/change_log.hpp
@@ -28,6 +28,7 @@
     std::string id;
     std::string text;
     Phase phase = Phase::Up;
+    std::int64_t shard = 0; ///< that it holds
 };
 
 /// What a source answered: all members, or those that changed since the revision that was asked for.
@@ -72,8 +73,8 @@
     /// All members.
     Delta whole() const;
     /// What changed after `since`, from which the log must reach: revision by revision as long as it stays
-    /// within `most_bytes`, at least one. Of what lies beyond, urgent entries (members that drain or were
-    /// removed) that changed after `urgent_told` are added all the same.
+    /// within `most_bytes`, at least one. Of what lies beyond, urgent entries (members that drain, were
+    /// removed or hold another shard than before) that changed after `urgent_told` are added all the same.
     Delta changes(Revision since, std::size_t most_bytes, Revision urgent_told) const;
     /// Of what changed after `since`, the urgent entries that changed after `urgent_told` alone: the receiver
     /// holds the same revision afterwards.
@@ -84,11 +85,12 @@
     struct Row {
         std::string text;
         Phase phase = Phase::Up;
+        std::int64_t shard = 0;
+        bool urgent = false;
         Revision changed = 0;
     };
     using Index = std::set<std::pair<Revision, std::string>>;
 
-    static bool urgent(Phase phase) { return phase != Phase::Up; }
     static void add(Delta &delta, const Row &row);
     void put(const Member &member, Revision revision);
     void index(const std::string &id, const Row &row, bool present);
--- a/src/distribution/delivery.hpp
+++ b/src/distribution/delivery.hpp
@@ -2,7 +2,8 @@
 // budget for each caller and one for the machine. Free of I/O and clock; the caller of this class does both.
 //
 // Bounds promised, for a caller that asks again at once after each answer:
-// - An urgent change (a member drains or was removed) is answered in the call of due() that follows it,
+// - An urgent change (a member drains, was removed or holds another shard) is answered in the call of due()
+// that follows it,
 //   whatever the budgets say.
 // - Any other change is answered once the caller's budget and the machine's are ready. Bytes of changes that
 //   are not urgent stay, in any time T, within burst + rate * T and one answer, for the caller and for the
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -140,6 +140,19 @@
 
 } // namespace
 
+std::vector<Check> read_checks(const Json::Value &rows) {
+    std::vector<Check> checks;
+    for (const Json::Value &row : rows) {
+        Check check{config::need_text(row, "name"), config::need_text(row, "metric"), {}, {}};
+        if (row.isMember("least")) check.least = config::need_number(row, "least");
+        if (row.isMember("most")) check.most = config::need_number(row, "most");
+        if (!check.least && !check.most)
+            throw config::Error(fmt::format("field 'checks': '{}' has no bound", check.name));
+        checks.push_back(std::move(check));
+    }
+    return checks;
+}
+
 Experiment read_experiment(const std::string &text) {
     using namespace config;
     const Json::Value root = parse(text);
@@ -200,14 +213,7 @@
         e.moves_from = need_number(root["moves"], "from"), e.moves_to = need_number(root["moves"], "to");
     }
     for (const Json::Value &w : root["compare_without"]) e.without.push_back(w.asString());
-    for (const Json::Value &c : root["checks"]) {
-        Check check{need_text(c, "name"), need_text(c, "metric"), {}, {}};
-        if (c.isMember("least")) check.least = need_number(c, "least");
-        if (c.isMember("most")) check.most = need_number(c, "most");
-        if (!check.least && !check.most)
-            throw Error(fmt::format("field 'checks': '{}' has no bound", check.name));
-        e.checks.push_back(std::move(check));
-    }
+    e.checks = read_checks(root["checks"]);
     e.settings = root["settings"];
     const Settings settings = read_settings(e.settings, 0);
     if (settings.ask_for_list && e.list_most > 0)
--- a/src/lab/experiment.hpp
+++ b/src/lab/experiment.hpp
@@ -54,6 +54,9 @@
     std::optional<double> least, most;
 };
 
+/// Throws config::Error where a check has no bound.
+std::vector<Check> read_checks(const Json::Value &rows);
+
 struct Experiment {
     std::string name;
     double seconds = 10, settle = 5; // of load; before the first of it that counts
--- a/src/lab/weather.cpp
+++ b/src/lab/network_faults.cpp
@@ -1,4 +1,4 @@
-#include "lab/weather.hpp"
+#include "lab/network_faults.hpp"
 
 #include <algorithm>
 #include <boost/random/bernoulli_distribution.hpp>
@@ -6,7 +6,7 @@
 
 namespace marblewood::lab {
 
-std::vector<Micros> Weather::arrivals(int from, int to, Micros now) {
+std::vector<Micros> NetworkFaults::arrivals(int from, int to, Micros now) {
     std::vector<Micros> copies{0};
     for (const Spell &spell : spells_) {
         if (!spell.holds(false, from, to, now)) continue;
@@ -20,7 +20,7 @@
     return copies;
 }
 
-bool Weather::silent(int broker, int node, Micros now) const {
+bool NetworkFaults::silent(int broker, int node, Micros now) const {
     return std::ranges::any_of(
         spells_, [&](const Spell &spell) { return spell.cut && spell.holds(true, broker, node, now); });
 }
--- a/src/lab/weather.hpp
+++ b/src/lab/network_faults.hpp
@@ -10,7 +10,7 @@
 
 namespace marblewood::lab {
 
-class Weather {
+class NetworkFaults {
 public:
     struct Spell {
         Micros from = 0, until = 0;    // from the start of the load
@@ -26,7 +26,7 @@
                    (others.empty() || others.contains(to));
         }
     };
-    explicit Weather(std::uint64_t seed) : random_(seed) {}
+    explicit NetworkFaults(std::uint64_t seed) : random_(seed) {}
     void add(Spell spell) { spells_.push_back(std::move(spell)); }
 
     // After how many us each copy of a datagram sent now arrives; none: it is lost.
--- a/src/lab/relay.cpp
+++ b/src/lab/relay.cpp
@@ -18,9 +18,9 @@
 }
 } // namespace
 
-DatagramRelay::DatagramRelay(asio::io_context &io, core::Deadlines &deadlines, Weather &weather,
+DatagramRelay::DatagramRelay(asio::io_context &io, core::Deadlines &deadlines, NetworkFaults &network_faults,
                              std::vector<int> listens, std::vector<int> groups)
-    : io_(io), deadlines_(deadlines), weather_(weather), listens_(std::move(listens)),
+    : io_(io), deadlines_(deadlines), network_faults_(network_faults), listens_(std::move(listens)),
       groups_(std::move(groups)) {
     for (int from = 0; from < static_cast<int>(listens_.size()); ++from)
         for (int to = 0; to < static_cast<int>(listens_.size()); ++to)
@@ -52,7 +52,7 @@
         for (const auto &[pair, other] : sockets_) {
             if (pair.first != from || pair.second == from || (to >= 0 && pair.second != to)) continue;
             ++sent_, bytes_ += got;
-            const auto copies = weather_.arrivals(from, pair.second, deadlines_.clock.now() - start_);
+            const auto copies = network_faults_.arrivals(from, pair.second, deadlines_.clock.now() - start_);
             if (copies.empty()) ++lost_;
             for (const Micros late : copies)
                 asio::co_spawn(io_, deliver(from, pair.second, std::string(data.data(), got), late),
--- a/src/lab/relay.hpp
+++ b/src/lab/relay.hpp
@@ -1,10 +1,10 @@
 // What stands between processes in an experiment: datagrams between brokers and streams from brokers to nodes
-// pass through here, and fare as the weather has it. Each pair has addresses of its own, so that a receiver
+// pass through here, and fare as its faults have it. Each pair has addresses of its own, so that a receiver
 // still knows the sender.
 #pragma once
 
 #include "core/deadlines.hpp"
-#include "lab/weather.hpp"
+#include "lab/network_faults.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -20,12 +20,12 @@
 public:
     using udp = boost::asio::ip::udp;
     // `listens`: each broker's own port. Only those of one group hear each other.
-    DatagramRelay(boost::asio::io_context &io, core::Deadlines &deadlines, Weather &weather,
+    DatagramRelay(boost::asio::io_context &io, core::Deadlines &deadlines, NetworkFaults &network_faults,
                   std::vector<int> listens, std::vector<int> groups);
     int port(int broker, int peer) const; // where the one sends for the other, and hears it from
     int port_to_all(int broker) const;
     void start();
-    void begin(Micros now) { start_ = now; } // of the load: the weather counts from here
+    void begin(Micros now) { start_ = now; } // of the load: its faults count from here
 
     std::uint64_t sent() const { return sent_; } // datagrams; one to all counts for each
     std::uint64_t bytes() const { return bytes_; }
@@ -37,7 +37,7 @@
 
     boost::asio::io_context &io_;
     core::Deadlines &deadlines_;
-    Weather &weather_;
+    NetworkFaults &network_faults_;
     std::vector<int> listens_, groups_;
     std::map<std::pair<int, int>, udp::socket> sockets_; // of a broker and its peer; the broker itself: all
     Micros start_ = 0;
--- a/src/lab/scale/list_source.cpp
+++ b/src/lab/scale/list_source.cpp
@@ -41,7 +41,7 @@
 }
 
 distribution::Member ListSource::member(const Node &node) {
-    return {node.id, fmt::format(R"({},"up_since_ms":{})", node.fixed, node.started / 1000), node.phase};
+    return {node.id, fmt::format(R"({},"up_since_ms":{})", node.fixed, node.started / 1000), node.phase, 0};
 }
 
 std::string ListSource::whole() const {
--- a/src/lab/scale/plan.cpp
+++ b/src/lab/scale/plan.cpp
@@ -235,14 +235,7 @@
     for (const Json::Value &row : root["comparisons"])
         plan.comparisons.push_back({config::need_text(row, "figure"), config::need_text(row, "sweep"),
                                     config::need_text(row, "with")});
-    for (const Json::Value &row : root["checks"]) {
-        Check check{config::need_text(row, "name"), config::need_text(row, "metric"), {}, {}};
-        if (row.isMember("least")) check.least = config::need_number(row, "least");
-        if (row.isMember("most")) check.most = config::need_number(row, "most");
-        if (!check.least && !check.most)
-            throw config::Error(fmt::format("field 'checks': '{}' has no bound", check.name));
-        plan.checks.push_back(std::move(check));
-    }
+    plan.checks = read_checks(root["checks"]);
     return plan;
 }
 
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -18,7 +18,7 @@
 
 World::World(const Experiment &experiment, std::uint64_t seed, std::filesystem::path folder, Parts parts)
     : experiment_(experiment), settings_(config::read_settings(experiment.settings, 0)), seed_(seed),
-      folder_(std::move(folder)), parts_(parts), weather_(stream(seed, 7)()) {
+      folder_(std::move(folder)), parts_(parts), network_faults_(stream(seed, 7)()) {
     std::filesystem::create_directories(folder_ / "state");
     for (const auto &file : std::filesystem::directory_iterator(folder_ / "state"))
         std::filesystem::remove(file);
--- a/src/lab/world.hpp
+++ b/src/lab/world.hpp
@@ -94,7 +94,7 @@
     Process keeper_;
     int keeper_link_ = 0, keeper_control_ = 0;
     std::optional<Lists> lists_;
-    Weather weather_;
+    NetworkFaults network_faults_;
     std::optional<DatagramRelay> datagrams_;
     std::vector<std::unique_ptr<StreamRelay>> streams_; // by broker and node, where there is a relay
     std::vector<std::map<std::string, Micros>> keys_;   // by cell
--- a/src/lab/world_setup.cpp
+++ b/src/lab/world_setup.cpp
@@ -51,20 +51,22 @@
     for (const Fault &f : e.faults) {
         const bool nodes = f.what == "cut-nodes";
         if (parts_.faults && (nodes || f.what == "datagrams" || f.what == "cut"))
-            weather_.add({micros(f.at), micros(f.at + f.length), f.from, f.to, nodes, f.what != "datagrams",
-                          f.lost, f.doubled, micros(f.late_least), micros(f.late_most)});
+            network_faults_.add({micros(f.at), micros(f.at + f.length), f.from, f.to, nodes,
+                                 f.what != "datagrams", f.lost, f.doubled, micros(f.late_least),
+                                 micros(f.late_most)});
     }
     if (e.peers) {
         std::vector<int> listens, groups;
         for (const Broker &broker : brokers_) listens.push_back(broker.peer), groups.push_back(broker.cell);
-        datagrams_.emplace(io_, deadlines_, weather_, std::move(listens), std::move(groups));
+        datagrams_.emplace(io_, deadlines_, network_faults_, std::move(listens), std::move(groups));
     }
     if (e.relay)
         for (int b = 0; b < static_cast<int>(brokers_.size()); ++b)
             for (int n = 0; n < static_cast<int>(nodes_.size()); ++n)
                 streams_.push_back(std::make_unique<StreamRelay>(
-                    io_, deadlines_, nodes_[static_cast<std::size_t>(n)]->port(),
-                    [this, b, n] { return start_ > 0 && weather_.silent(b, n, clock_.now() - start_); }));
+                    io_, deadlines_, nodes_[static_cast<std::size_t>(n)]->port(), [this, b, n] {
+                        return start_ > 0 && network_faults_.silent(b, n, clock_.now() - start_);
+                    }));
 }
 
 void World::draw() {
--- a/src/net/discovery/discovery.cpp
+++ b/src/net/discovery/discovery.cpp
@@ -29,14 +29,18 @@
 
 } // namespace
 
-Reading read(Json::Value answer, config::Names &nodes, config::Names &zones) {
+Reading read_envelope(const Json::Value &answer) {
     Reading reading;
     reading.revision = config::need_integer(answer, "revision");
     reading.update.kind =
         config::flag_or(answer, "complete", false) ? ListUpdate::Kind::Full : ListUpdate::Kind::Changes;
-    const Json::Value &members = config::need(answer, "members");
-    if (!members.isArray()) throw config::Error("field 'members' is not a list");
-    for (const Json::Value &row : members) {
+    if (!config::need(answer, "members").isArray()) throw config::Error("field 'members' is not a list");
+    return reading;
+}
+
+Reading read(Json::Value answer, config::Names &nodes, config::Names &zones) {
+    Reading reading = read_envelope(answer);
+    for (const Json::Value &row : answer["members"]) {
         const NodeEntry entry = config::read_entry(row, config::kDiscoveryEntry, nodes, zones);
         reading.addresses.emplace_back(entry.node, config::text_or(row, "host_port", ""));
         reading.update.entries.push_back(entry);
--- a/src/net/discovery/discovery.hpp
+++ b/src/net/discovery/discovery.hpp
@@ -30,6 +30,9 @@
     std::vector<std::pair<NodeId, std::string>> addresses;
     Json::Value members; // the entries as they were spelt, for those who pass them on
 };
+// What every answer begins with: its revision, whether it is whole, and that it has a list of members. Throws
+// config::Error.
+Reading read_envelope(const Json::Value &answer);
 // Decodes an answer; throws config::Error. Also for `known` in the configuration.
 Reading read(Json::Value answer, config::Names &nodes, config::Names &zones);
 
--- a/src/net/lists/codec.cpp
+++ b/src/net/lists/codec.cpp
@@ -40,6 +40,7 @@
     dist::Member member;
     member.id = row["id"].asString();
     member.phase = phase(row["phase"].asString());
+    member.shard = config::integer_or(row, "cell", 0);
     row.removeMember("phase");
     const std::string object = compact(row);
     member.text = object.substr(1, object.size() - 2); // without its braces
@@ -122,13 +123,8 @@
 }
 
 discovery::Reading read_documents(Json::Value answer) {
-    discovery::Reading reading;
-    reading.revision = config::need_integer(answer, "revision");
-    reading.update.kind =
-        config::flag_or(answer, "complete", false) ? ListUpdate::Kind::Full : ListUpdate::Kind::Changes;
-    const Json::Value &members = config::need(answer, "members");
-    if (!members.isArray()) throw config::Error("field 'members' is not a list");
-    for (const Json::Value &row : members) {
+    discovery::Reading reading = discovery::read_envelope(answer);
+    for (const Json::Value &row : answer["members"]) {
         config::need_text(row, "id");
         config::need_text(row, "phase");
         if (!config::need(row, "document").isObject())
--- a/tests/distribute_test.cpp
+++ b/tests/distribute_test.cpp
@@ -110,7 +110,7 @@
     Distributor top(discovery.port(), "d0",
                     fmt::format(R"(,"documents":{{"file":"{}"}})", folder.file("documents.json")));
     Distributor below(
-        discovery.port(), "d1",
+        top.port, "d1", // which has the list from there, too
         fmt::format(R"(,"documents":{{"parents":[{{"name":"d0","address":"127.0.0.1:{}"}}]}})", top.port));
     below.await("members", 3);
     std::string operators = operators_file({&below});
--- a/tests/distribution_test.cpp
+++ b/tests/distribution_test.cpp
@@ -57,13 +57,13 @@
     Update whole() const {
         Update update{revision_, true, {}};
         for (const auto &[id, row] : rows_)
-            if (row.phase != Phase::Removed) update.members.push_back({id, row.text, row.phase});
+            if (row.phase != Phase::Removed) update.members.push_back({id, row.text, row.phase, 0});
         return update;
     }
     Update since(Revision revision) const {
         Update update{revision_, false, {}};
         for (const auto &[id, row] : rows_)
-            if (row.changed > revision) update.members.push_back({id, row.text, row.phase});
+            if (row.changed > revision) update.members.push_back({id, row.text, row.phase, 0});
         return update;
     }
     Revision revision() const { return revision_; }
@@ -148,6 +148,23 @@
     EXPECT_FALSE(log.urgent_after(source.revision()));
 }
 
+TEST(ChangeLog, TellsUrgentChangesFromOthers) {
+    ChangeLog log(10);
+    log.take({1, true, {{"a", "a:1", Phase::Up, 1}, {"b", "b:1", Phase::Up, 2}}});
+    const auto urgent_after = [&](Update update) {
+        const Revision before = log.revision();
+        EXPECT_EQ(log.take(update), Taken::Yes);
+        return log.urgent_after(before);
+    };
+    EXPECT_FALSE(urgent_after({2, false, {{"a", "a:2", Phase::Up, 1}}})); // it has started anew
+    EXPECT_TRUE(urgent_after({3, false, {{"a", "a:3", Phase::Up, 2}}}));  // it holds another shard
+    EXPECT_TRUE(urgent_after({4, false, {{"b", "b:4", Phase::Draining, 2}}}));
+    EXPECT_TRUE(urgent_after({5, false, {{"b", "b:5", Phase::Removed, 2}}}));
+    EXPECT_FALSE(urgent_after({6, false, {{"b", "b:6", Phase::Up, 9}}})); // it is new again
+    EXPECT_FALSE(urgent_after({7, false, {{"c", "c:7", Phase::Up, 3}}}));
+    EXPECT_TRUE(urgent_after({8, true, {{"a", "a:3", Phase::Up, 2}, {"c", "c:7", Phase::Up, 3}}})); // b went
+}
+
 TEST(ChangeLog, RemembersOnlySoManyRemovals) {
     Source source(50);
     ChangeLog log(5);
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -1,8 +1,8 @@
 // The laboratory's own rules and distributions: a check that can't fail is none.
+#include "lab/network_faults.hpp"
 #include "lab/oracle.hpp"
 #include "lab/report.hpp"
 #include "lab/scale/plan.hpp"
-#include "lab/weather.hpp"
 
 #include <fstream>
 #include <gtest/gtest.h>
@@ -96,19 +96,19 @@
 
 // What passes between processes: as scheduled, in the direction and for the time given, and by chance within
 // it.
-TEST(Weather, CutsOneSideOnlyAndLosesItsPart) {
-    Weather weather(3);
-    weather.add({1'000, 2'000, {1}, {2}, false, true, 0, 0, 0, 0});
-    weather.add({1'000, 2'000, {0}, {}, true, true, 0, 0, 0, 0});
-    weather.add({5'000, 9'000, {}, {}, false, false, 0.3, 0.1, 20, 40});
-    EXPECT_EQ(weather.arrivals(1, 2, 1'500), std::vector<Micros>{});
-    EXPECT_EQ(weather.arrivals(2, 1, 1'500), std::vector<Micros>{0}); // the other way
-    EXPECT_EQ(weather.arrivals(1, 2, 2'000), std::vector<Micros>{0}); // over
-    EXPECT_TRUE(weather.silent(0, 7, 1'500));
-    EXPECT_FALSE(weather.silent(1, 7, 1'500) || weather.silent(0, 7, 2'500));
+TEST(NetworkFaults, CutsOneSideOnlyAndLosesItsPart) {
+    NetworkFaults network_faults(3);
+    network_faults.add({1'000, 2'000, {1}, {2}, false, true, 0, 0, 0, 0});
+    network_faults.add({1'000, 2'000, {0}, {}, true, true, 0, 0, 0, 0});
+    network_faults.add({5'000, 9'000, {}, {}, false, false, 0.3, 0.1, 20, 40});
+    EXPECT_EQ(network_faults.arrivals(1, 2, 1'500), std::vector<Micros>{});
+    EXPECT_EQ(network_faults.arrivals(2, 1, 1'500), std::vector<Micros>{0}); // the other way
+    EXPECT_EQ(network_faults.arrivals(1, 2, 2'000), std::vector<Micros>{0}); // over
+    EXPECT_TRUE(network_faults.silent(0, 7, 1'500));
+    EXPECT_FALSE(network_faults.silent(1, 7, 1'500) || network_faults.silent(0, 7, 2'500));
     int lost = 0, doubled = 0;
     for (int n = 0; n < 10'000; ++n) {
-        const auto copies = weather.arrivals(n % 5, 5, 6'000);
+        const auto copies = network_faults.arrivals(n % 5, 5, 6'000);
         lost += copies.empty(), doubled += copies.size() == 2;
         for (const Micros late : copies) EXPECT_TRUE(late >= 20 && late <= 40);
     }
