Bound a distributor's callers by its descriptors, and who may be in its book of reports

Seen while reading: most_callers is 4,000 where many systems give a process 1,024 descriptors, so that accepting would have failed again and again; and each name in a report took an entry until it was 15 s old, however many.

Change: `marblewood distribute` takes up what descriptors the system allows, and serves no more callers than those bear, saying so; ReportBook keeps 20,000 reporters at most.

Only the operators' process changes.

--- a/src/app/distribute.cpp
+++ b/src/app/distribute.cpp
@@ -10,6 +10,7 @@
 
 #include <boost/asio/signal_set.hpp>
 #include <random>
+#include <sys/resource.h>
 
 namespace marblewood::app {
 
@@ -220,6 +221,21 @@
     asio::signal_set hangups_{io_, SIGHUP};
 };
 
+// A caller needs a descriptor: as many as the system allows are taken up, and no more callers than those
+// bear.
+void fit_to_descriptors(config::DistributorConfig &config) {
+    constexpr std::size_t kSpare = 64; // listeners, parents, control's callers, the log
+    rlimit files{};
+    if (::getrlimit(RLIMIT_NOFILE, &files) != 0) return;
+    files.rlim_cur = files.rlim_max;
+    ::setrlimit(RLIMIT_NOFILE, &files);
+    const std::size_t most = std::max<std::size_t>(files.rlim_cur, 2 * kSpare) - kSpare;
+    if (config.most_callers <= most) return;
+    core::log("field 'most_callers': {}, where the system's limit of descriptors bears {}",
+              config.most_callers, most);
+    config.most_callers = most;
+}
+
 // All addresses, before anything is opened.
 void check_addresses(const config::DistributorConfig &config) {
     for (const auto &parent : config.parents) address<tcp::endpoint>(parent.address, "parents.address");
@@ -232,8 +248,9 @@
 } // namespace
 
 int distribute(const std::string &path) {
-    const config::DistributorConfig config = config::load_distributor(path);
+    config::DistributorConfig config = config::load_distributor(path);
     check_addresses(config);
+    fit_to_descriptors(config);
     std::random_device random;
     const std::uint64_t seed = static_cast<std::uint64_t>(random()) << 32 | random();
     // Its loop holds coroutines that refer to it, so it is never destroyed: see serve().
--- a/src/distribution/report_book.cpp
+++ b/src/distribution/report_book.cpp
@@ -5,13 +5,16 @@
 namespace marblewood::distribution {
 
 void ReportBook::report(const std::string &broker, Revision version, Micros now) {
-    forget(now);
-    entries_[broker] = {version, {}, now};
+    put(broker, {version, {}, now});
 }
 
 void ReportBook::report(const std::string &distributor, SubtreeReport subtree, Micros now) {
-    forget(now);
-    entries_[distributor] = {std::nullopt, std::move(subtree), now};
+    put(distributor, {std::nullopt, std::move(subtree), now});
+}
+
+void ReportBook::put(const std::string &name, Entry entry) {
+    if (entries_.size() >= kMostReporters) forget(entry.at);
+    if (entries_.size() < kMostReporters || entries_.contains(name)) entries_[name] = std::move(entry);
 }
 
 void ReportBook::published(Revision version, Micros now) {
--- a/src/distribution/report_book.hpp
+++ b/src/distribution/report_book.hpp
@@ -4,6 +4,7 @@
 //
 // Bounds promised. A report counts for kKept after it came; whoever has not reported for longer is left out.
 // Of those that lack a version, kMostNamed are named, those that lack it the longest first; all are counted.
+// No more than kMostReporters are kept; whoever comes beyond them is not counted.
 #pragma once
 
 #include "distribution/change_log.hpp"
@@ -33,6 +34,7 @@
 public:
     static constexpr Micros kKept = 15'000'000; // us
     static constexpr std::size_t kMostNamed = 8;
+    static constexpr std::size_t kMostReporters = 20'000;
 
     /// A broker has this version in force.
     void report(const std::string &broker, Revision version, Micros now);
@@ -52,6 +54,7 @@
     };
     std::vector<Lacking> lacking(Micros now) const;
     void forget(Micros now);
+    void put(const std::string &name, Entry entry);
 
     std::map<std::string, Entry> entries_;
     Revision newest_ = 0;
--- a/tests/distribution_test.cpp
+++ b/tests/distribution_test.cpp
@@ -352,6 +352,19 @@
     EXPECT_EQ(book.summary(ReportBook::kKept).current, 1u);
 }
 
+TEST(ReportBook, KeepsNoMoreThanItsBoundAndMakesRoomOfWhatIsOld) {
+    ReportBook book;
+    const auto report = [&](std::size_t from, std::size_t until, Micros now) {
+        for (std::size_t n = from; n < until; ++n) book.report(fmt::format("n{}", n), 1, now);
+    };
+    report(0, ReportBook::kMostReporters + 10, 0);
+    EXPECT_EQ(book.summary(0).brokers, ReportBook::kMostReporters);
+    book.report("n0", 2, 1); // known already
+    EXPECT_EQ(book.subtree(1).brokers.at(2), 1u);
+    report(ReportBook::kMostReporters, ReportBook::kMostReporters + 10, ReportBook::kKept + 1);
+    EXPECT_EQ(book.summary(ReportBook::kKept + 1).brokers, 11u); // and n0
+}
+
 // What is out by hand and what is out on all brokers are two things: the end of one is not the other's.
 TEST(Roster, KeepsNodesOutAsLongAsOneOfTheTwoSaysSo) {
     core::Roster roster;
