Play hollow brokers in a process each, to tell what sharing one saves of memory

Cause: the heap that reading a whole list leaves is one for all brokers of a process. Processor time is ruled out as another cause of it: it was not looked at for memory.

--- a/src/lab/scale/plan.cpp
+++ b/src/lab/scale/plan.cpp
@@ -74,6 +74,7 @@
           "brokers": {"type": "integer", "minimum": 1, "maximum": 10000},
           "nodes": {"type": "integer", "minimum": 1, "maximum": 10000},
           "distributors": {"type": "integer", "minimum": 0, "maximum": 100},
+          "per_process": {"type": "integer", "minimum": 1, "maximum": 1000},
           "seconds": {"type": "number", "minimum": 1, "maximum": 600},
           "changes_per_second": {"type": "number", "minimum": 0, "maximum": 1000},
           "real": {"type": "boolean"},
