Log and count why clients' connections end and why requests are tried again

Need: in the evidence of the incident nothing said which connection a request came on, when a connection was told to close and why, or what kept it; of retries only the sum of attempts was known.

Change: client connections have numbers and a typed CloseReason, of which the first counts; figures clients_open, clients_closing, clients_accepted, clients_closed_REASON. A connection that ends over 0.5 s after it was told to has a log line; while connections are closed for quiesce or shutdown a line each second says what the longest of them waits for. Requests that failed, or were refused after attempts, have a line with id, connection and how each attempt ended, ten a second at most (RequestLog). Further attempts are counted by the status of the one before (repeats_STATUS, hedges). No behaviour is changed.

--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -237,15 +237,16 @@
     }
 
     net::resp::OpenIds open;
+    net::ClientFigures client_figures;
     net::Clients clients(
-        io, deadlines, budget,
+        io, deadlines, budget, client_figures,
         listener(io, passed_socket(), inherited("clients"), address<tcp::endpoint>(config.listen, "listen")),
         [&](net::Client &client) { return net::resp::serve(client, desk, open); });
     net::nvme::Controllers controllers;
     std::optional<net::Clients> nvme_clients;
     if (!mapping.listen.empty())
         nvme_clients.emplace(
-            io, deadlines, budget,
+            io, deadlines, budget, client_figures,
             listener(io, net::Descriptor(), inherited("nvme"),
                      address<tcp::endpoint>(mapping.listen, "nvme.listen")),
             [&](net::Client &client) { return net::nvme::serve(client, desk, mapping, controllers); });
@@ -272,8 +273,14 @@
     const net::CostLog cost_log(deadlines, costs);
     net::control::Operations operations;
     operations.stats = [&] {
+        std::size_t open_clients = clients.open(), closing_clients = clients.closing();
+        if (nvme_clients) {
+            open_clients += nvme_clients->open();
+            closing_clients += nvme_clients->closing();
+        }
         std::string text = net::control::spell(figures, config.settings,
-                                               {fleet.open(), fleet.size(), fleet.avoided(), costs()});
+                                               {fleet.open(), fleet.size(), fleet.avoided(), costs(),
+                                                client_figures, open_clients, closing_clients});
         if (documents)
             text += fmt::format("balancer.configuration_version:{}|g\nbalancer.configuration_refused:{}|c\n",
                                 documents->in_force(), documents->refused());
--- a/src/core/figures.hpp
+++ b/src/core/figures.hpp
@@ -4,9 +4,15 @@
 #include "core/types.hpp"
 
 #include <array>
+#include <string_view>
 
 namespace marblewood::core {
 
+/// How an attempt ended, as the figures and the log spell it, in the order of Status.
+inline constexpr std::array<std::string_view, 8> kStatusNames{
+    "ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot"};
+constexpr std::string_view name(Status status) { return kStatusNames[static_cast<std::size_t>(status)]; }
+
 struct Figures {
     explicit Figures(std::size_t classes) : ended(classes) {}
     std::vector<std::array<std::uint64_t, 3>> ended; // requests, by class and Outcome::Kind
@@ -16,6 +22,9 @@
     std::uint64_t turned_away = 0; // requests the RESP2 front could not read, answered -ERR; not in `ended`
     std::uint64_t broken = 0;      // long values that broke off on their way, in `ended` as failed
     std::uint64_t unsent = 0;      // refused before any attempt, in `ended` as refused
+    // Further attempts, by how the attempt before had ended; and those begun beside one that is still out.
+    std::array<std::uint64_t, kStatusNames.size()> repeats{};
+    std::uint64_t hedges = 0;
 
     std::uint64_t &of(int cls, Outcome::Kind kind) { return ended[cls][static_cast<std::size_t>(kind)]; }
     std::uint64_t sum(std::size_t kind) const {
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -20,7 +20,7 @@
                  const Settings &settings, NodePort &port, Surroundings surroundings, Observer *observer)
     : executor_(std::move(executor)), deadlines_(deadlines), memory_(memory), figures_(figures),
       settings_(settings), port_(port), surroundings_(std::move(surroundings)), observer_(observer),
-      scheduler_(settings) {}
+      request_log_(deadlines.clock), scheduler_(settings) {}
 
 RequestId Planner::submit(std::shared_ptr<const Request> request, Answer answer, std::function<void()> over) {
     const RequestId id{next_id_++};
@@ -65,6 +65,7 @@
                 out->stream = std::make_shared<Stream>(executor_, memory_, length);
                 life->steps.put(Began{n});
             };
+            if (!life->attempts.empty()) count_repeat(*life);
             life->attempts.push_back(std::move(out));
             ++life->out;
             asio::co_spawn(executor_, attempt(life, static_cast<int>(life->attempts.size()) - 1), report);
@@ -83,6 +84,7 @@
         } else if (auto *ended = std::get_if<Ended>(&step)) {
             --life->out;
             const AttemptResult &result = ended->result;
+            life->ended.push_back(result.status);
             AttemptEnded event{life->id, ended->attempt, result.status,    0,
                                false,    result.used,    result.elsewhere, result.report};
             event.latency = deadlines_.clock.now() - life->attempts[event.attempt]->started;
@@ -129,6 +131,13 @@
     life->steps.put(Ended{number, std::move(result)});
 }
 
+void Planner::count_repeat(const Life &life) {
+    if (life.out > 0)
+        ++figures_.hedges;
+    else
+        ++figures_.repeats[static_cast<std::size_t>(life.ended.back())];
+}
+
 void Planner::finish(Life &life, Outcome outcome) {
     if (!life.answer) return;
     account(life, outcome);
@@ -138,6 +147,7 @@
 void Planner::account(Life &life, const Outcome &outcome) {
     --answers_;
     ++figures_.of(life.request->facts.cls, outcome.kind);
+    request_log_.request_ended(*life.request, outcome, life.ended, life.attempts.size());
     if (observer_) observer_->request_ended(life.id, *life.request, outcome, deadlines_.clock.now());
 }
 
--- a/src/core/planner.hpp
+++ b/src/core/planner.hpp
@@ -7,6 +7,7 @@
 #include "core/log.hpp"
 #include "core/mailbox.hpp"
 #include "core/memory.hpp"
+#include "core/request_log.hpp"
 #include "core/types.hpp"
 
 #include <map>
@@ -84,6 +85,7 @@
         Answer answer; // empty once given, or once the client has left
         std::function<void()> over;
         std::vector<std::shared_ptr<Attempt>> attempts;
+        std::vector<Status> ended;         // how those that have ended did, in the order of their ends
         std::shared_ptr<Attempt> streamed; // whose value is being passed on, until that has ended
         std::size_t out = 0;
         Micros until = 0; // when its time is up
@@ -94,6 +96,7 @@
     boost::asio::awaitable<void> live(std::shared_ptr<Life> life);
     boost::asio::awaitable<void> attempt(std::shared_ptr<Life> life, int number);
     boost::asio::awaitable<void> probe(NodeId node);
+    void count_repeat(const Life &life);
     void finish(Life &life, Outcome outcome);
     void account(Life &life, const Outcome &outcome);
     bool may_write(const Life &life, NodeId node, Micros until) const;
@@ -110,6 +113,7 @@
     NodePort &port_;
     Surroundings surroundings_;
     Observer *observer_;
+    RequestLog request_log_;
     Scheduler scheduler_;
     std::unordered_map<std::uint64_t, std::shared_ptr<Life>> lives_; // the ledger
     std::map<NodeId, NodeState> nodes_;                              // all that are listed and not gone
--- a/src/core/types.hpp
+++ b/src/core/types.hpp
@@ -14,8 +14,9 @@
 namespace marblewood::core {
 
 struct Request {
-    std::string id;    // the client's
-    std::string piece; // the piece of data, as the client spells it
+    std::string id;               // the client's
+    std::uint64_t connection = 0; // the client connection that it came on, for the log
+    std::string piece;            // the piece of data, as the client spells it
     RequestArrived facts;
     std::string repeat_key; // idempotency key, in a keyed class
     std::string body;
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -1,5 +1,6 @@
 #include "net/clients.hpp"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <thread>
@@ -11,8 +12,10 @@
 // us without a new connection after which, at a drain without clients, none is awaited
 constexpr Micros kStillComing = 250'000;
 constexpr std::chrono::milliseconds kAddressHeld{8'000}, kAddressLook{10}; // before anything is served
-constexpr Micros kFrontMoves = 1'000'000; // us from quiescing until clients' connections are closed
-constexpr Micros kAwayAgain = 100'000;    // us between looks at who has come since
+constexpr Micros kFrontMoves = 1'000'000;  // us from quiescing until clients' connections are closed
+constexpr Micros kAwayAgain = 100'000;     // us between looks at who has come since
+constexpr Micros kReportEvery = 1'000'000; // us between reports of connections that are being closed
+constexpr Micros kSlowToClose = 500'000;   // us from being told to end, beyond which the log says how it went
 
 tcp protocol_of(int socket) {
     sockaddr at{};
@@ -51,8 +54,8 @@
 }
 
 Clients::Clients(asio::io_context &io, core::Deadlines &deadlines, SocketBudget &budget,
-                 tcp::acceptor acceptor, Front front)
-    : io_(io), deadlines_(deadlines), budget_(budget), acceptor_(std::move(acceptor)),
+                 ClientFigures &figures, tcp::acceptor acceptor, Front front)
+    : io_(io), deadlines_(deadlines), budget_(budget), figures_(figures), acceptor_(std::move(acceptor)),
       front_(std::move(front)), resumed_(io.get_executor()) {
     asio::co_spawn(io_, accept(), asio::detached);
 }
@@ -91,13 +94,14 @@
 
 void Clients::admit(tcp::socket socket, Passed early) {
     last_new_ = deadlines_.clock.now();
-    const auto client = clients_.emplace(clients_.end(), std::move(socket), order_, last_new_);
+    const std::uint64_t number = ++figures_.accepted;
+    const auto client = clients_.emplace(clients_.end(), std::move(socket), order_, last_new_, number);
     client->lease = budget_.client();
     if (early.asked) client->mark_asked();
     client->early = std::move(early);
     client->pass = pass_;
     client->staying = done_ != nullptr;
-    if (!acceptor_.is_open()) client->mark_closing(); // it came as the last ones are let go
+    if (!acceptor_.is_open()) client->begin_closing(CloseReason::Shutdown, last_new_);
     asio::co_spawn(io_, serve(client), asio::detached);
     limit_idle_askers();
 }
@@ -137,9 +141,8 @@
         deadlines_.clock.now(), [](EvictionOrder::Entry &e) { return static_cast<Client &>(e).unread(); });
     if (!entry) return false;
     Client &client = static_cast<Client &>(*entry);
-    client.mark_closing();
-    client.close();
-    if (client.notify) client.notify();
+    client.close(CloseReason::Evicted);
+    client.begin_closing(CloseReason::Evicted, deadlines_.clock.now());
     return true;
 }
 
@@ -151,16 +154,19 @@
     // could not come again.
     if (budget_.shared() || done_) return;
     if (EvictionOrder::Entry *const entry = order_.longest_idle_asker())
-        static_cast<Client &>(*entry).begin_closing();
+        static_cast<Client &>(*entry).begin_closing(CloseReason::TooManyIdle, deadlines_.clock.now());
 }
 
 asio::awaitable<void> Clients::serve(std::list<Client>::iterator client) {
     try {
         co_await front_(*client);
     } catch (const std::exception &error) { // a client's trouble ends its connection, not the broker
-        core::log("client: {}", error.what());
+        core::log("client {}: {}", client->id, error.what());
+        client->note(CloseReason::Failure);
     }
-    client->close();
+    client->close(CloseReason::ClientLeft);
+    ++figures_.of(*client->reason);
+    log_ended(*client);
     clients_.erase(client);
     if (done_ && clients_.empty() && !acceptor_.is_open()) std::exchange(done_, nullptr)();
 }
@@ -178,7 +184,48 @@
 
 void Clients::quiesce(bool on) {
     away_.reset();
-    if (on) away_ = deadlines_.in(kFrontMoves, [this] { send_away(); });
+    report_.reset();
+    core::log("quiesce: {}", on ? "clients are sent away once the front has moved" : "over");
+    if (on)
+        away_ = deadlines_.in(kFrontMoves, [this] {
+            report_closing("quiesce");
+            send_away();
+        });
+}
+
+std::size_t Clients::closing() const {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(clients_, [](const Client &client) { return client.use().closing; }));
+}
+
+// Whoever closes at once needs no line: there may be hundreds.
+void Clients::log_ended(const Client &client) const {
+    const Micros took = deadlines_.clock.now() - client.closing_since;
+    if (client.closing_since == 0 || took < kSlowToClose) return;
+    core::log("client {} ended {} ms after it was to ({}); requests read meanwhile: {}", client.id,
+              took / 1000, name(*client.reason), client.asked_since);
+}
+
+void Clients::report_closing(std::string_view cause) {
+    const auto open_requests = [](const Client &client) { return client.use().owed > 0; };
+    const auto partial = [](const Client &client) { return client.use().partial; };
+    core::log(
+        "{}: {} client connections open, {} of them closing, {} with open requests, {} with part of one",
+        cause, clients_.size(), closing(), std::ranges::count_if(clients_, open_requests),
+        std::ranges::count_if(clients_, partial));
+    const Client *longest = nullptr;
+    for (const Client &client : clients_)
+        if (client.use().closing && (!longest || client.closing_since < longest->closing_since))
+            longest = &client;
+    if (longest)
+        core::log("{}: client {} is closing for {} ms ({}): open requests {}, read meanwhile {}, part of one "
+                  "{}, unwritten answers {}",
+                  cause, longest->id, (deadlines_.clock.now() - longest->closing_since) / 1000,
+                  name(*longest->reason), longest->use().owed, longest->asked_since, longest->use().partial,
+                  longest->writing);
+    report_ = deadlines_.in(kReportEvery, [this, cause] {
+        if (!clients_.empty()) report_closing(cause);
+    });
 }
 
 void Clients::send_away() {
@@ -187,7 +234,7 @@
         const ConnectionUse &use = client.use();
         const bool newcomer = !use.asked && now - use.accepted < EvictionOrder::kNewcomerGrace;
         if (use.closing || (use.idle() && newcomer)) continue;
-        client.begin_closing();
+        client.begin_closing(CloseReason::Quiesce, now);
     }
     away_ = deadlines_.in(kAwayAgain, [this] { send_away(); });
 }
@@ -210,7 +257,8 @@
         if (!error) admit(std::move(socket), Passed());
     }
     acceptor_.close(error);
-    for (Client &client : clients_) client.begin_closing();
+    report_closing("shutdown");
+    for (Client &client : clients_) client.begin_closing(CloseReason::Shutdown, now);
     if (clients_.empty() && done_) std::exchange(done_, nullptr)();
 }
 
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -3,6 +3,7 @@
 
 #include "core/log.hpp"
 #include "core/mailbox.hpp"
+#include "net/client_figures.hpp"
 #include "net/descriptor.hpp"
 #include "net/eviction_order.hpp"
 #include "net/sockets.hpp"
@@ -23,26 +24,38 @@
 
 /// One client's connection, as its front sees it. How it is used is said through EvictionOrder::Entry.
 struct Client : EvictionOrder::Entry {
-    Client(tcp::socket s, EvictionOrder &order, Micros accepted)
-        : Entry(order, accepted), socket(std::move(s)) {}
+    Client(tcp::socket s, EvictionOrder &order, Micros accepted, std::uint64_t number)
+        : Entry(order, accepted), socket(std::move(s)), id(number) {}
     tcp::socket socket;
+    const std::uint64_t id; // unique within the process, for the log
     SocketBudget::Lease lease;
     bool staying = false;             // may be idle: this broker drains, and it could not come again
     std::function<void()> notify;     // set by the front: look at `closing` and `pass`
     std::function<void(Passed)> pass; // set while connections are handed to another process
     Passed early;                     // what came with it from there
 
+    std::optional<CloseReason> reason; // the first cause of its end
+    Micros closing_since = 0;          // when it was told to end, Unix time in us
+    std::uint64_t asked_since = 0;     // requests read since then
+    bool writing = false;              // bytes for it are not written yet
+
     bool idle() const { return use().idle(); }
+    void note(CloseReason why) {
+        if (!reason) reason = why;
+    }
     bool unread() {
         boost::system::error_code error;
         return socket.available(error) > 0;
     }
     /// Takes no more requests; the front ends the connection once what is owed is paid.
-    void begin_closing() {
+    void begin_closing(CloseReason why, Micros now) {
+        note(why);
+        if (!use().closing) closing_since = now;
         mark_closing();
         if (notify) notify();
     }
-    void close() {
+    void close(CloseReason why) {
+        note(why);
         boost::system::error_code ignored;
         socket.shutdown(tcp::socket::shutdown_both, ignored);
         socket.close(ignored);
@@ -57,8 +70,8 @@
 public:
     using Front = std::function<asio::awaitable<void>(Client &)>;
 
-    Clients(asio::io_context &io, core::Deadlines &deadlines, SocketBudget &budget, tcp::acceptor acceptor,
-            Front front);
+    Clients(asio::io_context &io, core::Deadlines &deadlines, SocketBudget &budget, ClientFigures &figures,
+            tcp::acceptor acceptor, Front front);
     // At a planned end: serves on until the time given, new connections too, then lets all go between
     // requests. `done` is called once none is left.
     void drain(Micros until, std::function<void()> done);
@@ -72,6 +85,8 @@
     void hand_over(std::function<void(Passed)> pass);
     void adopt(Passed passed);
     int listener() { return acceptor_.native_handle(); }
+    std::size_t open() const { return clients_.size(); }
+    std::size_t closing() const; // told to end, and not ended yet
 
 private:
     asio::awaitable<void> accept();
@@ -81,10 +96,14 @@
     void limit_idle_askers(); // closes the longest unused, if too many clients that asked stay
     void drain_turn();
     void send_away();
+    void log_ended(const Client &client) const;
+    // Says, each second while connections are being closed for the cause given, what keeps them.
+    void report_closing(std::string_view cause);
 
     asio::io_context &io_;
     core::Deadlines &deadlines_;
     SocketBudget &budget_;
+    ClientFigures &figures_;
     tcp::acceptor acceptor_;
     Front front_;
     EvictionOrder order_; // outlives the clients, which are filed in it
@@ -94,7 +113,7 @@
     bool paused_ = false;
     core::Mailbox<bool> resumed_;
     Micros drain_until_ = 0, last_new_ = 0;
-    core::Deadlines::Entry look_, away_;
+    core::Deadlines::Entry look_, away_, report_;
 };
 
 } // namespace marblewood::net
--- a/src/net/control/control.cpp
+++ b/src/net/control/control.cpp
@@ -54,6 +54,14 @@
                                                                        {"datagram_bytes", c.datagram_bytes}})
         count(name, n);
     for (const auto &[name, n] : c.overload) count(name, n);
+    for (std::size_t n = 0; n < figures.repeats.size(); ++n)
+        count(fmt::format("repeats_{}", core::kStatusNames[n]), figures.repeats[n]);
+    count("hedges", figures.hedges);
+    count("clients_accepted", state.clients.accepted);
+    for (std::size_t n = 0; n < state.clients.closed.size(); ++n)
+        count(fmt::format("clients_closed_{}", kCloseReasonNames[n]), state.clients.closed[n]);
+    out += fmt::format("balancer.clients_open:{}|g\nbalancer.clients_closing:{}|g\n", state.clients_open,
+                       state.clients_closing);
     out += fmt::format("balancer.current:{}|g\nbalancer.cluster_size:{}|g\nbalancer.cluster_unhealthy:{}|g\n",
                        state.current, state.nodes, state.avoided);
     return out;
--- a/src/net/control/control.hpp
+++ b/src/net/control/control.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/figures.hpp"
+#include "net/client_figures.hpp"
 #include "net/costs.hpp"
 #include "net/http.hpp"
 
@@ -13,6 +14,8 @@
 struct State { // what is so now, beside the counts
     std::size_t current = 0, nodes = 0, avoided = 0;
     Costs costs;
+    ClientFigures clients;
+    std::size_t clients_open = 0, clients_closing = 0;
 };
 // The figures, a line each, in the form of StatsD.
 std::string spell(const core::Figures &figures, const Settings &settings, const State &state);
--- a/src/net/nvme/front.cpp
+++ b/src/net/nvme/front.cpp
@@ -52,7 +52,7 @@
         complete(cid, {status::kAborted, 0, may_have_run});
         return true;
     }
-    void close() { client_.close(); }
+    void close() { client_.close(CloseReason::ClientLeft); } // its controller has ended
 
 private:
     const char *front() const override { return "nvme"; }
@@ -93,7 +93,8 @@
                 if (keep_alive_ > 0) expect_life();
             }
         } catch (const Malformed &error) { // what the host meant is not guessed: it is told, and let go
-            core::log("nvme client: {}", error.what());
+            core::log("nvme client {}: {}", client_.id, error.what());
+            client_.note(CloseReason::ProtocolError);
             send(term_req(Type::C2HTermReq, error), 0);
             end_now("malformed");
         }
@@ -105,7 +106,7 @@
     }
     Micros may_idle() const override { return 0; } // a host with a controller has its keep-alives
     void spoilt(const char *why) override {
-        core::log("nvme client: {}", why);
+        core::log("nvme client {}: {}", client_.id, why);
         send(term_req(Type::C2HTermReq, Malformed(Fatal::HeaderField, why, in_.substr(0, kMostHead))), 0);
         end_now(why);
     }
@@ -220,6 +221,7 @@
         auto r = std::make_shared<core::Request>();
         r->piece = fmt::format("{:016x}", piece);
         r->id = fmt::format("{:016x}", desk_.fresh());
+        r->connection = client_.id;
         r->sent = working.sent;
         r->body = data;
         RequestArrived &f = r->facts;
@@ -235,6 +237,7 @@
         // The broker's own repeats bear one key; a host's repeat is a new command with a key of its own.
         if (desk_.settings.classes[f.cls].effect == Effect::Keyed)
             r->repeat_key = fmt::format("{:016x}", desk_.fresh());
+        if (client_.use().closing) ++client_.asked_since;
         core::Taker &taker = desk_.taker(*r);
         working.taker = &taker;
         const std::uint64_t serial = working.serial;
@@ -397,8 +400,8 @@
     }
     void expect_life() {
         life_ = deadlines_.in(keep_alive_, [this] {
-            core::log("nvme client: no keep-alive in time");
-            client_.close();
+            core::log("nvme client {}: no keep-alive in time", client_.id);
+            client_.close(CloseReason::KeepAlive);
         });
     }
 
--- a/src/net/resp/front.cpp
+++ b/src/net/resp/front.cpp
@@ -85,6 +85,7 @@
             in_.erase(0, in_.size() - bytes.size());
         } catch (const Malformed &error) { // where the next command begins cannot be known any more
             over_ = true;
+            client_.note(CloseReason::ProtocolError);
             spoilt(error.what());
         }
     }
@@ -115,6 +116,7 @@
         if (name == "CLIENT" || name == "SELECT") return say("+OK\r\n");
         if (name == "QUIT") {
             over_ = true;
+            client_.note(CloseReason::Quit);
             return say("+OK\r\n");
         }
         if (name != "OBJ.GET" && name != "OBJ.PUT") return turn_away("unknown command");
@@ -132,7 +134,9 @@
         // Its answers could not be told from the other's, and a node takes one for a repeat of the other.
         if (!open_.insert(read.id).second) throw Malformed("the id of an open request");
         client_.mark_asked();
+        if (client_.use().closing) ++client_.asked_since;
         useless_ = 0;
+        read.connection = client_.id;
         read.sent = deadlines_.clock.now(); // its last byte: however slowly it was written
         auto request = std::make_shared<const core::Request>(std::move(read));
         core::Taker &taker = desk_.taker(*request);
@@ -196,7 +200,7 @@
             co_await flushed();
         }
         if (gone()) co_return stream->abandon();
-        if (!stream->whole()) co_return client_.close();
+        if (!stream->whole()) co_return client_.close(CloseReason::BrokenValue);
         streaming_ = false;
         slots_.pop_front(), ++first_;
         send("\r\n", 1);
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -93,6 +93,7 @@
 // Whoever waits for an answer and goes is seen here: nothing more is done for it.
 void Session::client_gone() {
     if (std::exchange(gone_, true)) return;
+    client_.note(CloseReason::ClientLeft);
     left();
 }
 
@@ -117,6 +118,7 @@
     boost::system::error_code error;
     Descriptor fd(client_.socket.release(error));
     gone_ = true; // from here
+    client_.note(CloseReason::HandedOver);
     if (!error) client_.pass({front(), client_.use().asked, since_, std::move(*bytes), std::move(fd)});
     return true;
 }
@@ -127,7 +129,8 @@
     take_all();
     if (in_.empty()) std::string().swap(in_); // its room, too
     // Many connections with a part of a message each must not add up to more than the machine has.
-    if (begun() && !over_ && memory_.full() && held() > kFreeRein) stop_reading("no room for it");
+    if (begun() && !over_ && memory_.full() && held() > kFreeRein)
+        stop_reading(CloseReason::Incomplete, "no room for it");
     client_.set_partial(begun() && !over_);
     share_.set(held() + out_.size());
 }
@@ -140,13 +143,18 @@
     if (over_) return;
     const ConnectionUse &use = client_.use();
     if (use.partial)
-        patience_ = deadlines_.at(since_ + kWholeWithin, [this] { stop_reading("it does not come whole"); });
+        patience_ = deadlines_.at(since_ + kWholeWithin, [this] {
+            stop_reading(CloseReason::Incomplete, "it does not come whole");
+        });
     else if (use.idle() && (!use.asked || (idle > 0 && !client_.staying)))
-        patience_ = deadlines_.at(use.asked ? use.used + idle : use.accepted + kAskWithin,
-                                  [this] { client_.begin_closing(); });
+        patience_ = deadlines_.at(use.asked ? use.used + idle : use.accepted + kAskWithin, [this, &use] {
+            client_.begin_closing(use.asked ? CloseReason::Idle : CloseReason::SilentClient,
+                                  deadlines_.clock.now());
+        });
 }
 
-void Session::stop_reading(const char *why) {
+void Session::stop_reading(CloseReason reason, const char *why) {
+    client_.note(reason);
     spoilt(why);
     over_ = true;
     client_.set_partial(false);
@@ -168,7 +176,7 @@
     out_answers_ += answers;
     share_.set(held() + out_.size());
     if (writing_ || gone_) return;
-    writing_ = true;
+    writing_ = client_.writing = true;
     asio::co_spawn(client_.socket.get_executor(), write(shared_from_this()), asio::detached);
 }
 
@@ -177,16 +185,18 @@
         const std::string out = std::exchange(self->out_, {});
         const std::size_t answers = std::exchange(self->out_answers_, 0);
         boost::system::error_code error;
-        const auto limit = self->deadlines_.in(kReadWithin, [&client = self->client_] { client.close(); });
+        const auto limit = self->deadlines_.in(
+            kReadWithin, [&client = self->client_] { client.close(CloseReason::NotReading); });
         co_await asio::async_write(self->client_.socket, asio::buffer(out),
                                    asio::redirect_error(asio::use_awaitable, error));
         self->client_.settle_answers(answers);
         self->client_.received(self->deadlines_.clock.now());
         self->share_.set(self->held() + self->out_.size());
-        if (error) self->client_.close(); // the reader sees it, and tells that the client has gone
+        // The reader sees it, and tells that the client has gone.
+        if (error) self->client_.close(CloseReason::ClientLeft);
         self->wake();
     }
-    self->writing_ = false;
+    self->writing_ = self->client_.writing = false;
     self->wake();
     if (self->flow_.empty()) self->flow_.put(true);
     if (!self->client_.notify) co_return; // it has ended
@@ -211,14 +221,14 @@
         else if (n % kDropped == 0)
             co_await rest(kDropRest);
     }
-    if (gone_) client_.close(); // what is still being written has no reader
+    if (gone_) client_.close(CloseReason::ClientLeft); // what is still being written has no reader
     while (writing_) co_await wake_.take();
     if (gone_) co_return;
     boost::system::error_code error;
     client_.socket.shutdown(tcp::socket::shutdown_send, error);
     client_.mark_ending();
     const auto limit = deadlines_.in(kLinger, [this] {
-        client_.close();
+        client_.close(CloseReason::ClientLeft);
         wake();
     });
     for (int n = 0; n < kDropped && !error; ++n, dropped.clear())
--- a/src/net/session.hpp
+++ b/src/net/session.hpp
@@ -46,7 +46,7 @@
     bool crowded() const; // as much is owed as one connection may ask for at once
     bool hand_over();
     void mind();
-    void stop_reading(const char *why);
+    void stop_reading(CloseReason reason, const char *why);
     void client_gone();
     bool hung_up() const; // it has, behind whatever has come and is not read yet
     asio::awaitable<boost::system::error_code> readable(); // operation_aborted where it was stirred instead
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -96,6 +96,38 @@
     program.await_log("failed=0 broken=0 turned_away=1");
 }
 
+// Each client's connection is counted by what ended it, and each further attempt by what the one before met.
+void ends_and_repeats_are_counted_by_cause() {
+    RespNode node([](const auto &, int nth) {
+        return nth == 1 ? "-ERR failed\r\n" : nth == 2 ? RespNode::served("v") : "";
+    });
+    const Discovery discovery(member("s-1", node.server.port, 0));
+    const Program program(discovery);
+    const auto await = [&](const char *name, long value) {
+        for (int n = 0; n < 500 && program.figures().at(name) != value; ++n)
+            std::this_thread::sleep_for(10ms);
+        assert(program.figures().at(name) == value);
+    };
+    Socket client = program.client();
+    client.send(get(kPiece));
+    assert(client.value()->text == "v" && program.figures().at("repeats_error") == 1);
+    const std::string id = fresh_id();
+    client.send(get(kPiece, 0, 1500, id)); // the node closes the connection each time
+    assert(!client.value()->text.empty() && program.figures().at("repeats_reset") >= 1);
+    program.await_log(fmt::format("request {} of client ", id));
+    const auto before = program.figures();
+    assert(before.at("clients_open") >= 1 && before.at("clients_closing") == 0);
+    client.send("nonsense\r\n");
+    assert(client.ended());
+    await("clients_closed_malformed", 1);
+    Socket silent = program.client();
+    assert(silent.ended());
+    await("clients_closed_silent", 1);
+    const long left = program.figures().at("clients_closed_client_left");
+    { const Socket leaver = program.client(); }
+    await("clients_closed_client_left", left + 1);
+}
+
 void a_request_under_way_is_current() {
     std::atomic<bool> go = false;
     RespNode node([&](const auto &, int) {
@@ -179,6 +211,7 @@
     a_call_may_come_in_pieces();
     figures_are_what_happened();
     costs_are_counted();
+    ends_and_repeats_are_counted_by_cause();
     a_request_under_way_is_current();
     a_cordoned_node_stays_out();
     clients_are_sent_away_and_taken_again();
--- a/tests/eviction_test.cpp
+++ b/tests/eviction_test.cpp
@@ -146,8 +146,9 @@
 class FullBroker {
 public:
     explicit FullBroker(std::size_t clients)
-        : budget_(descriptors_for(clients)), served_(io_, deadlines_, budget_, net::listen_at(io_, kAnyPort),
-                                                     [](net::Client &client) { return hold(client); }),
+        : budget_(descriptors_for(clients)),
+          served_(io_, deadlines_, budget_, figures_, net::listen_at(io_, kAnyPort),
+                  [](net::Client &client) { return hold(client); }),
           at_(net::listen_with(io_, net::Descriptor(::dup(served_.listener()))).local_endpoint()) {
         for (std::size_t n = 0; n < clients; ++n) connect();
     }
@@ -183,6 +184,7 @@
     core::Clock clock_;
     core::Deadlines deadlines_{io_, clock_};
     net::SocketBudget budget_;
+    net::ClientFigures figures_;
     net::Clients served_;
     net::tcp::endpoint at_;
     std::vector<net::tcp::socket> sockets_;
