Add the failing tests of the incident: connections that pipeline are never ended

Need: the incident reproduced, with real processes, before any fix.

Seen: a client that writes a request every 30 ms on one connection, each answered after 400 ms, is still connected 15 s after quiesce, through a slow proxy that cuts bytes into pieces.

--- /dev/null
+++ b/tests/closing_test.cpp
@@ -0,0 +1,349 @@
+// Connections that a broker has to end while their clients go on using them: at quiesce, at a handover, at
+// the end of the process. A client that pipelines is never between requests, so no end may wait for that.
+// Run with the name of a group: quiesce, handover or shutdown.
+#include "faults/fault_proxy.hpp"
+#include "helper.hpp"
+
+#include <algorithm>
+
+using namespace test;
+using Clock = std::chrono::steady_clock;
+
+namespace {
+
+// What the operators' rule allows from the call of quiesce until no client's connection may be held idle or
+// with a recent request.
+constexpr auto kSentAwayWithin = 4s;
+constexpr auto kLookEvery = 10ms;
+const std::string kPiece = "7f3a9c21e0b4d655", kHanging = "00000000000000aa";
+const std::string kPing = "*1\r\n$4\r\nPING\r\n";
+// The longest deadline is over 3 s, so that the process may be ended by force 3.7 s after SIGTERM.
+const std::string kLongDeadlines = [] {
+    std::string settings = kSettings;
+    const std::string usual = R"("hard_limit":1500.0)";
+    return settings.replace(settings.find(usual), usual.size(), R"("hard_limit":7500.0)");
+}();
+
+// Serves each request after the time given, with the request's id as the value; the hanging piece only after
+// ten seconds.
+RespNode::Script echo_after(std::chrono::milliseconds time) {
+    return [time](const auto &words, int) {
+        std::this_thread::sleep_for(words[1] == kHanging ? 10s : time);
+        return RespNode::served(words[2]);
+    };
+}
+
+// Writes requests without waiting for their answers, which a thread of its own reads, until the broker ends
+// the connection.
+class PipeliningClient {
+public:
+    PipeliningClient(int port, std::chrono::milliseconds every, int wait_ms,
+                     const std::string &first = kPiece)
+        : socket_(Socket::to(port)), every_(every), wait_ms_(wait_ms) {
+        write(first);
+        writer_ = std::thread([this] {
+            while (!over_ && write(kPiece)) std::this_thread::sleep_for(every_);
+        });
+        reader_ = std::thread([this] { read(); });
+    }
+    ~PipeliningClient() {
+        over_ = true;
+        socket_.shut();
+        writer_.join();
+        reader_.join();
+    }
+    void stop_writing() { over_ = true; }
+    bool ended() const { return ended_; }
+    // Waits until the broker has ended the connection; when that was.
+    Clock::time_point await_end(std::chrono::milliseconds patience = 15s) const {
+        for (const auto until = Clock::now() + patience; !ended_; std::this_thread::sleep_for(kLookEvery))
+            assert(Clock::now() < until);
+        return at_;
+    }
+    // Each answer belongs to its request, in their order, and what a node took has been answered.
+    void check(const RespNode &node) const {
+        const std::lock_guard lock(mutex_);
+        assert(answers_.size() <= ids_.size());
+        for (std::size_t n = 0; n < answers_.size(); ++n)
+            assert(answers_[n] == ids_[n] || answers_[n].starts_with("BUSY") || answers_[n] == "ERR failed");
+        std::set<std::string> unanswered(ids_.begin() + static_cast<long>(answers_.size()), ids_.end());
+        for (const auto &words : node.taken())
+            if (words.size() > 2) assert(!unanswered.contains(words[2]));
+    }
+    std::size_t served() const {
+        const std::lock_guard lock(mutex_);
+        return static_cast<std::size_t>(std::ranges::count_if(
+            answers_, [](const std::string &a) { return !a.starts_with("BUSY") && !a.starts_with("ERR"); }));
+    }
+    std::size_t answered() const {
+        const std::lock_guard lock(mutex_);
+        return answers_.size();
+    }
+
+private:
+    bool write(const std::string &piece) {
+        const std::string id = fresh_id();
+        {
+            const std::lock_guard lock(mutex_);
+            ids_.push_back(id);
+        }
+        return socket_.send(get(piece, 0, wait_ms_, id));
+    }
+    void read() {
+        while (const auto value = socket_.value()) {
+            const std::lock_guard lock(mutex_);
+            answers_.push_back(value->text.empty() && !value->elements.empty() ? value->elements[0].text
+                                                                               : value->text);
+        }
+        at_ = Clock::now();
+        ended_ = true;
+    }
+
+    Socket socket_;
+    const std::chrono::milliseconds every_;
+    const int wait_ms_;
+    mutable std::mutex mutex_;
+    std::vector<std::string> ids_, answers_;
+    std::atomic<bool> over_ = false, ended_ = false;
+    Clock::time_point at_;
+    std::thread writer_, reader_;
+};
+
+void await_answers(const PipeliningClient &client, std::size_t count) {
+    for (const auto until = Clock::now() + 15s; client.answered() < count;
+         std::this_thread::sleep_for(kLookEvery))
+        assert(Clock::now() < until);
+}
+
+Clock::time_point quiesce(const Program &program) {
+    const auto called = Clock::now();
+    assert(program.call("POST", "quiesce").first == 200);
+    return called;
+}
+
+// ---- Quiesce ----
+
+// The incident: requests are always open on the connection, and new ones come before these are answered.
+void a_pipelining_client_is_sent_away() {
+    RespNode node(echo_after(400ms));
+    const Discovery discovery(member("s-1", node.server.port, 0));
+    const Program program(discovery);
+    // Through a network that is slow and cuts what it carries into pieces.
+    FaultProxy proxy(program.port, {.late = 20ms, .most_piece = 50});
+    const PipeliningClient client(proxy.port(), 30ms, 4000);
+    await_answers(client, 5);
+    const auto called = quiesce(program);
+    assert(client.await_end() - called < kSentAwayWithin);
+    client.check(node);
+    assert(client.served() >= 5);
+}
+
+// A request that takes longer than the rule allows stands before newer ones on its connection, whose answers
+// have to wait for its own.
+void newer_requests_behind_a_hanging_one_hold_no_connection() {
+    RespNode node(echo_after(50ms));
+    const Discovery discovery(member("s-1", node.server.port, 0));
+    const Program program(discovery, "", kLongDeadlines);
+    const PipeliningClient client(program.port, 50ms, 7000, kHanging);
+    std::this_thread::sleep_for(300ms);
+    const auto called = quiesce(program);
+    assert(client.await_end() - called < kSentAwayWithin);
+    client.check(node);
+}
+
+// One request that was taken long before is still answered, however long that takes, where nothing newer
+// stands behind it.
+void an_old_request_alone_keeps_its_connection() {
+    RespNode node([](const auto &words, int) {
+        std::this_thread::sleep_for(5s);
+        return RespNode::served(words[2]);
+    });
+    const Discovery discovery(member("s-1", node.server.port, 0));
+    const Program program(discovery, "", kLongDeadlines);
+    Socket client = program.client();
+    const std::string id = fresh_id();
+    client.send(get(kPiece, 0, 7000, id));
+    while (node.taken().empty()) std::this_thread::sleep_for(kLookEvery);
+    quiesce(program);
+    assert(client.value()->text == id && client.ended());
+}
+
+// Bytes of a next request trickle in behind an open one.
+void part_of_a_request_holds_no_connection() {
+    RespNode node(echo_after(2600ms));
+    const Discovery discovery(member("s-1", node.server.port, 0));
+    const Program program(discovery, "", kLongDeadlines);
+    Socket client = program.client();
+    client.send(get(kPiece, 0, 7000));
+    const auto called = quiesce(program);
+    std::this_thread::sleep_until(called + 2s); // the request is still open
+    client.send(kPing.substr(0, 6));
+    client.ended();
+    assert(Clock::now() - called < kSentAwayWithin);
+}
+
+// Operators who are not sure of the answer call again.
+void calling_again_puts_nothing_off() {
+    RespNode node(echo_after(10ms));
+    const Discovery discovery(member("s-1", node.server.port, 0));
+    const Program program(discovery);
+    Socket idle = program.client();
+    idle.send(get(kPiece));
+    assert(idle.value().has_value());
+    PipeliningClient client(program.port, 30ms, 1500);
+    const auto called = quiesce(program);
+    std::atomic<bool> over = false;
+    std::thread again([&] {
+        for (; !over; std::this_thread::sleep_for(300ms)) quiesce(program);
+    });
+    idle.ended();
+    const auto idle_ended = Clock::now();
+    const auto client_ended = client.await_end(6s);
+    over = true;
+    again.join();
+    assert(idle_ended - called < kSentAwayWithin && client_ended - called < kSentAwayWithin);
+}
+
+// Commands as fast as the connection takes them, all of them answered at once.
+void a_flood_of_commands_holds_no_connection() {
+    const Discovery discovery(member("s-1", free_port(), 0));
+    const Program program(discovery);
+    Socket client = program.client();
+    std::string many;
+    for (int n = 0; n < 100; ++n) many += kPing;
+    const auto called = quiesce(program);
+    std::thread reader([&] { client.ended(); });
+    while (Clock::now() - called < 6s && client.send(many)) {
+    }
+    reader.join();
+    assert(Clock::now() - called < kSentAwayWithin);
+}
+
+// A client that writes and never reads.
+void a_client_that_reads_nothing_holds_no_connection() {
+    RespNode node([](const auto &, int) { return RespNode::served(std::string(60'000, 'v')); });
+    const Discovery discovery(member("s-1", node.server.port, 0));
+    const Program program(discovery);
+    Socket client = program.client();
+    std::atomic<bool> over = false;
+    std::thread writer([&] { // until nothing of the answers fits between the two any more, and beyond
+        while (!over && client.send(get(kPiece, 0, 600))) std::this_thread::sleep_for(2ms);
+    });
+    for (long before = -1; program.figures().at("answered.read") !=
+                           std::exchange(before, program.figures().at("answered.read"));)
+        std::this_thread::sleep_for(1s);
+    const auto called = quiesce(program);
+    std::this_thread::sleep_until(called + kSentAwayWithin);
+    const long open = program.figures().at("clients_open");
+    over = true;
+    client.shut();
+    writer.join();
+    assert(open == 0);
+}
+
+// The wall clock is set by an hour, forward and back, while clients are sent away.
+void a_stepped_wall_clock_changes_nothing() {
+    for (const int seconds : {-3600, -7, 7, 3600}) {
+        RespNode node(echo_after(200ms));
+        const Discovery discovery(member("s-1", node.server.port, 0));
+        ClockSteps steps;
+        const Program program(discovery);
+        Socket idle = program.client();
+        const PipeliningClient client(program.port, 30ms, 1500);
+        idle.send(get(kPiece));
+        assert(idle.value().has_value());
+        const auto called = quiesce(program);
+        steps.step(std::chrono::seconds(seconds));
+        idle.ended();
+        assert(Clock::now() - called < kSentAwayWithin);
+        assert(client.await_end() - called < kSentAwayWithin);
+        client.check(node);
+    }
+}
+
+// ---- Handover ----
+
+// What operators tell the successor holds for the connections that its predecessor still has.
+void a_predecessor_sends_its_clients_away_too() {
+    RespNode node(echo_after(400ms));
+    const Discovery discovery(member("s-1", node.server.port, 0));
+    const Program old(discovery);
+    const PipeliningClient client(old.port, 30ms, 4000);
+    await_answers(client, 5);
+    const Program fresh(old);
+    const auto called = quiesce(fresh);
+    assert(client.await_end() - called < kSentAwayWithin);
+    client.check(node);
+}
+
+// The time since the call counts on in the successor.
+void a_handover_puts_nothing_off() {
+    RespNode node(echo_after(400ms));
+    const Discovery discovery(member("s-1", node.server.port, 0));
+    const Program old(discovery);
+    Socket idle = old.client();
+    idle.send(get(kPiece));
+    assert(idle.value().has_value());
+    const PipeliningClient client(old.port, 30ms, 4000);
+    const auto called = quiesce(old);
+    std::this_thread::sleep_for(700ms);
+    const Program fresh(old);
+    idle.ended();
+    assert(Clock::now() - called < kSentAwayWithin);
+    assert(client.await_end() - called < kSentAwayWithin);
+    client.check(node);
+}
+
+// ---- Shutdown ----
+
+// Until the process may be ended by force, every request that was taken is answered, and then it has gone.
+void a_pipelining_client_is_answered_before_the_end(const std::string &first) {
+    RespNode node(echo_after(100ms));
+    const Discovery discovery(member("s-1", node.server.port, 0));
+    Program program(discovery, "", kLongDeadlines);
+    const PipeliningClient client(program.port, 30ms, 7000, first);
+    std::this_thread::sleep_for(300ms);
+    const auto told = Clock::now();
+    program.signal(SIGTERM);
+    assert(client.await_end() - told < 3700ms);
+    client.check(node);
+    assert(program.exit_code() == 0);
+    assert(Clock::now() - told < 3700ms);
+}
+
+struct Scenario {
+    const char *group, *name;
+    std::function<void()> play;
+};
+const std::vector<Scenario> kScenarios{
+    {"quiesce", "pipelining", a_pipelining_client_is_sent_away},
+    {"quiesce", "behind_hanging", newer_requests_behind_a_hanging_one_hold_no_connection},
+    {"quiesce", "old_request", an_old_request_alone_keeps_its_connection},
+    {"quiesce", "partial", part_of_a_request_holds_no_connection},
+    {"quiesce", "called_again", calling_again_puts_nothing_off},
+    {"quiesce", "flood", a_flood_of_commands_holds_no_connection},
+    {"quiesce", "unread", a_client_that_reads_nothing_holds_no_connection},
+    {"quiesce", "wall_clock", a_stepped_wall_clock_changes_nothing},
+    {"handover", "elapsed", a_handover_puts_nothing_off},
+    {"handover", "predecessor", a_predecessor_sends_its_clients_away_too},
+    {"shutdown", "pipelining", [] { a_pipelining_client_is_answered_before_the_end(kPiece); }},
+    {"shutdown", "behind_hanging", [] { a_pipelining_client_is_answered_before_the_end(kHanging); }},
+};
+
+} // namespace
+
+// Plays the scenarios of a group, or the one of them that is named.
+int main(int argc, char **argv) {
+    const std::string group = argc > 1 ? argv[1] : "", only = argc > 2 ? argv[2] : "";
+    int played = 0;
+    for (const Scenario &scenario : kScenarios) {
+        if (scenario.group != group || (!only.empty() && scenario.name != only)) continue;
+        fmt::print("{} {}\n", scenario.group, scenario.name);
+        std::fflush(stdout);
+        scenario.play();
+        ++played;
+    }
+    if (played > 0) return 0;
+    fmt::print(stderr, "usage: closing_test quiesce|handover|shutdown [scenario]\n");
+    return 2;
+}
