End connections that are told to end, whatever their clients go on sending

Cause: Session::run ended a closing connection only where ConnectionUse::idle() held, and went on taking requests until then. A client that pipelines is never idle, so after quiesce its connection stayed for good (the incident: 18 open requests on the one connection held). The class: an end that waits for a moment which the other side need not give. The same class elsewhere: a quiesce called again started its second anew (Clients::quiesce); a predecessor was not told of a quiesce at its successor, and a successor counted the time from its own start; at SIGTERM, answers stood behind an older request on their connection until the end may be forced; a client that reads nothing kept its connection for 10 s.

Change: begin_closing carries an end (Closing): requests that come over 100 ms later are refused at once (nothing has run), and after 2.2 s what is open is withdrawn (new event Withdraw: the module refuses or fails it by its class) where anything newer stands behind it, all of it at SIGTERM. What has been read is answered; nothing more is read then. Answers not read within 0.3 s more end the connection, but for a long value under way. Repeated quiesce calls change nothing; its time goes over to a successor, and a call there to the predecessor. Figures refused_closing, withdrawn; both are logged.

Ruled out by the tests: the wall clock (steps by 7 s and an hour), part of a message, the handover's own state.

--- a/include/marblewood/scheduler.hpp
+++ b/include/marblewood/scheduler.hpp
@@ -171,6 +171,10 @@
     RequestId id{};
 };
 
+struct Withdraw { // the request has to have its final answer now, though its client is there
+    RequestId id{};
+};
+
 struct TimerDue {
     std::uint64_t token = 0;
 };
@@ -219,7 +223,7 @@
 };
 
 using Event = std::variant<ListUpdate, RequestArrived, AttemptEnded, StreamStarted, ClientLeft, TimerDue,
-                           ProbeEnded, PeerMessage, Legacy, Retire>;
+                           ProbeEnded, PeerMessage, Legacy, Retire, Withdraw>;
 
 // Actions.
 
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -35,8 +35,9 @@
 // After SIGTERM the end is forced no sooner than the longest deadline, counted as kLongest at the most, and
 // kGrace more. What is answered by then is not lost: requests are taken until shortly before.
 constexpr Micros kLongest = 3'000'000, kGrace = 700'000;
-constexpr Micros kSpare = 150'000; // us of it that are left unused
-constexpr Micros kLetGo = 400'000; // us before that end at which connections are let go, between requests
+constexpr Micros kSpare = 150'000;    // us of it that are left unused
+constexpr Micros kLetGo = 400'000;    // us before that end at which connections are let go, between requests
+constexpr Micros kWithdraw = 200'000; // us before it at which what is still open is answered
 // One descriptor in so many is for a client whose request waits here. Clients have a third of them or more,
 // and at a handover two processes hold requests.
 constexpr std::size_t kHeldSockets = 8;
@@ -151,7 +152,8 @@
                                                            ports, around,
                                                            exporter ? &exporter->observer() : nullptr));
     }
-    bool away = false; // quiesced
+    bool away = false;     // quiesced
+    Micros away_since = 0; // when operators asked for it, by our clock
     const auto usual =
         [&](const core::Request &r) -> core::Planner & { // a volume always goes through the same one
         return *planners[static_cast<std::uint64_t>(r.facts.volume) % planners.size()];
@@ -230,6 +232,7 @@
         try {
             fleet.inherit(config::need(legacy->state, "fleet"));
             away = config::flag_or(legacy->state, "quiesced", false);
+            away_since = clock.now() - config::integer_or(legacy->state, "quiesced_us", 0);
         } catch (const config::Error &error) { // nothing of it is taken; the predecessor serves on
             core::log("handover: {}", error.what());
             legacy->channel = net::Descriptor();
@@ -304,18 +307,22 @@
             if (!reply) co_return std::pair(503, std::string("the keeper does not answer\n"));
             co_return std::pair(reply->ok ? 200 : 409, reply->text);
         };
-    operations.quiesce = [&](bool on) {
+    const auto send_away = [&] {
+        const auto since = away ? std::optional(away_since) : std::nullopt;
+        clients.quiesce(since);
+        if (nvme_clients) nvme_clients->quiesce(since);
+    };
+    const auto quiesce = [&](bool on) {
+        if (on && !away) away_since = clock.now();
         away = on;
-        clients.quiesce(on);
-        if (nvme_clients) nvme_clients->quiesce(on);
+        send_away();
+        if (handover) handover->tell_predecessor_quiesce(on);
     };
+    operations.quiesce = quiesce;
     operations.acts = [&] { return !handover || !handover->yielded(); };
     std::optional<net::control::Control> control;
     if (control_listener) control.emplace(io, deadlines, std::move(*control_listener), std::move(operations));
-    if (away) {
-        clients.quiesce(true);
-        if (nvme_clients) nvme_clients->quiesce(true);
-    }
+    send_away();
 
     // From one process to the next: see docs/design.md.
     const auto share = [&](bool shared, int clients_elsewhere) {
@@ -332,6 +339,7 @@
         net::handover::Inheritance all;
         accept(false);
         all.state["quiesced"] = away;
+        all.state["quiesced_us"] = static_cast<Json::Int64>(away ? clock.now() - away_since : 0);
         all.state["clients"] = budget.clients();
         all.state["fleet"] = fleet.state();
         const auto give = [&](const char *name, int socket) {
@@ -356,6 +364,7 @@
     program.adopt = [&](net::Passed passed) { clients.adopt(std::move(passed)); };
     program.alone = [&] { share(false, 0); };
     program.cordon = [&](const std::string &id, bool out) { cordon(id, out); };
+    program.quiesce = quiesce;
     if (!meeting.empty()) handover.emplace(io, deadlines, meeting, std::move(program));
     if (legacy && legacy->channel.get() >= 0) {
         share(true, static_cast<int>(config::integer_or(legacy->state, "clients", 0)));
@@ -397,8 +406,8 @@
         for (const ClassSettings &c : config.settings.classes) longest = std::max(longest, c.deadline);
         const Micros end = clock.now() + std::min(longest, kLongest) + kGrace - kSpare;
         for (const auto &planner : planners) planner->end_by(end);
-        clients.drain(end - kLetGo, done);
-        if (nvme_clients) nvme_clients->drain(end - kLetGo, done);
+        clients.drain(end - kLetGo, end - kWithdraw, done);
+        if (nvme_clients) nvme_clients->drain(end - kLetGo, end - kWithdraw, done);
     });
     io.run();
     core::log("ended");
--- a/src/core/figures.hpp
+++ b/src/core/figures.hpp
@@ -22,6 +22,8 @@
     std::uint64_t turned_away = 0; // requests the RESP2 front could not read, answered -ERR; not in `ended`
     std::uint64_t broken = 0;      // long values that broke off on their way, in `ended` as failed
     std::uint64_t unsent = 0;      // refused before any attempt, in `ended` as refused
+    std::uint64_t refused_closing = 0; // of those, as the client's connection was about to end
+    std::uint64_t withdrawn = 0;       // answered before their time, as the connection had to end
     // Further attempts, by how the attempt before had ended; and those begun beside one that is still out.
     std::array<std::uint64_t, kStatusNames.size()> repeats{};
     std::uint64_t hedges = 0;
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -27,8 +27,12 @@
     auto life = std::make_shared<Life>(executor_, memory_, id, std::move(request), std::move(answer),
                                        std::move(over));
     ++answers_;
-    if (memory_.full()) { // no room to hold it: nothing has run, and the client learns so at once
-        finish(*life, {Outcome::Kind::Refused, {}, settings_.max_retry_after, true});
+    // No room to hold it, or no time to answer it: nothing has run, and the client learns so at once.
+    if (memory_.full() || life->request->refuse_at_once) {
+        const bool closing =
+            life->request->refuse_at_once; // it may come again at once, on another connection
+        if (closing) ++figures_.refused_closing, ++figures_.unsent;
+        finish(*life, {Outcome::Kind::Refused, {}, closing ? 0 : settings_.max_retry_after, true});
         if (life->over) life->over();
         return id;
     }
@@ -106,6 +110,9 @@
         } else if (std::holds_alternative<Fail>(step)) {
             const Effect effect = settings_.classes[life->request->facts.cls].effect;
             finish(*life, {Outcome::Kind::Failed, {}, 0, effect == Effect::Safe});
+        } else if (std::holds_alternative<Withdrawn>(step)) {
+            if (life->answer) ++figures_.withdrawn;
+            tell(Withdraw{life->id});
         } else { // the client has left: nobody is there to be answered
             if (std::exchange(life->answer, nullptr)) --answers_;
             if (life->streamed) {
@@ -161,6 +168,7 @@
 }
 
 void Planner::client_left(RequestId id) { to_life(id, Left{}); }
+void Planner::withdraw(RequestId id) { to_life(id, Withdrawn{}); }
 
 void Planner::list(const ListUpdate &update) {
     if (update.kind != ListUpdate::Kind::Changes) nodes_.clear();
--- a/src/core/planner.hpp
+++ b/src/core/planner.hpp
@@ -40,6 +40,9 @@
     virtual RequestId submit(std::shared_ptr<const Request> request, Answer answer,
                              std::function<void()> over = nullptr) = 0;
     virtual void client_left(RequestId id) = 0;
+    // The request gets its final answer soon, whatever time its client has: refused where that is true, else
+    // failed. One whose value is being passed on goes on.
+    virtual void withdraw(RequestId id) = 0;
 };
 
 class Planner : public Taker {
@@ -51,6 +54,7 @@
     RequestId submit(std::shared_ptr<const Request> request, Answer answer,
                      std::function<void()> over = nullptr) override;
     void client_left(RequestId id) override;
+    void withdraw(RequestId id) override;
     void list(const ListUpdate &update);
     void peer_message(PeerMessage message) { tell(std::move(message)); }
     Legacy legacy(std::optional<VolumeId> only = {}) const { return scheduler_.legacy(only); }
@@ -67,6 +71,7 @@
 
 private:
     struct Left {};
+    struct Withdrawn {};
     struct Began {
         int attempt;
     };
@@ -74,7 +79,7 @@
         int attempt;
         AttemptResult result;
     };
-    using Step = std::variant<Send, Refuse, Fail, Cancel, Left, Began, Ended>;
+    using Step = std::variant<Send, Refuse, Fail, Cancel, Left, Withdrawn, Began, Ended>;
     struct Life {
         Life(boost::asio::any_io_executor executor, Memory &memory, RequestId number,
              std::shared_ptr<const Request> r, Answer a, std::function<void()> o)
--- a/src/core/types.hpp
+++ b/src/core/types.hpp
@@ -16,6 +16,7 @@
 struct Request {
     std::string id;               // the client's
     std::uint64_t connection = 0; // the client connection that it came on, for the log
+    bool refuse_at_once = false;  // that connection is about to end: nothing is begun for it
     std::string piece;            // the piece of data, as the client spells it
     RequestArrived facts;
     std::string repeat_key; // idempotency key, in a keyed class
--- a/src/net/cells/residence.cpp
+++ b/src/net/cells/residence.cpp
@@ -332,6 +332,16 @@
     if (e.attempt) e.attempt->stop(Status::Cancelled);
 }
 
+void Residence::withdraw(RequestId number) {
+    const auto at = entries_.find(static_cast<Id>(number));
+    if (at == entries_.end()) return;
+    Entry &entry = at->second;
+    if (entry.planner) return entry.planner->withdraw(entry.there);
+    if (entry.attempt) return entry.attempt->stop(Status::Cancelled);
+    if (std::exchange(entry.waits, false)) --waiting_;
+    refuse(at->first);
+}
+
 asio::awaitable<std::optional<link::Reply>> Residence::ask_keeper(std::string what, std::string body) {
     const std::uint64_t number = ++last_call_;
     const auto box = std::make_shared<core::Mailbox<std::optional<link::Reply>>>(io_.get_executor());
--- a/src/net/cells/residence.hpp
+++ b/src/net/cells/residence.hpp
@@ -34,6 +34,7 @@
     RequestId submit(std::shared_ptr<const core::Request> request, Answer answer,
                      std::function<void()> over = nullptr) override;
     void client_left(RequestId id) override;
+    void withdraw(RequestId id) override;
 
     // An operator's call, answered by the keeper; empty: it does not answer.
     asio::awaitable<std::optional<link::Reply>> ask_keeper(std::string what, std::string body);
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -25,6 +25,15 @@
 
 } // namespace
 
+void Client::end_by(CloseReason why, Micros now, Micros time, bool lone_requests) {
+    note(why);
+    if (!use().closing) closing = {now, time, false};
+    closing.end_by = std::min(closing.end_by, time);
+    closing.lone_requests = closing.lone_requests || lone_requests;
+    mark_closing();
+    if (notify) notify();
+}
+
 tcp::acceptor listen_at(asio::io_context &io, const tcp::endpoint &at) {
     // The process that had the address before may still be on its way out.
     const auto until = std::chrono::steady_clock::now() + kAddressHeld;
@@ -101,7 +110,7 @@
     client->early = std::move(early);
     client->pass = pass_;
     client->staying = done_ != nullptr;
-    if (!acceptor_.is_open()) client->begin_closing(CloseReason::Shutdown, last_new_);
+    if (!acceptor_.is_open()) client->end_by(CloseReason::Shutdown, last_new_, drain_end_, true);
     asio::co_spawn(io_, serve(client), asio::detached);
     limit_idle_askers();
 }
@@ -171,9 +180,10 @@
     if (done_ && clients_.empty() && !acceptor_.is_open()) std::exchange(done_, nullptr)();
 }
 
-void Clients::drain(Micros until, std::function<void()> done) {
+void Clients::drain(Micros until, Micros end, std::function<void()> done) {
     done_ = std::move(done);
     drain_until_ = until;
+    drain_end_ = end;
     last_new_ = deadlines_.clock.now();
     for (Client &client : clients_) {
         client.staying = true;
@@ -182,15 +192,17 @@
     drain_turn();
 }
 
-void Clients::quiesce(bool on) {
+void Clients::quiesce(std::optional<Micros> since) {
+    if (since.has_value() == quiesced_.has_value()) return;
+    quiesced_ = since;
     away_.reset();
     report_.reset();
-    core::log("quiesce: {}", on ? "clients are sent away once the front has moved" : "over");
-    if (on)
-        away_ = deadlines_.in(kFrontMoves, [this] {
-            report_closing("quiesce");
-            send_away();
-        });
+    core::log("quiesce: {}", since ? "clients are sent away once the front has moved" : "over");
+    if (!since) return;
+    away_ = deadlines_.at(*since + kFrontMoves, [this] {
+        report_closing("quiesce");
+        send_away();
+    });
 }
 
 std::size_t Clients::closing() const {
@@ -200,8 +212,8 @@
 
 // Whoever closes at once needs no line: there may be hundreds.
 void Clients::log_ended(const Client &client) const {
-    const Micros took = deadlines_.clock.now() - client.closing_since;
-    if (client.closing_since == 0 || took < kSlowToClose) return;
+    const Micros took = deadlines_.clock.now() - client.closing.since;
+    if (client.closing.since == 0 || took < kSlowToClose) return;
     core::log("client {} ended {} ms after it was to ({}); requests read meanwhile: {}", client.id,
               took / 1000, name(*client.reason), client.asked_since);
 }
@@ -215,12 +227,12 @@
         std::ranges::count_if(clients_, partial));
     const Client *longest = nullptr;
     for (const Client &client : clients_)
-        if (client.use().closing && (!longest || client.closing_since < longest->closing_since))
+        if (client.use().closing && (!longest || client.closing.since < longest->closing.since))
             longest = &client;
     if (longest)
         core::log("{}: client {} is closing for {} ms ({}): open requests {}, read meanwhile {}, part of one "
                   "{}, unwritten answers {}",
-                  cause, longest->id, (deadlines_.clock.now() - longest->closing_since) / 1000,
+                  cause, longest->id, (deadlines_.clock.now() - longest->closing.since) / 1000,
                   name(*longest->reason), longest->use().owed, longest->asked_since, longest->use().partial,
                   longest->writing);
     report_ = deadlines_.in(kReportEvery, [this, cause] {
@@ -258,7 +270,7 @@
     }
     acceptor_.close(error);
     report_closing("shutdown");
-    for (Client &client : clients_) client.begin_closing(CloseReason::Shutdown, now);
+    for (Client &client : clients_) client.end_by(CloseReason::Shutdown, now, drain_end_, true);
     if (clients_.empty() && done_) std::exchange(done_, nullptr)();
 }
 
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -22,6 +22,27 @@
     Descriptor descriptor;
 };
 
+/// How a connection ends that has been told to. Times are Unix time in us.
+///
+/// A client may go on sending, and one that pipelines is never between requests. So nothing waits for that:
+/// from kCrossing on new requests are refused at once, and at `end_by` what is still open is withdrawn, so
+/// that the connection is over once the answers are written.
+struct Closing {
+    /// us for which requests that cross the beginning are still served.
+    static constexpr Micros kCrossing = 100'000;
+    /// us until the end, unless the process ends earlier: a request that takes 2 s to write comes whole.
+    static constexpr Micros kWithin = 2'200'000;
+    /// us beyond that for a client to read its answers.
+    static constexpr Micros kFlushWithin = 300'000;
+
+    Micros since = 0; ///< 0: it has not been told to end
+    Micros end_by = 0;
+    /// Whether a request is withdrawn, too, after which nothing has come. If not, it keeps its own time.
+    bool lone_requests = false;
+
+    bool refuses(Micros now) const { return since > 0 && now - since >= kCrossing; }
+};
+
 /// One client's connection, as its front sees it. How it is used is said through EvictionOrder::Entry.
 struct Client : EvictionOrder::Entry {
     Client(tcp::socket s, EvictionOrder &order, Micros accepted, std::uint64_t number)
@@ -35,9 +56,9 @@
     Passed early;                     // what came with it from there
 
     std::optional<CloseReason> reason; // the first cause of its end
-    Micros closing_since = 0;          // when it was told to end, Unix time in us
-    std::uint64_t asked_since = 0;     // requests read since then
-    bool writing = false;              // bytes for it are not written yet
+    Closing closing;
+    std::uint64_t asked_since = 0; // requests read since it was told to end
+    bool writing = false;          // bytes for it are not written yet
 
     bool idle() const { return use().idle(); }
     void note(CloseReason why) {
@@ -48,12 +69,9 @@
         return socket.available(error) > 0;
     }
     /// Takes no more requests; the front ends the connection once what is owed is paid.
-    void begin_closing(CloseReason why, Micros now) {
-        note(why);
-        if (!use().closing) closing_since = now;
-        mark_closing();
-        if (notify) notify();
-    }
+    void begin_closing(CloseReason why, Micros now) { end_by(why, now, now + Closing::kWithin, false); }
+    /// The same, with the time by which it has to be over. Told again, the earlier time counts.
+    void end_by(CloseReason why, Micros now, Micros time, bool lone_requests);
     void close(CloseReason why) {
         note(why);
         boost::system::error_code ignored;
@@ -72,12 +90,12 @@
 
     Clients(asio::io_context &io, core::Deadlines &deadlines, SocketBudget &budget, ClientFigures &figures,
             tcp::acceptor acceptor, Front front);
-    // At a planned end: serves on until the time given, new connections too, then lets all go between
-    // requests. `done` is called once none is left.
-    void drain(Micros until, std::function<void()> done);
-    // Sends all away between requests once those who direct clients have had time to turn to others, or stops
-    // doing so. New ones are still taken, and served.
-    void quiesce(bool on);
+    // At a planned end: serves on until the time given, new connections too, then closes all, by `end` at
+    // the latest. `done` is called once none is left.
+    void drain(Micros until, Micros end, std::function<void()> done);
+    // Sends all away once those who direct clients have had time to turn to others since the time given, or
+    // stops doing so. New ones are still taken, and served. Called again, it changes nothing.
+    void quiesce(std::optional<Micros> since);
     // Accepts no more, until resumed.
     void pause();
     void resume();
@@ -112,7 +130,8 @@
     std::function<void(Passed)> pass_;
     bool paused_ = false;
     core::Mailbox<bool> resumed_;
-    Micros drain_until_ = 0, last_new_ = 0;
+    std::optional<Micros> quiesced_; // since when
+    Micros drain_until_ = 0, drain_end_ = 0, last_new_ = 0;
     core::Deadlines::Entry look_, away_, report_;
 };
 
--- a/src/net/control/control.cpp
+++ b/src/net/control/control.cpp
@@ -57,6 +57,8 @@
     for (std::size_t n = 0; n < figures.repeats.size(); ++n)
         count(fmt::format("repeats_{}", core::kStatusNames[n]), figures.repeats[n]);
     count("hedges", figures.hedges);
+    count("refused_closing", figures.refused_closing);
+    count("withdrawn", figures.withdrawn);
     count("clients_accepted", state.clients.accepted);
     for (std::size_t n = 0; n < state.clients.closed.size(); ++n)
         count(fmt::format("clients_closed_{}", kCloseReasonNames[n]), state.clients.closed[n]);
--- a/src/net/handover/handover.cpp
+++ b/src/net/handover/handover.cpp
@@ -12,8 +12,10 @@
 namespace {
 
 // What a packet is, by its first byte: the wish to take over; a part of the state, its last part, with the
-// sockets; a client's connection. From a successor: a node that an operator took out, or put back.
+// sockets; a client's connection. From a successor: a node that an operator took out, or put back; clients to
+// be sent away, or taken again.
 constexpr char kTake = 'T', kPart = 'P', kState = 'S', kClient = 'C', kCordon = 'D', kUncordon = 'U';
+constexpr char kQuiesce = 'Q', kResume = 'R';
 constexpr std::size_t kMostState = std::size_t{16} << 20;
 constexpr Micros kAsk = 500'000; // us for a caller to say what it wants
 // For each part of the state. A predecessor that is short of processor time answers late, and whoever gave it
@@ -131,12 +133,17 @@
 void Handover::hear(const Packet &order) {
     const char kind = order.bytes.front();
     if (kind == kCordon || kind == kUncordon) program_.cordon(order.bytes.substr(1), kind == kCordon);
+    if (kind == kQuiesce || kind == kResume) program_.quiesce(kind == kQuiesce);
 }
 
 void Handover::tell_predecessor(const std::string &id, bool out) {
     if (predecessor_) predecessor_->send({(out ? kCordon : kUncordon) + id, {}});
 }
 
+void Handover::tell_predecessor_quiesce(bool on) {
+    if (predecessor_) predecessor_->send({std::string(1, on ? kQuiesce : kResume), {}});
+}
+
 void Handover::client(Passed passed) {
     if (!successor_) return;
     Packet packet;
--- a/src/net/handover/handover.hpp
+++ b/src/net/handover/handover.hpp
@@ -29,6 +29,7 @@
         std::function<void(Passed)> adopt;  // a client of the predecessor
         std::function<void()> alone;        // the predecessor has gone
         std::function<void(const std::string &id, bool out)> cordon; // an operator's word to the successor
+        std::function<void(bool on)> quiesce;                        // another
     };
     Handover(asio::io_context &io, core::Deadlines &deadlines, std::string path, Program program);
 
@@ -36,6 +37,8 @@
     void client(Passed passed);          // to the successor
     // An operator took a node out or put it back: a predecessor that still has requests is told, too.
     void tell_predecessor(const std::string &id, bool out);
+    // Operators send clients away, or take them again: the same.
+    void tell_predecessor_quiesce(bool on);
     bool yielded() const { return successor_ != nullptr; }
     bool sent() const { return !successor_ || successor_->unsent().empty(); } // nothing waits to go over
 
--- a/src/net/nvme/front.cpp
+++ b/src/net/nvme/front.cpp
@@ -238,6 +238,7 @@
         if (desk_.settings.classes[f.cls].effect == Effect::Keyed)
             r->repeat_key = fmt::format("{:016x}", desk_.fresh());
         if (client_.use().closing) ++client_.asked_since;
+        r->refuse_at_once = client_.closing.refuses(deadlines_.clock.now());
         core::Taker &taker = desk_.taker(*r);
         working.taker = &taker;
         const std::uint64_t serial = working.serial;
@@ -395,6 +396,17 @@
         life_.reset();
         leave();
     }
+    void withdraw() override {
+        std::vector<std::pair<core::Taker *, RequestId>> open;
+        std::vector<std::uint16_t> without_data;
+        for (const auto &[cid, working] : commands_)
+            if (working.taker)
+                open.emplace_back(working.taker, working.id);
+            else
+                without_data.push_back(cid);
+        for (const auto &[taker, id] : open) taker->withdraw(id);
+        for (const std::uint16_t cid : without_data) complete(cid, {status::kNotReady, 0, false});
+    }
     void leave() {
         if (controller_) controllers_.leave(std::exchange(controller_, 0), queue_, *this);
     }
--- a/src/net/resp/front.cpp
+++ b/src/net/resp/front.cpp
@@ -135,6 +135,7 @@
         if (!open_.insert(read.id).second) throw Malformed("the id of an open request");
         client_.mark_asked();
         if (client_.use().closing) ++client_.asked_since;
+        read.refuse_at_once = client_.closing.refuses(deadlines_.clock.now());
         useless_ = 0;
         read.connection = client_.id;
         read.sent = deadlines_.clock.now(); // its last byte: however slowly it was written
@@ -215,6 +216,14 @@
             }
     }
 
+    void withdraw() override {
+        std::vector<std::pair<core::Taker *, RequestId>> open; // answers may come while they are gone through
+        for (const Slot &slot : slots_)
+            if (slot.taker && !slot.ready) open.emplace_back(slot.taker, slot.id);
+        for (const auto &[taker, id] : open) taker->withdraw(id);
+    }
+    bool passing_on() const override { return streaming_; }
+
     core::Desk desk_;
     OpenIds &open_;
     Reader reader_;
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -17,6 +17,7 @@
 constexpr Micros kReadWithin = 10'000'000; // us for a client to read what it is sent
 constexpr Micros kLinger = 200'000;        // us for a client to see the end of a connection
 constexpr std::size_t kMostPassed = 48 * 1024; // bytes of a begun message that another process goes on with
+constexpr int kReadsAtOnce = 8;                // of a connection that is being closed, before others' turn
 constexpr int kDropped = 8;                    // reads, of what it still sends then, after which there is
 constexpr Micros kDropRest = 10'000; // a rest of so many us: whoever floods does not take the time of all
 constexpr std::size_t kReadAhead = 64 * 1024; // bytes that a crowded connection is read ahead, to see its end
@@ -26,17 +27,24 @@
 
 asio::awaitable<void> Session::run() {
     client_.notify = [this] {
+        heed_closing();
         if (over_)
             wake();
         else if (client_.use().owed == 0)
             stir();
     };
+    heed_closing();
     if (!client_.early.bytes.empty()) { // read by the process that had this client before
         in_ = std::exchange(client_.early.bytes, {});
         since_ = client_.early.since;
         took(false);
     }
     while (!over_) {
+        if (client_.use().closing && deadlines_.clock.now() >= client_.closing.end_by) closing_due();
+        if (cut_) {
+            take_last();
+            break;
+        }
         if (unread_ && !crowded()) {
             unread_ = false;
             took(true);
@@ -44,15 +52,7 @@
         }
         boost::system::error_code error;
         if (client_.pass && hand_over()) break;
-        if (client_.use().closing) { // between requests: only what has come already is still taken
-            for (std::size_t before = ~0ul; !over_ && !error && in_.size() != before;) {
-                const bool fresh = !begun();
-                before = in_.size();
-                error = read_now(client_.socket, in_);
-                if (in_.size() != before) took(fresh), before = ~0ul;
-            }
-            if (over_ || client_.idle()) break;
-        }
+        if (client_.use().closing && !take_pending()) break;
         mind();
         if (unread_ && (in_.size() >= kReadAhead || memory_.full())) {
             co_await rest(kLook, true);
@@ -85,9 +85,59 @@
     over_ = true;
     patience_.reset();
     co_await end();
+    closing_.reset();
+    flush_.reset();
     client_.notify = nullptr;
 }
 
+// Told to end, a connection ends between requests, if there is such a moment in time: once nothing more has
+// come. Takes what has, a bounded part at once; false: this is that moment.
+bool Session::take_pending() {
+    for (int n = 0; n < kReadsAtOnce && !crowded(); ++n) {
+        const bool fresh = !begun();
+        const std::size_t before = in_.size();
+        const auto error = read_now(client_.socket, in_);
+        const bool came = in_.size() != before;
+        if (came) took(fresh);
+        if (over_) return false;
+        if (error || !came) return !client_.idle();
+    }
+    return true;
+}
+
+void Session::heed_closing() {
+    if (!client_.use().closing || cut_) return;
+    closing_ = deadlines_.at(client_.closing.end_by, [this] { closing_due(); });
+}
+
+// The connection's time is over. A request that was taken long before may keep it, but nothing newer: answers
+// come in order, so that what stands before the newer has to be answered, too.
+void Session::closing_due() {
+    const bool newer = newer_ || unread_ || client_.use().partial;
+    if (cut_ || (!newer && !client_.closing.lone_requests)) return;
+    cut_ = true;
+    flush_ = deadlines_.in(Closing::kFlushWithin, [this] {
+        if (!passing_on()) client_.close(CloseReason::NotReading);
+    });
+    core::log("client {}: {} open requests are withdrawn ({})", client_.id, client_.use().owed,
+              name(*client_.reason));
+    withdraw();
+    if (!over_) stir();
+    wake();
+}
+
+// What has been read, or stands in the system's buffer, is refused; what comes later is not read.
+void Session::take_last() {
+    if (std::exchange(unread_, false)) took(true);
+    for (int n = 0; n < kReadsAtOnce && !over_; ++n) {
+        const bool fresh = !begun();
+        const std::size_t before = in_.size();
+        const auto error = read_now(client_.socket, in_);
+        if (in_.size() != before) took(fresh);
+        if (error || in_.size() == before) return;
+    }
+}
+
 bool Session::crowded() const { return client_.use().owed >= kMostOwed; }
 
 // Whoever waits for an answer and goes is seen here: nothing more is done for it.
@@ -125,6 +175,7 @@
 
 void Session::took(bool fresh) {
     client_.received(deadlines_.clock.now());
+    if (client_.closing.refuses(client_.use().used)) newer_ = true;
     if (fresh) since_ = client_.use().used;
     take_all();
     if (in_.empty()) std::string().swap(in_); // its room, too
@@ -213,6 +264,11 @@
 asio::awaitable<void> Session::end() {
     std::string dropped;
     for (int n = 1; !gone_ && (writing_ || client_.use().owed > 0); ++n, dropped.clear()) {
+        if (cut_) { // a request that is read now could not be answered any more
+            co_await rest(kLook);
+            if (hung_up()) client_gone();
+            continue;
+        }
         boost::system::error_code error = co_await readable();
         if (error == asio::error::operation_aborted && client_.socket.is_open()) continue;
         if (!error) error = read_now(client_.socket, dropped);
--- a/src/net/session.hpp
+++ b/src/net/session.hpp
@@ -28,6 +28,8 @@
     // What has come of the next message, for another process to go on with; nothing where it can't.
     virtual std::optional<std::string> unfinished() const { return std::nullopt; }
     virtual const char *front() const = 0; // its name between processes
+    virtual void withdraw() = 0; // has all that is open answered now, but for a value that is passed on
+    virtual bool passing_on() const { return false; } // a long value is on its way to the client
 
     // Queues bytes; with them `answers` of what is owed are paid.
     void send(std::string bytes, std::size_t answers);
@@ -46,6 +48,10 @@
     bool crowded() const; // as much is owed as one connection may ask for at once
     bool hand_over();
     void mind();
+    bool take_pending();
+    void heed_closing();
+    void closing_due();
+    void take_last();
     void stop_reading(CloseReason reason, const char *why);
     void client_gone();
     bool hung_up() const; // it has, behind whatever has come and is not read yet
@@ -64,10 +70,12 @@
     std::size_t out_answers_ = 0;
     bool writing_ = false, gone_ = false;
     bool unread_ = false; // in_ holds what came while this connection was crowded
+    bool newer_ = false;  // bytes came after the connection was told to end
+    bool cut_ = false;    // it ends now: nothing more is read, and what is open has been withdrawn
     asio::cancellation_signal stirred_;
     core::Memory::Share share_;
     core::Memory &memory_;
-    core::Deadlines::Entry patience_;
+    core::Deadlines::Entry patience_, closing_, flush_;
 };
 
 } // namespace marblewood::net
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -843,6 +843,10 @@
     void on(const ClientLeft &e) {
         if (const auto it = requests.find(e.id); it != requests.end()) close(it->second), forget(e.id);
     }
+    void on(const Withdraw &e) {
+        const auto it = requests.find(e.id);
+        if (it != requests.end() && it->second.open && !it->second.streaming) give_up(it->second);
+    }
     void loan(const PeerMessage &e) { // of limits' units lent between hosts
         const auto heard = loans.hear(
             e,
