--- a/tests/closing_test.cpp
+++ b/tests/closing_test.cpp
@@ -168,6 +168,66 @@
     assert(client.value()->text == id && client.ended());
 }
 
+// The median of some spans, so that one that the machine held up decides nothing.
+std::chrono::nanoseconds median(std::vector<std::chrono::nanoseconds> spans) {
+    std::ranges::sort(spans);
+    return spans[spans.size() / 2];
+}
+constexpr int kNewcomers = 15;
+constexpr auto kFrontHasMoved = 1500ms;
+
+// Clients that open connections all the same, and ask for nothing: none is held idle.
+void an_idle_newcomer_is_sent_away_at_once() {
+    const Discovery discovery(member("s-1", free_port(), 0));
+    const Program program(discovery);
+    std::this_thread::sleep_until(quiesce(program) + kFrontHasMoved);
+    std::vector<std::chrono::nanoseconds> held;
+    for (int n = 0; n < kNewcomers; ++n) {
+        const auto connected = Clock::now();
+        program.client().ended();
+        held.push_back(Clock::now() - connected);
+    }
+    assert(median(held) < 150ms);
+}
+
+// One that asks is served, also a little later, and its connection ends with the answer.
+void a_newcomer_that_asks_is_served_and_sent_away() {
+    RespNode node(echo_after(1ms));
+    const Discovery discovery(member("s-1", node.server.port, 0));
+    const Program program(discovery);
+    std::this_thread::sleep_until(quiesce(program) + kFrontHasMoved);
+    std::vector<std::chrono::nanoseconds> held;
+    for (int n = 0; n < kNewcomers; ++n) {
+        Socket client = program.client();
+        std::this_thread::sleep_for((n % 3) * 2ms);
+        client.send(get(kPiece));
+        const auto answer = client.value();
+        assert(answer && !answer->text.starts_with("ERR"));
+        const auto answered = Clock::now();
+        client.ended();
+        held.push_back(Clock::now() - answered);
+    }
+    assert(median(held) < 25ms);
+    assert(program.figures().at("answered.read") > 0);
+}
+
+// A first request may take 2 s to write, here too.
+void a_newcomer_that_writes_slowly_is_served() {
+    RespNode node(echo_after(1ms));
+    const Discovery discovery(member("s-1", node.server.port, 0));
+    const Program program(discovery);
+    std::this_thread::sleep_until(quiesce(program) + kFrontHasMoved);
+    Socket client = program.client();
+    const std::string request = get(kPiece);
+    for (std::size_t at = 0; at < request.size(); at += request.size() / 8) {
+        client.send(request.substr(at, request.size() / 8));
+        std::this_thread::sleep_for(200ms);
+    }
+    const auto answer = client.value();
+    assert(answer && !answer->text.starts_with("ERR") && !answer->text.starts_with("BUSY"));
+    client.ended();
+}
+
 // Bytes of a next request trickle in behind an open one.
 void part_of_a_request_holds_no_connection() {
     RespNode node(echo_after(2600ms));
@@ -319,6 +379,9 @@
     {"quiesce", "pipelining", a_pipelining_client_is_sent_away},
     {"quiesce", "behind_hanging", newer_requests_behind_a_hanging_one_hold_no_connection},
     {"quiesce", "old_request", an_old_request_alone_keeps_its_connection},
+    {"quiesce", "idle_newcomer", an_idle_newcomer_is_sent_away_at_once},
+    {"quiesce", "asking_newcomer", a_newcomer_that_asks_is_served_and_sent_away},
+    {"quiesce", "slow_newcomer", a_newcomer_that_writes_slowly_is_served},
     {"quiesce", "partial", part_of_a_request_holds_no_connection},
     {"quiesce", "called_again", calling_again_puts_nothing_off},
     {"quiesce", "flood", a_flood_of_commands_holds_no_connection},
