Hold no new connection idle while clients are sent away

Cause: Clients::send_away looked every 100 ms and passed over connections without a request for their first 250 ms, so that an idle new connection was held for up to 350 ms, and one that had its answer until the next look.

Change: a connection that is accepted while clients are sent away is told to end as it is admitted. The look every 100 ms is gone. Each connection that ends while clients are sent away has a log line, 50 a second at most (LineLimit, shared with RequestLog).

Ruled out: no grace at all, as a request that follows its connection by a round trip would cross the close, twice.

--- a/src/core/request_log.cpp
+++ b/src/core/request_log.cpp
@@ -5,8 +5,6 @@
 namespace marblewood::core {
 namespace {
 
-constexpr Micros kSecond = 1'000'000;
-
 std::string spell(std::span<const Status> ended, std::size_t begun) {
     std::string text;
     for (const Status status : ended) text += fmt::format(" {}", name(status));
@@ -26,17 +24,9 @@
 }
 
 bool RequestLog::may_write() {
-    const Micros now = clock_.now();
-    if (now - second_ >= kSecond) {
-        if (left_out_ > 0) log("requests that ended badly: {} lines left out", std::exchange(left_out_, 0));
-        second_ = now;
-        lines_ = 0;
-    }
-    if (lines_ >= kLinesPerSecond) {
-        ++left_out_;
-        return false;
-    }
-    ++lines_;
+    if (!limit_.allows(clock_.now())) return false;
+    if (const auto left_out = limit_.take_left_out(); left_out > 0)
+        log("requests that ended badly: {} lines left out", left_out);
     return true;
 }
 
--- a/src/core/request_log.hpp
+++ b/src/core/request_log.hpp
@@ -3,6 +3,7 @@
 
 #include "core/clock.hpp"
 #include "core/figures.hpp"
+#include "core/line_limit.hpp"
 #include "core/types.hpp"
 
 #include <span>
@@ -25,9 +26,7 @@
     bool may_write();
 
     const Clock &clock_;
-    Micros second_ = 0; // when the current second began, Unix time in us
-    int lines_ = 0;
-    std::uint64_t left_out_ = 0;
+    LineLimit limit_{kLinesPerSecond};
 };
 
 } // namespace marblewood::core
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -13,7 +13,6 @@
 constexpr Micros kStillComing = 250'000;
 constexpr std::chrono::milliseconds kAddressHeld{8'000}, kAddressLook{10}; // before anything is served
 constexpr Micros kFrontMoves = 1'000'000;  // us from quiescing until clients' connections are closed
-constexpr Micros kAwayAgain = 100'000;     // us between looks at who has come since
 constexpr Micros kReportEvery = 1'000'000; // us between reports of connections that are being closed
 constexpr Micros kSlowToClose = 500'000;   // us from being told to end, beyond which the log says how it went
 
@@ -27,7 +26,7 @@
 
 void Client::end_by(CloseReason why, Micros now, Micros time, bool lone_requests) {
     note(why);
-    if (!use().closing) closing = {now, time, false};
+    if (!use().closing) closing.since = now, closing.end_by = time;
     closing.end_by = std::min(closing.end_by, time);
     closing.lone_requests = closing.lone_requests || lone_requests;
     mark_closing();
@@ -110,6 +109,7 @@
     client->early = std::move(early);
     client->pass = pass_;
     client->staying = done_ != nullptr;
+    if (sending_away()) client->send_away(last_new_);
     if (!acceptor_.is_open()) client->end_by(CloseReason::Shutdown, last_new_, drain_end_, true);
     asio::co_spawn(io_, serve(client), asio::detached);
     limit_idle_askers();
@@ -210,12 +210,17 @@
         std::ranges::count_if(clients_, [](const Client &client) { return client.use().closing; }));
 }
 
-// Whoever closes at once needs no line: there may be hundreds.
-void Clients::log_ended(const Client &client) const {
-    const Micros took = deadlines_.clock.now() - client.closing.since;
-    if (client.closing.since == 0 || took < kSlowToClose) return;
-    core::log("client {} ended {} ms after it was to ({}); requests read meanwhile: {}", client.id,
-              took / 1000, name(*client.reason), client.asked_since);
+// While operators send clients away each that ends has a line, within a bound; at other times those that took
+// long to end.
+void Clients::log_ended(const Client &client) {
+    const Micros now = deadlines_.clock.now();
+    const Micros took = now - client.closing.since;
+    if (client.closing.since == 0 || (took < kSlowToClose && !quiesced_)) return;
+    if (!ended_lines_.allows(now)) return;
+    core::log("client {} ended after {} ms, {} ms after it was to ({}); requests read meanwhile: {}, "
+              "has asked: {}; lines left out: {}",
+              client.id, (now - client.use().accepted) / 1000, took / 1000, name(*client.reason),
+              client.asked_since, client.use().asked, ended_lines_.take_left_out());
 }
 
 void Clients::report_closing(std::string_view cause) {
@@ -240,15 +245,14 @@
     });
 }
 
+bool Clients::sending_away() const {
+    return quiesced_ && !done_ && deadlines_.clock.now() >= *quiesced_ + kFrontMoves;
+}
+
+// Those who are there; who comes later is told as it is admitted.
 void Clients::send_away() {
     const Micros now = deadlines_.clock.now();
-    for (Client &client : clients_) {
-        const ConnectionUse &use = client.use();
-        const bool newcomer = !use.asked && now - use.accepted < EvictionOrder::kNewcomerGrace;
-        if (use.closing || (use.idle() && newcomer)) continue;
-        client.begin_closing(CloseReason::Quiesce, now);
-    }
-    away_ = deadlines_.in(kAwayAgain, [this] { send_away(); });
+    for (Client &client : clients_) client.send_away(now);
 }
 
 void Clients::drain_turn() {
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -1,6 +1,7 @@
 // Accepts clients, within the budget of sockets, and lets them go at the end.
 #pragma once
 
+#include "core/line_limit.hpp"
 #include "core/log.hpp"
 #include "core/mailbox.hpp"
 #include "net/client_figures.hpp"
@@ -35,12 +36,18 @@
     /// us beyond that for a client to read its answers.
     static constexpr Micros kFlushWithin = 300'000;
 
+    /// us for a client that has said nothing yet to begin: its first request may be on its way.
+    static constexpr Micros kFirstWithin = 20'000;
+
     Micros since = 0; ///< 0: it has not been told to end
     Micros end_by = 0;
     /// Whether a request is withdrawn, too, after which nothing has come. If not, it keeps its own time.
     bool lone_requests = false;
 
-    bool refuses(Micros now) const { return since > 0 && now - since >= kCrossing; }
+    /// Until when the first bytes of a client are awaited that has said nothing; 0: not at all.
+    Micros first_until = 0;
+
+    bool crossed(Micros now) const { return since > 0 && now - since >= kCrossing; }
 };
 
 /// One client's connection, as its front sees it. How it is used is said through EvictionOrder::Entry.
@@ -61,6 +68,8 @@
     bool writing = false;          // bytes for it are not written yet
 
     bool idle() const { return use().idle(); }
+    /// Whether a request that has come now is refused: not the first, which the connection was made for.
+    bool refuses(Micros now) const { return use().asked && closing.crossed(now); }
     void note(CloseReason why) {
         if (!reason) reason = why;
     }
@@ -70,6 +79,12 @@
     }
     /// Takes no more requests; the front ends the connection once what is owed is paid.
     void begin_closing(CloseReason why, Micros now) { end_by(why, now, now + Closing::kWithin, false); }
+    /// The same while operators send clients away: one that has just come is given the time to ask.
+    void send_away(Micros now) {
+        if (use().closing) return;
+        closing.first_until = now + Closing::kFirstWithin;
+        begin_closing(CloseReason::Quiesce, now);
+    }
     /// The same, with the time by which it has to be over. Told again, the earlier time counts.
     void end_by(CloseReason why, Micros now, Micros time, bool lone_requests);
     void close(CloseReason why) {
@@ -114,7 +129,8 @@
     void limit_idle_askers(); // closes the longest unused, if too many clients that asked stay
     void drain_turn();
     void send_away();
-    void log_ended(const Client &client) const;
+    bool sending_away() const; // operators want it, and the front has had its time to move
+    void log_ended(const Client &client);
     // Says, each second while connections are being closed for the cause given, what keeps them.
     void report_closing(std::string_view cause);
 
@@ -133,6 +149,8 @@
     std::optional<Micros> quiesced_; // since when
     Micros drain_until_ = 0, drain_end_ = 0, last_new_ = 0;
     core::Deadlines::Entry look_, away_, report_;
+    static constexpr int kEndedLines = 50; // a second
+    core::LineLimit ended_lines_{kEndedLines};
 };
 
 } // namespace marblewood::net
--- a/src/net/nvme/front.cpp
+++ b/src/net/nvme/front.cpp
@@ -238,7 +238,7 @@
         if (desk_.settings.classes[f.cls].effect == Effect::Keyed)
             r->repeat_key = fmt::format("{:016x}", desk_.fresh());
         if (client_.use().closing) ++client_.asked_since;
-        r->refuse_at_once = client_.closing.refuses(deadlines_.clock.now());
+        r->refuse_at_once = client_.refuses(deadlines_.clock.now());
         core::Taker &taker = desk_.taker(*r);
         working.taker = &taker;
         const std::uint64_t serial = working.serial;
--- a/src/net/resp/front.cpp
+++ b/src/net/resp/front.cpp
@@ -133,9 +133,9 @@
     void ask(core::Request &&read) {
         // Its answers could not be told from the other's, and a node takes one for a repeat of the other.
         if (!open_.insert(read.id).second) throw Malformed("the id of an open request");
+        read.refuse_at_once = client_.refuses(deadlines_.clock.now());
         client_.mark_asked();
         if (client_.use().closing) ++client_.asked_since;
-        read.refuse_at_once = client_.closing.refuses(deadlines_.clock.now());
         useless_ = 0;
         read.connection = client_.id;
         read.sent = deadlines_.clock.now(); // its last byte: however slowly it was written
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -84,8 +84,11 @@
     }
     over_ = true;
     patience_.reset();
+    // Nothing is owed to a client that has said nothing: what crosses this is not read, and comes again.
+    if (!heard_ && client_.use().closing) client_.close(CloseReason::ClientLeft);
     co_await end();
     closing_.reset();
+    first_.reset();
     flush_.reset();
     client_.notify = nullptr;
 }
@@ -100,7 +103,7 @@
         const bool came = in_.size() != before;
         if (came) took(fresh);
         if (over_) return false;
-        if (error || !came) return !client_.idle();
+        if (error || !came) return !client_.idle() || (!error && awaits_first());
     }
     return true;
 }
@@ -108,8 +111,12 @@
 void Session::heed_closing() {
     if (!client_.use().closing || cut_) return;
     closing_ = deadlines_.at(client_.closing.end_by, [this] { closing_due(); });
+    if (awaits_first()) first_ = deadlines_.at(client_.closing.first_until, [this] { stir(); });
 }
 
+// A client that has just connected may be about to write.
+bool Session::awaits_first() const { return !heard_ && deadlines_.clock.now() < client_.closing.first_until; }
+
 // The connection's time is over. A request that was taken long before may keep it, but nothing newer: answers
 // come in order, so that what stands before the newer has to be answered, too.
 void Session::closing_due() {
@@ -175,7 +182,8 @@
 
 void Session::took(bool fresh) {
     client_.received(deadlines_.clock.now());
-    if (client_.closing.refuses(client_.use().used)) newer_ = true;
+    heard_ = true;
+    if (client_.refuses(client_.use().used)) newer_ = true;
     if (fresh) since_ = client_.use().used;
     take_all();
     if (in_.empty()) std::string().swap(in_); // its room, too
--- a/src/net/session.hpp
+++ b/src/net/session.hpp
@@ -49,6 +49,7 @@
     bool hand_over();
     void mind();
     bool take_pending();
+    bool awaits_first() const;
     void heed_closing();
     void closing_due();
     void take_last();
@@ -70,12 +71,13 @@
     std::size_t out_answers_ = 0;
     bool writing_ = false, gone_ = false;
     bool unread_ = false; // in_ holds what came while this connection was crowded
+    bool heard_ = false;  // the client has sent something
     bool newer_ = false;  // bytes came after the connection was told to end
     bool cut_ = false;    // it ends now: nothing more is read, and what is open has been withdrawn
     asio::cancellation_signal stirred_;
     core::Memory::Share share_;
     core::Memory &memory_;
-    core::Deadlines::Entry patience_, closing_, flush_;
+    core::Deadlines::Entry patience_, closing_, first_, flush_;
 };
 
 } // namespace marblewood::net
