Add a failing test: NVMe commands are lost when hosts are sent away

Seen, as the related paths of the incident are gone through: at quiesce, and at the end of the process, a host's admin queue is between requests at once, ends, and closes the I/O queues of its controller over open commands (Controllers::leave). Four reads that a node takes 1.8 s for get no completion.

--- a/tests/nvme_test.cpp
+++ b/tests/nvme_test.cpp
@@ -433,6 +433,37 @@
 
 } // namespace
 
+// Clients are sent away, or the process ends: each command that a host has begun is completed first, though
+// the queues of its controller end together.
+void commands_are_completed_before_a_host_is_let_go(bool process_ends) {
+    constexpr std::uint16_t kCommands = 4;
+    RespNode node([](const auto &, int) {
+        std::this_thread::sleep_for(1800ms);
+        return RespNode::served(block_of('v'));
+    });
+    const Discovery discovery(member("s-1", node.server.port, 0));
+    const int port = free_port();
+    std::string settings = kSettings; // so long that the end of the process may not be forced before
+    const std::string usual = R"("hard_limit":1500.0)";
+    settings.replace(settings.find(usual), usual.size(), R"("hard_limit":4000.0)");
+    Program program(discovery, operators(port, false), settings);
+    Host host(port);
+    for (std::uint16_t cid = 1; cid <= kCommands; ++cid) host.io.send(Host::command(op::kRead, cid, cid));
+    while (node.taken().empty()) std::this_thread::sleep_for(5ms);
+    const auto called = std::chrono::steady_clock::now();
+    if (process_ends)
+        program.signal(SIGTERM);
+    else
+        assert(program.call("POST", "quiesce").first == 200);
+    std::set<std::uint16_t> completed;
+    while (const auto pdu = receive(host.io))
+        if (pdu->type == Type::Response) completed.insert(Completion::read(*pdu).cid);
+    assert(completed.size() == kCommands);
+    assert(host.admin.ended());
+    assert(std::chrono::steady_clock::now() - called < 4s);
+    if (process_ends) assert(program.exit_code() == 0);
+}
+
 int main() {
     the_bytes_are_the_specifications();
     hosts_and_resp_clients_share_an_nvme_node();
@@ -447,4 +478,6 @@
     silent_hosts_and_half_pdus_get_an_end();
     half_a_node_pdu_is_not_waited_for();
     outcomes_are_the_same_over_both_protocols();
+    commands_are_completed_before_a_host_is_let_go(false);
+    commands_are_completed_before_a_host_is_let_go(true);
 }
