Complete an NVMe host's commands before its controller ends with its admin queue

Cause: told to end, a host's admin queue is between requests at once; its end closes the I/O queues of its controller (Controllers::leave), with whatever is open on them. The class of the incident: an end decided from one connection's own state.

Change: a session may say that its end takes others along (Session::may_end); an admin queue waits until its I/O queues have ended, which tell it, and for the flush time after its own end is due.

--- a/src/net/nvme/front.cpp
+++ b/src/net/nvme/front.cpp
@@ -53,6 +53,9 @@
         return true;
     }
     void close() { client_.close(CloseReason::ClientLeft); } // its controller has ended
+    void other_queue_left() {
+        if (client_.notify) client_.notify();
+    }
 
 private:
     const char *front() const override { return "nvme"; }
@@ -396,6 +399,8 @@
         life_.reset();
         leave();
     }
+    // A controller ends with its admin queue, and its other queues may have open commands.
+    bool may_end() const override { return queue_ != 0 || !controllers_.has_io_queues(controller_); }
     void withdraw() override {
         std::vector<std::pair<core::Taker *, RequestId>> open;
         std::vector<std::uint16_t> without_data;
@@ -446,11 +451,19 @@
     const auto at = it->second.find(queue);
     if (at == it->second.end() || at->second != &session) return;
     it->second.erase(at);
-    if (queue != 0) return;
+    if (queue != 0) {
+        if (const auto admin = it->second.find(0); admin != it->second.end())
+            admin->second->other_queue_left();
+        return;
+    }
     const auto others = std::move(it->second); // the controller ends with its admin queue
     queues_.erase(it);
     for (const auto &[number, other] : others) other->close();
 }
+bool Controllers::has_io_queues(std::uint16_t controller) const {
+    const auto it = queues_.find(controller);
+    return it != queues_.end() && it->second.size() > it->second.count(0);
+}
 FrontSession *Controllers::find(std::uint16_t controller, std::uint16_t queue) const {
     const auto it = queues_.find(controller);
     if (it == queues_.end()) return nullptr;
--- a/src/net/nvme/front.hpp
+++ b/src/net/nvme/front.hpp
@@ -16,6 +16,7 @@
     bool join(std::uint16_t controller, std::uint16_t queue, FrontSession &session);
     void leave(std::uint16_t controller, std::uint16_t queue, const FrontSession &session);
     FrontSession *find(std::uint16_t controller, std::uint16_t queue) const;
+    bool has_io_queues(std::uint16_t controller) const;
 
 private:
     std::map<std::uint16_t, std::map<std::uint16_t, FrontSession *>> queues_;
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -41,7 +41,7 @@
     }
     while (!over_) {
         if (client_.use().closing && deadlines_.clock.now() >= client_.closing.end_by) closing_due();
-        if (cut_) {
+        if (cut_ && may_end()) {
             take_last();
             break;
         }
@@ -103,7 +103,7 @@
         const bool came = in_.size() != before;
         if (came) took(fresh);
         if (over_) return false;
-        if (error || !came) return !client_.idle() || (!error && awaits_first());
+        if (error || !came) return !client_.idle() || !may_end() || (!error && awaits_first());
     }
     return true;
 }
--- a/src/net/session.hpp
+++ b/src/net/session.hpp
@@ -30,6 +30,8 @@
     virtual const char *front() const = 0; // its name between processes
     virtual void withdraw() = 0; // has all that is open answered now, but for a value that is passed on
     virtual bool passing_on() const { return false; } // a long value is on its way to the client
+    // Whether its end takes nothing else along; if not, it waits for `client_.notify`.
+    virtual bool may_end() const { return true; }
 
     // Queues bytes; with them `answers` of what is owed are paid.
     void send(std::string bytes, std::size_t answers);
