Bear system calls that fail, are cut short or are interrupted

Cause: Asio's accept, write and read operations wait for an edge after a call that did less than it might have. None follows a short write into a buffer with room, a refused call, or an accept that failed while others wait in the queue: answers stayed unwritten and connections unaccepted until something else came. By reading, too: at the end of the process the synchronous accept blocked the loop after ECONNABORTED, and an accept loop ended for good if it was paused and resumed within one turn. EINTR on recv counted as the client's end, and a socket() that failed for a moment ended the start.

Change: write_all, accept_next and read_now wait for the socket anew (async_wait arms it again, so that a socket that is ready is seen) after EAGAIN, EINTR and short calls; listening sockets do not block and report aborted connections; listen_at tries again for as long as for an address that is held. All writes and accepts of the broker go through these.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -13,6 +13,7 @@
 constexpr Micros kStillComing = 250'000;
 constexpr std::chrono::milliseconds kAddressHeld{8'000}, kAddressLook{10}; // before anything is served
 constexpr Micros kFrontMoves = 1'000'000;  // us from quiescing until clients' connections are closed
+constexpr int kLastAccepts = 16;           // that may fail before the queue is given up at the end
 constexpr Micros kReportEvery = 1'000'000; // us between reports of connections that are being closed
 constexpr Micros kSlowToClose = 500'000;   // us from being told to end, beyond which the log says how it went
 
@@ -22,6 +23,20 @@
     return ::getsockname(socket, &at, &size) == 0 && at.sa_family == AF_INET6 ? tcp::v6() : tcp::v4();
 }
 
+// An accept that fails must neither block nor be tried again out of sight.
+tcp::acceptor for_accept_next(tcp::acceptor acceptor) {
+    acceptor.non_blocking(true);
+    acceptor.set_option(tcp::acceptor::enable_connection_aborted(true));
+    return acceptor;
+}
+
+// Errors of socket() and bind() that pass: the address is still held, or the system is short of something.
+bool passes(const boost::system::error_code &error) {
+    const int number = error.value();
+    return error == asio::error::address_in_use || number == EMFILE || number == ENFILE ||
+           number == ENOBUFS || number == ENOMEM;
+}
+
 } // namespace
 
 void Client::end_by(CloseReason why, Micros now, Micros time, bool lone_requests) {
@@ -38,15 +53,18 @@
     const auto until = std::chrono::steady_clock::now() + kAddressHeld;
     for (bool said = false;; std::this_thread::sleep_for(kAddressLook)) {
         tcp::acceptor acceptor(io);
-        acceptor.open(at.protocol());
-        acceptor.set_option(tcp::acceptor::reuse_address(true));
         boost::system::error_code error;
-        acceptor.bind(at, error);
+        acceptor.open(at.protocol(), error);
+        if (!error) acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+        if (!error) acceptor.bind(at, error);
         if (!error) acceptor.listen(1024, error);
-        if (!error) return acceptor;
-        if (error != asio::error::address_in_use || std::chrono::steady_clock::now() >= until)
+        if (!error) return for_accept_next(std::move(acceptor));
+        if (!passes(error) || std::chrono::steady_clock::now() >= until)
             throw boost::system::system_error(error, fmt::format("port {}", at.port()));
-        if (!std::exchange(said, true)) core::log("port {} is held by another process: waiting", at.port());
+        const bool held = error == asio::error::address_in_use;
+        if (!std::exchange(said, true))
+            core::log("port {} {}: waiting", at.port(),
+                      held ? "is held by another process" : "can't be had now (" + error.message() + ")");
     }
 }
 
@@ -58,7 +76,7 @@
     tcp::acceptor acceptor(io);
     acceptor.assign(protocol_of(socket.get()), socket.get());
     socket.release();
-    return acceptor;
+    return for_accept_next(std::move(acceptor));
 }
 
 Clients::Clients(asio::io_context &io, core::Deadlines &deadlines, SocketBudget &budget,
@@ -84,12 +102,12 @@
             co_await rest.async_wait(asio::redirect_error(asio::use_awaitable, error));
             continue;
         }
-        tcp::socket socket =
-            co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, error));
+        tcp::socket socket(io_);
+        error = co_await accept_next(acceptor_, socket);
         if (error) {
-            if (paused_ && acceptor_.is_open()) continue;
-            if (error == asio::error::operation_aborted || !acceptor_.is_open()) break;
-            core::log("accept: {}", error.message()); // out of descriptors, say: it passes
+            if (!acceptor_.is_open()) break;
+            if (error == asio::error::operation_aborted) continue; // paused, or resumed again by now
+            core::log("accept: {}", error.message());              // out of descriptors, say: it passes
             if (error.value() == EMFILE || error.value() == ENFILE) evict_one();
             rest.expires_after(std::chrono::microseconds(kRetryAccept));
             co_await rest.async_wait(asio::redirect_error(asio::use_awaitable, error));
@@ -265,12 +283,15 @@
     }
     // What waits to be accepted may have a request written to it, which counts as taken.
     boost::system::error_code error;
-    acceptor_.non_blocking(true, error);
-    while (!error) {
+    for (int failures = 0; failures < kLastAccepts;) {
         if (budget_.clients_full()) evict_one();
         tcp::socket socket(io_);
         acceptor_.accept(socket, error);
-        if (!error) admit(std::move(socket), Passed());
+        if (error == asio::error::would_block) break;
+        if (error)
+            ++failures; // one connection has gone, or it passes
+        else
+            admit(std::move(socket), Passed());
     }
     acceptor_.close(error);
     report_closing("shutdown");
--- a/src/net/control/control.cpp
+++ b/src/net/control/control.cpp
@@ -79,8 +79,8 @@
     asio::steady_timer rest(io_);
     for (;;) {
         boost::system::error_code error;
-        tcp::socket socket =
-            co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, error));
+        tcp::socket socket(io_);
+        error = co_await accept_next(acceptor_, socket);
         if (error == asio::error::operation_aborted) co_return;
         if (error) {
             core::log("control: {}", error.message());
@@ -115,8 +115,7 @@
         }
     }
     if (!out.empty()) {
-        co_await asio::async_write(socket, asio::buffer(out),
-                                   asio::redirect_error(asio::use_awaitable, error));
+        co_await write_all(socket, out, error);
         socket.shutdown(tcp::socket::shutdown_send, error);
         limit = deadlines_.in(kLinger, close); // closed at once, what it still sends would cost it the answer
         for (in.clear(); !error && in.size() < kMostCall;) error = co_await read_more(socket, in);
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -150,14 +150,10 @@
             boost::system::error_code ignored;
             socket.close(ignored);
         });
-        co_await asio::async_write(socket, asio::buffer(request),
-                                   asio::redirect_error(asio::use_awaitable, error));
+        co_await write_all(socket, request, error);
         std::string in;
-        char chunk[16384];
         while (!error && !response) {
-            const std::size_t got = co_await socket.async_read_some(
-                asio::buffer(chunk), asio::redirect_error(asio::use_awaitable, error));
-            in.append(chunk, got);
+            error = co_await read_more(socket, in);
             if (in.size() > kMostMessage) break;
             try {
                 response = take(in, error == asio::error::eof);
--- a/src/net/link/link.cpp
+++ b/src/net/link/link.cpp
@@ -91,8 +91,7 @@
             boost::system::error_code ignored;
             socket.close(ignored);
         });
-        co_await asio::async_write(socket, asio::buffer(frame),
-                                   asio::redirect_error(asio::use_awaitable, error));
+        co_await write_all(socket, frame, error);
         if (error) socket.close(error);
     }
 }
@@ -100,8 +99,8 @@
 asio::awaitable<void> Link::accept() {
     for (;;) {
         boost::system::error_code error;
-        tcp::socket socket =
-            co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, error));
+        tcp::socket socket(io_);
+        error = co_await accept_next(acceptor_, socket);
         if (error == asio::error::operation_aborted) co_return;
         if (error) {
             co_await rest(kRestFirst);
--- a/src/net/lists/list_server.cpp
+++ b/src/net/lists/list_server.cpp
@@ -79,8 +79,8 @@
     asio::steady_timer rest(io_);
     while (acceptor_.is_open()) {
         boost::system::error_code error;
-        tcp::socket socket =
-            co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, error));
+        tcp::socket socket(io_);
+        error = co_await accept_next(acceptor_, socket);
         if (error == asio::error::operation_aborted) co_return;
         if (error) {
             core::log("list server: {}", error.message());
@@ -168,8 +168,7 @@
         caller.socket.close(ignored);
     });
     count_sent(text.size());
-    co_await asio::async_write(caller.socket, asio::buffer(text),
-                               asio::redirect_error(asio::use_awaitable, error));
+    co_await write_all(caller.socket, text, error);
     co_return !error;
 }
 
--- a/src/net/nvme/node_port.cpp
+++ b/src/net/nvme/node_port.cpp
@@ -201,8 +201,7 @@
             }
             if (out != queue->out.end()) out->second.begun = true;
             boost::system::error_code error;
-            const std::size_t written = co_await asio::async_write(
-                queue->socket, asio::buffer(chunk.bytes), asio::redirect_error(asio::use_awaitable, error));
+            const std::size_t written = co_await write_all(queue->socket, chunk.bytes, error);
             out = queue->out.find(chunk.cid);
             if (out != queue->out.end() && chunk.last && written == chunk.bytes.size()) {
                 out->second.whole = true;
@@ -234,8 +233,7 @@
                                                    std::string *read) {
         const std::string bytes = command.capsule(body);
         boost::system::error_code error;
-        co_await asio::async_write(queue->socket, asio::buffer(bytes),
-                                   asio::redirect_error(asio::use_awaitable, error));
+        co_await write_all(queue->socket, bytes, error);
         while (!error) {
             const std::optional<Pdu> pdu = co_await receive(queue);
             if (!pdu) break;
@@ -256,8 +254,7 @@
         if (error) co_return std::nullopt;
         const std::string hello = ic_req();
         boost::system::error_code lost;
-        co_await asio::async_write(queue->socket, asio::buffer(hello),
-                                   asio::redirect_error(asio::use_awaitable, lost));
+        co_await write_all(queue->socket, hello, lost);
         const std::optional<Pdu> answer = co_await receive(queue);
         if (!answer || answer->type != Type::ICResp) co_return std::nullopt;
         most_data_ = std::max<std::uint32_t>(get<std::uint32_t>(answer->head, 12), 4096);
--- a/src/net/resp/node_port.cpp
+++ b/src/net/resp/node_port.cpp
@@ -210,8 +210,7 @@
     attempt->on_stop = [wire = wire.get()] { wire->close(); };
     const std::string command = spell(*attempt);
     boost::system::error_code error;
-    const std::size_t written = co_await asio::async_write(wire->socket, asio::buffer(command),
-                                                           asio::redirect_error(asio::use_awaitable, error));
+    const std::size_t written = co_await write_all(wire->socket, command, error);
     const bool whole = written == command.size();
     if (whole) attempt->written();
     Answer answer;
@@ -258,8 +257,7 @@
     frame.on_stop = [wire = wire.get()] { wire->close(); };
     const std::string ask = command({"INFO", "load"});
     boost::system::error_code error;
-    co_await asio::async_write(wire->socket, asio::buffer(ask),
-                               asio::redirect_error(asio::use_awaitable, error));
+    co_await write_all(wire->socket, ask, error);
     Answer answer;
     if (!error) answer = co_await receive(*wire, deadlines_, memory_, frame);
     frame.on_stop = nullptr;
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -3,7 +3,6 @@
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/write.hpp>
 #include <poll.h>
 
 namespace marblewood::net {
@@ -246,8 +245,7 @@
         boost::system::error_code error;
         const auto limit = self->deadlines_.in(
             kReadWithin, [&client = self->client_] { client.close(CloseReason::NotReading); });
-        co_await asio::async_write(self->client_.socket, asio::buffer(out),
-                                   asio::redirect_error(asio::use_awaitable, error));
+        co_await write_all(self->client_.socket, out, error);
         self->client_.settle_answers(answers);
         self->client_.received(self->deadlines_.clock.now());
         self->share_.set(self->held() + self->out_.size());
--- a/src/net/sockets.hpp
+++ b/src/net/sockets.hpp
@@ -7,8 +7,11 @@
 #include <algorithm>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <string>
+#include <string_view>
 
 namespace marblewood::net {
 
@@ -80,6 +83,16 @@
     co_return error;
 }
 
+// Reading, writing and accepting below wait for the socket anew after every call that did less than it might
+// have. Asio's own operations wait for an edge then, which follows only where the system's buffer was really
+// empty or full: not after an interrupted, shortened or refused call.
+
+// Whether a call on a socket that does not block is to be tried again once the socket is ready.
+inline bool to_be_tried_again(const boost::system::error_code &error) {
+    return error == asio::error::would_block || error == asio::error::try_again ||
+           error == asio::error::interrupted;
+}
+
 // Whether the other side has neither ended the connection nor sent anything that is not read yet.
 inline bool quiet(tcp::socket &socket) {
     char byte;
@@ -94,7 +107,7 @@
     boost::system::error_code error;
     socket.non_blocking(true, error);
     if (!error) in.append(chunk, socket.read_some(asio::buffer(chunk, most), error));
-    if (error == asio::error::would_block) error.clear();
+    if (to_be_tried_again(error)) error.clear();
     return error;
 }
 inline asio::awaitable<boost::system::error_code> read_more(tcp::socket &socket, std::string &in,
@@ -104,4 +117,30 @@
     co_return error ? error : read_now(socket, in, most);
 }
 
+// Writes all bytes, the first of them at once, and gives other work a turn before it returns; how many went
+// out. Fewer than all come with an error.
+inline asio::awaitable<std::size_t> write_all(tcp::socket &socket, std::string_view bytes,
+                                              boost::system::error_code &error) {
+    std::size_t written = 0;
+    socket.non_blocking(true, error);
+    while (!error && written < bytes.size()) {
+        written += socket.write_some(asio::buffer(bytes.substr(written)), error);
+        if (!to_be_tried_again(error)) continue;
+        co_await socket.async_wait(tcp::socket::wait_write, asio::redirect_error(asio::use_awaitable, error));
+    }
+    co_await asio::post(socket.get_executor(), asio::use_awaitable);
+    co_return written;
+}
+
+// Accepts the next connection, of a socket that listen_at() or listen_with() has made.
+inline asio::awaitable<boost::system::error_code> accept_next(tcp::acceptor &acceptor, tcp::socket &socket) {
+    boost::system::error_code error;
+    do {
+        co_await acceptor.async_wait(tcp::acceptor::wait_read,
+                                     asio::redirect_error(asio::use_awaitable, error));
+        if (!error) acceptor.accept(socket, error);
+    } while (to_be_tried_again(error));
+    co_return error;
+}
+
 } // namespace marblewood::net
