Test the module's answer to a withdrawn request; lint the rooms that were touched

Change: two tests of the event Withdraw (refused or failed by class, once, cancels what is out; a value that is passed on goes on). A connection that came over from a predecessor and has asked there counts as heard, so that its end does not take an answer along; the line on withdrawn requests is left out where none is open.

--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -102,7 +102,7 @@
                 finish(*life, {Outcome::Kind::Served, std::move(ended->result.value), 0, true});
             }
             event.closed = !life->answer;
-            tell(std::move(event));
+            tell(event);
         } else if (const auto *refuse = std::get_if<Refuse>(&step)) {
             if (life->attempts.empty() && life->answer) ++figures_.unsent;
             finish(*life,
--- a/src/net/resp/front.cpp
+++ b/src/net/resp/front.cpp
@@ -145,13 +145,14 @@
         slots_.back().taker = &taker;
         slots_.back().name = request->id;
         const std::weak_ptr<Session> weak = weak_from_this();
-        const RequestId id = taker.submit(std::move(request), [this, weak, number](core::Outcome outcome) {
-            const auto self = weak.lock();
-            if (self)
-                answer(number, spell(outcome), outcome.stream);
-            else if (outcome.stream)
-                outcome.stream->abandon();
-        });
+        const RequestId id =
+            taker.submit(std::move(request), [this, weak, number](const core::Outcome &outcome) {
+                const auto self = weak.lock();
+                if (self)
+                    answer(number, spell(outcome), outcome.stream);
+                else if (outcome.stream)
+                    outcome.stream->abandon();
+            });
         if (number >= first_) slots_[number - first_].id = id;
     }
 
@@ -184,7 +185,7 @@
             stream = slots_.front().stream;
             if (!stream) slots_.pop_front(), ++first_, ++answers;
         }
-        if (!out.empty()) send(std::move(out), answers);
+        if (!out.empty()) send(out, answers);
         if (!stream) return;
         streaming_ = true;
         asio::co_spawn(client_.socket.get_executor(), pass_on(shared_from_this(), std::move(stream)),
@@ -197,7 +198,7 @@
         for (;;) {
             std::string piece = co_await stream->take();
             if (gone() || piece.empty()) break;
-            send(std::move(piece), 0);
+            send(piece, 0);
             co_await flushed();
         }
         if (gone()) co_return stream->abandon();
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -15,12 +15,14 @@
 constexpr Micros kRest = 50'000;           // us for which one that sent what is of no use is not read
 constexpr Micros kReadWithin = 10'000'000; // us for a client to read what it is sent
 constexpr Micros kLinger = 200'000;        // us for a client to see the end of a connection
-constexpr std::size_t kMostPassed = 48 * 1024; // bytes of a begun message that another process goes on with
-constexpr int kReadsAtOnce = 8;                // of a connection that is being closed, before others' turn
-constexpr int kDropped = 8;                    // reads, of what it still sends then, after which there is
+constexpr std::size_t kMostPassed =
+    std::size_t{48} * 1024;          // bytes of a begun message that another process goes on with
+constexpr int kReadsAtOnce = 8;      // of a connection that is being closed, before others' turn
+constexpr int kDropped = 8;          // reads, of what it still sends then, after which there is
 constexpr Micros kDropRest = 10'000; // a rest of so many us: whoever floods does not take the time of all
-constexpr std::size_t kReadAhead = 64 * 1024; // bytes that a crowded connection is read ahead, to see its end
-constexpr Micros kLook = 50'000;              // us between looks at one on which more than that has come
+constexpr std::size_t kReadAhead =
+    std::size_t{64} * 1024;      // bytes that a crowded connection is read ahead, to see its end
+constexpr Micros kLook = 50'000; // us between looks at one on which more than that has come
 
 } // namespace
 
@@ -32,6 +34,7 @@
         else if (client_.use().owed == 0)
             stir();
     };
+    heard_ = client_.early.asked; // by the process that had this client before
     heed_closing();
     if (!client_.early.bytes.empty()) { // read by the process that had this client before
         in_ = std::exchange(client_.early.bytes, {});
@@ -125,8 +128,9 @@
     flush_ = deadlines_.in(Closing::kFlushWithin, [this] {
         if (!passing_on()) client_.close(CloseReason::NotReading);
     });
-    core::log("client {}: {} open requests are withdrawn ({})", client_.id, client_.use().owed,
-              name(*client_.reason));
+    if (client_.use().owed > 0)
+        core::log("client {}: {} open requests are withdrawn ({})", client_.id, client_.use().owed,
+                  name(*client_.reason));
     withdraw();
     if (!over_) stir();
     wake();
@@ -229,7 +233,7 @@
     while (!over && !(until_room && !crowded())) co_await wake_.take();
 }
 
-void Session::send(std::string bytes, std::size_t answers) {
+void Session::send(std::string_view bytes, std::size_t answers) {
     out_ += bytes;
     out_answers_ += answers;
     share_.set(held() + out_.size());
--- a/src/net/session.hpp
+++ b/src/net/session.hpp
@@ -34,7 +34,7 @@
     virtual bool may_end() const { return true; }
 
     // Queues bytes; with them `answers` of what is owed are paid.
-    void send(std::string bytes, std::size_t answers);
+    void send(std::string_view bytes, std::size_t answers);
     bool gone() const { return gone_; }
     asio::awaitable<void> flushed(); // until all that was queued is written, or the client has gone
 
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -932,4 +932,40 @@
     EXPECT_LE(held.volumes, 7'000u); // of 20,000 seen
 }
 
+// A request that is withdrawn has its final answer at once: refused where that is true of it, else failed,
+// and what is out of it is given up.
+TEST(Policy, AnswersAWithdrawnRequestAtOnceByItsClass) {
+    Settings s = basic();
+    s.cancel = true;
+    Bench b(s, 1);
+    const RequestId waits = b.ask(5); // no node has the shard
+    b.give(Withdraw{waits});
+    EXPECT_TRUE(Bench::has(b.refused, waits) && b.tries(waits) == 0);
+    const RequestId read = b.ask(0, 0), write = b.ask(0, 1);
+    ASSERT_TRUE(b.tries(read) == 1 && b.tries(write) == 1);
+    b.give(Withdraw{read});
+    b.give(Withdraw{write}); // it may have run, and may not run twice
+    EXPECT_TRUE(Bench::has(b.refused, read) && Bench::has(b.failed, write));
+    EXPECT_TRUE(Bench::has(b.cancelled, read) && Bench::has(b.cancelled, write));
+    const std::size_t answers = b.refused.size() + b.failed.size();
+    b.give(Withdraw{read});
+    b.give(Withdraw{RequestId{99}});
+    b.end(write, Status::Cancelled);
+    b.run(5 * kSecond);
+    EXPECT_EQ(b.refused.size() + b.failed.size(), answers); // once each
+    EXPECT_FALSE(b.scheduler.knows(write));
+}
+
+// A value that is being passed on goes on.
+TEST(Policy, DoesNotWithdrawARequestWhoseValueIsPassedOn) {
+    Bench b(basic(), 1);
+    const RequestId read = b.ask(0);
+    ASSERT_EQ(b.tries(read), 1u);
+    b.give(StreamStarted{read, 0});
+    b.give(Withdraw{read});
+    EXPECT_FALSE(Bench::has(b.refused, read) || Bench::has(b.failed, read) || Bench::has(b.cancelled, read));
+    b.end(read);
+    EXPECT_FALSE(b.scheduler.knows(read));
+}
+
 } // namespace
