Add a failing test: the wall clock is set between the starts of two processes

Seen: of two half requests handed over, the one that is finished gets a protocol error instead of its answer where the successor's first reading of the wall clock is an hour off. Every process reads the wall clock once and carries it on by the monotonic one; what a handover tells in times (since when a message comes, starts and sends of cold nodes) is in the predecessor's reading.

--- a/tests/closing_test.cpp
+++ b/tests/closing_test.cpp
@@ -354,6 +354,31 @@
     client.check(node);
 }
 
+// The wall clock is set between the starts of the two processes: what one tells the other in times means the
+// same to both. Of two half requests that go over, one is finished, and one never.
+void a_stepped_wall_clock_changes_no_handover() {
+    for (const int seconds : {-3600, 3600}) {
+        RespNode node(echo_after(1ms));
+        const Discovery discovery(member("s-1", node.server.port, 0));
+        const ClockSteps steps;
+        const Program old(discovery);
+        Socket finished = old.client(), stopped = old.client();
+        const std::string id = fresh_id(), request = get(kPiece, 0, 1500, id);
+        finished.send(request.substr(0, request.size() - 10));
+        stopped.send(request.substr(0, request.size() - 10));
+        const auto began = Clock::now();
+        std::this_thread::sleep_for(100ms);
+        steps.step(std::chrono::seconds(seconds));
+        const Program fresh(old);
+        std::this_thread::sleep_for(200ms);
+        finished.send(request.substr(request.size() - 10));
+        const auto answer = finished.value();
+        assert(answer && !answer->elements.empty() && answer->elements[0].text == id);
+        stopped.ended(); // an error first, as to any that stops midway
+        assert(Clock::now() - began < 3s);
+    }
+}
+
 // ---- Shutdown ----
 
 // Until the process may be ended by force, every request that was taken is answered, and then it has gone.
@@ -389,6 +414,7 @@
     {"quiesce", "wall_clock", a_stepped_wall_clock_changes_nothing},
     {"handover", "elapsed", a_handover_puts_nothing_off},
     {"handover", "predecessor", a_predecessor_sends_its_clients_away_too},
+    {"handover", "wall_clock", a_stepped_wall_clock_changes_no_handover},
     {"shutdown", "pipelining", [] { a_pipelining_client_is_answered_before_the_end(kPiece); }},
     {"shutdown", "behind_hanging", [] { a_pipelining_client_is_answered_before_the_end(kHanging); }},
 };
