--- a/tests/closing_test.cpp
+++ b/tests/closing_test.cpp
@@ -346,10 +346,18 @@
     assert(idle.value().has_value());
     const PipeliningClient client(old.port, 30ms, 4000);
     const auto called = quiesce(old);
-    std::this_thread::sleep_for(700ms);
-    const Program fresh(old);
-    idle.ended();
-    assert(Clock::now() - called < kSentAwayWithin);
+    Clock::time_point idle_ended;
+    std::thread reader([&] {
+        idle.ended();
+        idle_ended = Clock::now();
+    });
+    std::list<Program> successors; // each but the last hands over again before a second is over
+    for (int n = 1; n <= 4; ++n) {
+        std::this_thread::sleep_until(called + n * 800ms);
+        successors.emplace_back(successors.empty() ? old : successors.back());
+    }
+    reader.join();
+    assert(idle_ended - called < kSentAwayWithin);
     assert(client.await_end() - called < kSentAwayWithin);
     client.check(node);
 }
