Log and count what a connection is shut down over, each signal, and the state at the end

Change: a line for SIGTERM with the instants of the shutdown and one for each further signal; a line for each connection that ends after SIGTERM, within the bound of 50 a second, with the bytes dropped before and after its sending side was shut down; the queue at the end of listening; the connections left at the end. Figure clients_closed_unread.

--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -400,21 +400,33 @@
         last_look = deadlines.in(kLook, stop);
     };
     asio::signal_set signals(io, SIGTERM, SIGINT);
-    signals.async_wait([&](const boost::system::error_code &error, int) {
+    const std::function<void()> await_further_signals = [&] { // they change nothing
+        signals.async_wait([&](const boost::system::error_code &error, int number) {
+            if (error) return;
+            core::log("signal {}: draining already", number);
+            await_further_signals();
+        });
+    };
+    signals.async_wait([&](const boost::system::error_code &error, int number) {
         if (error) return;
-        core::log("draining");
+        await_further_signals();
         const auto done = [&, left = std::make_shared<int>(nvme_clients ? 2 : 1)] {
             if (--*left == 0) stop();
         };
         Micros longest = 0;
         for (const ClassSettings &c : config.settings.classes) longest = std::max(longest, c.deadline);
-        const Micros end = clock.now() + std::min(longest, kLongest) + kGrace - kSpare;
+        const Micros now = clock.now();
+        const Micros end = now + std::min(longest, kLongest) + kGrace - kSpare;
+        core::log("draining: signal {}; connections are let go in {} ms, requests withdrawn in {} ms, all is "
+                  "over in {} ms",
+                  number, (end - kLetGo - now) / 1000, (end - kWithdraw - now) / 1000, (end - now) / 1000);
         for (const auto &planner : planners) planner->end_by(end);
         clients.drain(end - kLetGo, end - kWithdraw, done);
         if (nvme_clients) nvme_clients->drain(end - kLetGo, end - kWithdraw, done);
     });
     io.run();
-    core::log("ended");
+    core::log("ended: {} clients' connections left, {} shut down over bytes that were not taken",
+              clients.open() + (nvme_clients ? nvme_clients->open() : 0), client_figures.closed_unread);
     // Watches and idle connections still have coroutines in the io_context, which refer to what stands above.
     // Neither order of destruction suits both, and there is nothing left to save: leave without it.
     std::fflush(nullptr);
--- a/src/net/client_figures.hpp
+++ b/src/net/client_figures.hpp
@@ -39,6 +39,7 @@
 struct ClientFigures {
     std::uint64_t accepted = 0; ///< taken from the listening sockets or from a predecessor
     std::array<std::uint64_t, kCloseReasonNames.size()> closed{};
+    std::uint64_t closed_unread = 0; ///< shut down by the broker over bytes that it had not taken
 
     std::uint64_t &of(CloseReason reason) { return closed[static_cast<std::size_t>(reason)]; }
 };
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -193,6 +193,7 @@
     }
     client->close(CloseReason::ClientLeft);
     ++figures_.of(*client->reason);
+    if (client->dropped_before_shutdown > 0) ++figures_.closed_unread;
     log_ended(*client);
     clients_.erase(client);
     if (done_ && clients_.empty() && !acceptor_.is_open()) std::exchange(done_, nullptr)();
@@ -228,17 +229,19 @@
         std::ranges::count_if(clients_, [](const Client &client) { return client.use().closing; }));
 }
 
-// While operators send clients away each that ends has a line, within a bound; at other times those that took
-// long to end.
+// While operators send clients away or the process ends, each that ends has a line, within a bound; at other
+// times those that took long to end, and those that the broker ended over bytes that it had not taken.
 void Clients::log_ended(const Client &client) {
     const Micros now = deadlines_.clock.now();
     const Micros took = now - client.closing.since;
-    if (client.closing.since == 0 || (took < kSlowToClose && !quiesced_)) return;
+    const bool told = client.closing.since != 0 && (took >= kSlowToClose || quiesced_ || done_);
+    if (!told && client.dropped_before_shutdown == 0) return;
     if (!ended_lines_.allows(now)) return;
     core::log("client {} ended after {} ms, {} ms after it was to ({}); requests read meanwhile: {}, "
-              "has asked: {}; lines left out: {}",
-              client.id, (now - client.use().accepted) / 1000, took / 1000, name(*client.reason),
-              client.asked_since, client.use().asked, ended_lines_.take_left_out());
+              "has asked: {}; bytes dropped before its shutdown: {}, after it: {}; lines left out: {}",
+              client.id, (now - client.use().accepted) / 1000, client.closing.since == 0 ? 0 : took / 1000,
+              name(*client.reason), client.asked_since, client.use().asked, client.dropped_before_shutdown,
+              client.dropped_after_shutdown, ended_lines_.take_left_out());
 }
 
 void Clients::report_closing(std::string_view cause) {
@@ -283,6 +286,7 @@
     }
     // What waits to be accepted may have a request written to it, which counts as taken.
     boost::system::error_code error;
+    int queued = 0;
     for (int failures = 0; failures < kLastAccepts;) {
         if (budget_.clients_full()) evict_one();
         tcp::socket socket(io_);
@@ -290,10 +294,13 @@
         if (error == asio::error::would_block) break;
         if (error)
             ++failures; // one connection has gone, or it passes
-        else
+        else {
+            ++queued;
             admit(std::move(socket), Passed());
+        }
     }
     acceptor_.close(error);
+    core::log("shutdown: takes no more connections; {} were in the queue", queued);
     report_closing("shutdown");
     for (Client &client : clients_) client.end_by(CloseReason::Shutdown, now, drain_end_, true);
     if (clients_.empty() && done_) std::exchange(done_, nullptr)();
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -66,6 +66,9 @@
     Closing closing;
     std::uint64_t asked_since = 0; // requests read since it was told to end
     bool writing = false;          // bytes for it are not written yet
+    /// Bytes that came after its reading had ended and were dropped: until the sending side was shut down,
+    /// and after that. The former may be a request without an answer; the latter crossed the end.
+    std::size_t dropped_before_shutdown = 0, dropped_after_shutdown = 0;
 
     bool idle() const { return use().idle(); }
     /// Whether a request that has come now is refused: not the first, which the connection was made for.
@@ -73,10 +76,12 @@
     void note(CloseReason why) {
         if (!reason) reason = why;
     }
-    bool unread() {
+    std::size_t unread_bytes() {
         boost::system::error_code error;
-        return socket.available(error) > 0;
+        const std::size_t bytes = socket.available(error);
+        return error ? 0 : bytes;
     }
+    bool unread() { return unread_bytes() > 0; }
     /// Takes no more requests; the front ends the connection once what is owed is paid.
     void begin_closing(CloseReason why, Micros now) { end_by(why, now, now + Closing::kWithin, false); }
     /// The same while operators send clients away: one that has just come is given the time to ask.
--- a/src/net/control/control.cpp
+++ b/src/net/control/control.cpp
@@ -62,6 +62,7 @@
     count("clients_accepted", state.clients.accepted);
     for (std::size_t n = 0; n < state.clients.closed.size(); ++n)
         count(fmt::format("clients_closed_{}", kCloseReasonNames[n]), state.clients.closed[n]);
+    count("clients_closed_unread", state.clients.closed_unread);
     out += fmt::format("balancer.clients_open:{}|g\nbalancer.clients_closing:{}|g\n", state.clients_open,
                        state.clients_closing);
     out += fmt::format("balancer.current:{}|g\nbalancer.cluster_size:{}|g\nbalancer.cluster_unhealthy:{}|g\n",
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -282,6 +282,7 @@
         boost::system::error_code error = co_await readable();
         if (error == asio::error::operation_aborted && client_.socket.is_open()) continue;
         if (!error) error = read_now(client_.socket, dropped);
+        client_.dropped_before_shutdown += dropped.size();
         if (error || hung_up())
             client_gone();
         else if (n % kDropped == 0)
@@ -291,14 +292,17 @@
     while (writing_) co_await wake_.take();
     if (gone_) co_return;
     boost::system::error_code error;
+    client_.dropped_before_shutdown += client_.unread_bytes();
     client_.socket.shutdown(tcp::socket::shutdown_send, error);
     client_.mark_ending();
     const auto limit = deadlines_.in(kLinger, [this] {
         client_.close(CloseReason::ClientLeft);
         wake();
     });
-    for (int n = 0; n < kDropped && !error; ++n, dropped.clear())
+    for (int n = 0; n < kDropped && !error; ++n, dropped.clear()) {
         error = co_await read_more(client_.socket, dropped);
+        client_.dropped_after_shutdown += dropped.size();
+    }
     while (!error && client_.socket.is_open()) co_await wake_.take();
 }
 
--- a/tests/helper.hpp
+++ b/tests/helper.hpp
@@ -64,6 +64,7 @@
         if (fd_ >= 0) ::close(std::exchange(fd_, -1));
     }
     void shut() const { ::shutdown(fd_, SHUT_RDWR); }
+    int descriptor() const { return fd_; }
 
     void reset() { // ends it so that the other side sees a reset
         const linger now{1, 0};
