Add failing tests of the incident: requests after a withdrawal are not answered

Reproduced with real processes: 20 clients have a request open at a node that hangs through the shutdown; each sends its next one on its open connection some ms after the answer that the withdrawal gave it.

--- /dev/null
+++ b/tests/shutdown_test.cpp
@@ -0,0 +1,132 @@
+// The end of a process while its clients go on sending on their open connections: whatever reached it before
+// it ended a connection has its answer. SIGKILL comes as early as it may. Run with the name of a scenario.
+#include "faults/request_loop.hpp"
+
+using namespace test;
+
+namespace {
+
+constexpr int kShort = 300; // ms: the longest deadline, so that the end may be forced 1 s after SIGTERM
+
+// A node that answers a piece at once, and the hanging piece only after the test.
+RespNode::Script hangs_or_echoes(std::chrono::milliseconds time) {
+    return [time](const auto &words, int) {
+        std::this_thread::sleep_for(words[1] == kHanging ? 3s : time);
+        return RespNode::served(words[2]);
+    };
+}
+
+// Prints what became of the requests, and where one was lost what the broker said.
+void check(const RequestTally &tally, const Program &program) {
+    fmt::print("{}\n", tally.summary());
+    if (tally.lost > 0) fmt::print("{}\n", program.log());
+    std::fflush(stdout);
+    assert(tally.lost == 0);
+}
+
+// Sends SIGTERM, waits until the process may be ended by force, and does so.
+void end_at_the_earliest(Program &program, int longest_ms) {
+    const auto kill = Clock::now() + kill_after(longest_ms);
+    program.signal(SIGTERM);
+    std::this_thread::sleep_until(kill);
+    const bool by_itself = !program.running();
+    if (!by_itself) program.signal(SIGKILL);
+    program.exit_code();
+    assert(by_itself);
+}
+
+// The incident: requests hang at a node through the whole of the shutdown, are withdrawn shortly before the
+// end, and each client sends its next one the moment it has the answer.
+void next_requests_after_a_withdrawal_are_answered() {
+    RespNode node(hangs_or_echoes(0ms));
+    const Discovery discovery(member("s-1", node.server.port, 0));
+    Program program(discovery, "", with_deadlines(kShort, kShort));
+    RequestTally tally;
+    std::list<LoopClient> clients;
+    // Its wait is longer than the class's deadline, so that the request is open until it is withdrawn.
+    for (int n = 0; n < 20; ++n)
+        clients.emplace_back(program.port,
+                             LoopHabits{.piece = kHanging, .wait_ms = 5000, .pause = n * 1500us}, tally);
+    std::this_thread::sleep_for(200ms);
+    end_at_the_earliest(program, kShort);
+    for (const LoopClient &client : clients) client.await_end();
+    check(tally, program);
+    assert(tally.sent > 20); // the next ones were sent
+}
+
+// The last bytes of a request come just after the one before it on its connection has been withdrawn.
+void requests_that_come_whole_during_the_withdrawal_are_answered() {
+    RespNode node(hangs_or_echoes(0ms));
+    const Discovery discovery(member("s-1", node.server.port, 0));
+    Program program(discovery, "", with_deadlines(kShort, kShort));
+    RequestTally tally;
+    std::list<LoopClient> clients;
+    for (int n = 0; n < 20; ++n)
+        clients.emplace_back(program.port,
+                             LoopHabits{.piece = kHanging,
+                                        .wait_ms = 5000,
+                                        .depth = 2,
+                                        .pieces = 2,
+                                        .between = std::chrono::milliseconds(835 + n * 4)},
+                             tally);
+    std::this_thread::sleep_for(200ms);
+    end_at_the_earliest(program, kShort);
+    for (const LoopClient &client : clients) client.await_end();
+    check(tally, program);
+}
+
+// Clients without a pause, some of which pipeline, on connections that are let go between requests.
+void busy_clients_are_answered_or_see_the_end() {
+    RespNode node(hangs_or_echoes(2ms));
+    const Discovery discovery(member("s-1", node.server.port, 0));
+    Program program(discovery, "", with_deadlines(kShort, kShort));
+    RequestTally tally;
+    std::list<LoopClient> clients;
+    for (int n = 0; n < 20; ++n)
+        clients.emplace_back(program.port,
+                             LoopHabits{.depth = static_cast<std::size_t>(1 + n % 4), .pause = n * 200us},
+                             tally);
+    std::this_thread::sleep_for(200ms);
+    end_at_the_earliest(program, kShort);
+    for (const LoopClient &client : clients) client.await_end();
+    check(tally, program);
+}
+
+// Clients that open a connection for each request, up to the moment in which the broker stops listening.
+void requests_on_new_connections_are_answered() {
+    RespNode node(hangs_or_echoes(1ms));
+    const Discovery discovery(member("s-1", node.server.port, 0));
+    Program program(discovery, "", with_deadlines(kShort, kShort));
+    RequestTally tally;
+    std::list<LoopClient> clients;
+    for (int n = 0; n < 12; ++n)
+        clients.emplace_back(program.port, LoopHabits{.pause = n * 100us, .requests = 1, .reconnects = true},
+                             tally);
+    std::this_thread::sleep_for(200ms);
+    end_at_the_earliest(program, kShort);
+    clients.clear();
+    check(tally, program);
+}
+
+struct Scenario {
+    const char *name;
+    std::function<void()> play;
+};
+const std::vector<Scenario> kScenarios{
+    {"withdrawn", next_requests_after_a_withdrawal_are_answered},
+    {"partial", requests_that_come_whole_during_the_withdrawal_are_answered},
+    {"busy", busy_clients_are_answered_or_see_the_end},
+    {"newcomers", requests_on_new_connections_are_answered},
+};
+
+} // namespace
+
+int main(int argc, char **argv) {
+    for (const Scenario &scenario : kScenarios)
+        if (argc == 2 && std::string_view(scenario.name) == argv[1]) {
+            scenario.play();
+            return 0;
+        }
+    fmt::print(stderr, "usage: shutdown_test SCENARIO\n");
+    return 2;
+}
