End a connection in the instant in which it was last looked at, and only there

Cause (shown by shutdown_withdrawn and shutdown_partial): once a connection's requests were withdrawn, Session took what stood in the system's buffer, then waited 50 ms for the answers to be written without reading, then shut its sending side over whatever had come meanwhile. src/net/session.cpp: take_last(), and the branch on cut_ in end(). Class: between the last look at a connection and its end lies a wait, or a turn of the loop. Change: Session::shut_down_if_quiet() is the one place where a connection that was told to end does so: where nothing is owed, unwritten or unread, it looks for bytes and shuts the sending side in two calls in a row. It is asked after each read, and right after each write in the same turn, so that a client that goes on asking at once can't put the end off. A connection is read to its end; after the withdrawal every request is refused, and the rest of one that has begun is awaited for 50 ms.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 constexpr Micros kRetryAccept = 10'000; // us before the next accept after a failed one
-// us without a new connection after which, at a drain without clients, none is awaited
-constexpr Micros kStillComing = 250'000;
+// us without a connection after which, at a drain, none is awaited: new ones keep coming for 0.4 s
+constexpr Micros kStillComing = 450'000;
 constexpr std::chrono::milliseconds kAddressHeld{8'000}, kAddressLook{10}; // before anything is served
 constexpr Micros kFrontMoves = 1'000'000;  // us from quiescing until clients' connections are closed
 constexpr int kLastAccepts = 16;           // that may fail before the queue is given up at the end
@@ -119,16 +119,16 @@
 }
 
 void Clients::admit(tcp::socket socket, Passed early) {
-    last_new_ = deadlines_.clock.now();
+    const Micros now = last_change_ = deadlines_.clock.now();
     const std::uint64_t number = ++figures_.accepted;
-    const auto client = clients_.emplace(clients_.end(), std::move(socket), order_, last_new_, number);
+    const auto client = clients_.emplace(clients_.end(), std::move(socket), order_, now, number);
     client->lease = budget_.client();
     if (early.asked) client->mark_asked();
     client->early = std::move(early);
     client->pass = pass_;
     client->staying = done_ != nullptr;
-    if (sending_away()) client->send_away(last_new_);
-    if (!acceptor_.is_open()) client->end_by(CloseReason::Shutdown, last_new_, drain_end_, true);
+    if (sending_away()) client->send_away(now);
+    if (letting_go_) client->shut_down(now, withdraw_at_);
     asio::co_spawn(io_, serve(client), asio::detached);
     limit_idle_askers();
 }
@@ -196,14 +196,15 @@
     if (client->dropped_before_shutdown > 0) ++figures_.closed_unread;
     log_ended(*client);
     clients_.erase(client);
+    last_change_ = deadlines_.clock.now();
     if (done_ && clients_.empty() && !acceptor_.is_open()) std::exchange(done_, nullptr)();
 }
 
-void Clients::drain(Micros until, Micros end, std::function<void()> done) {
+void Clients::drain(Micros let_go, Micros withdraw_at, std::function<void()> done) {
     done_ = std::move(done);
-    drain_until_ = until;
-    drain_end_ = end;
-    last_new_ = deadlines_.clock.now();
+    let_go_at_ = let_go;
+    withdraw_at_ = withdraw_at;
+    last_change_ = deadlines_.clock.now();
     for (Client &client : clients_) {
         client.staying = true;
         if (client.notify) client.notify();
@@ -276,34 +277,47 @@
     for (Client &client : clients_) client.send_away(now);
 }
 
+// Clients go on using what connections they have for as long as those are open, and cannot know of a broker
+// that has gone.
 void Clients::drain_turn() {
     const Micros now = deadlines_.clock.now();
-    // Clients go on using what connections they have for as long as those are open, and cannot know of a
-    // broker that has gone.
-    if (now < drain_until_ && (!clients_.empty() || now - last_new_ < kStillComing)) {
+    if (now >= let_go_at_ && !letting_go_) let_go();
+    const bool none_comes = clients_.empty() && now - last_change_ >= kStillComing;
+    if (now < withdraw_at_ && !none_comes) {
         look_ = deadlines_.in(kRetryAccept, [this] { drain_turn(); });
         return;
     }
-    // What waits to be accepted may have a request written to it, which counts as taken.
+    stop_listening();
+    if (clients_.empty() && done_) std::exchange(done_, nullptr)();
+}
+
+void Clients::let_go() {
+    letting_go_ = true;
+    report_closing("shutdown");
+    const Micros now = deadlines_.clock.now();
+    for (Client &client : clients_) client.shut_down(now, withdraw_at_);
+}
+
+// What waits to be accepted may have a request written to it, which counts as taken.
+void Clients::stop_listening() {
+    letting_go_ = true;
     boost::system::error_code error;
     int queued = 0;
-    for (int failures = 0; failures < kLastAccepts;) {
+    for (int failures = 0; failures < kLastAccepts && !paused_;) { // else a successor accepts
         if (budget_.clients_full()) evict_one();
         tcp::socket socket(io_);
         acceptor_.accept(socket, error);
         if (error == asio::error::would_block) break;
-        if (error)
+        if (error) {
             ++failures; // one connection has gone, or it passes
-        else {
-            ++queued;
-            admit(std::move(socket), Passed());
+            if (error.value() == EMFILE || error.value() == ENFILE) evict_one();
+            continue;
         }
+        ++queued;
+        admit(std::move(socket), Passed());
     }
     acceptor_.close(error);
     core::log("shutdown: takes no more connections; {} were in the queue", queued);
-    report_closing("shutdown");
-    for (Client &client : clients_) client.end_by(CloseReason::Shutdown, now, drain_end_, true);
-    if (clients_.empty() && done_) std::exchange(done_, nullptr)();
 }
 
 } // namespace marblewood::net
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -26,8 +26,9 @@
 /// How a connection ends that has been told to. Times are Unix time in us.
 ///
 /// A client may go on sending, and one that pipelines is never between requests. So nothing waits for that:
-/// from kCrossing on new requests are refused at once, and at `end_by` what is still open is withdrawn, so
-/// that the connection is over once the answers are written.
+/// from kCrossing on new requests are refused at once, and at `end_by` what is open is withdrawn and all that
+/// is new refused. The connection is over at the first instant at which nothing is owed, unwritten or unread;
+/// it is read until that very instant.
 struct Closing {
     /// us for which requests that cross the beginning are still served.
     static constexpr Micros kCrossing = 100'000;
@@ -35,6 +36,8 @@
     static constexpr Micros kWithin = 2'200'000;
     /// us beyond that for a client to read its answers.
     static constexpr Micros kFlushWithin = 300'000;
+    /// us beyond that for the rest of a request that has begun, and for the first of a new connection.
+    static constexpr Micros kRestWithin = 50'000;
 
     /// us for a client that has said nothing yet to begin: its first request may be on its way.
     static constexpr Micros kFirstWithin = 20'000;
@@ -43,9 +46,13 @@
     Micros end_by = 0;
     /// Whether a request is withdrawn, too, after which nothing has come. If not, it keeps its own time.
     bool lone_requests = false;
+    /// `end_by` is over: what was open has been withdrawn, and whatever comes is refused.
+    bool withdrawn = false;
 
     /// Until when the first bytes of a client are awaited that has said nothing; 0: not at all.
     Micros first_until = 0;
+    /// Until when the rest of a request is awaited once requests have been withdrawn.
+    Micros rest_until = 0;
 
     bool crossed(Micros now) const { return since > 0 && now - since >= kCrossing; }
 };
@@ -71,8 +78,9 @@
     std::size_t dropped_before_shutdown = 0, dropped_after_shutdown = 0;
 
     bool idle() const { return use().idle(); }
-    /// Whether a request that has come now is refused: not the first, which the connection was made for.
-    bool refuses(Micros now) const { return use().asked && closing.crossed(now); }
+    /// Whether a request that has come now is refused: not the first, which the connection was made for,
+    /// while there is time.
+    bool refuses(Micros now) const { return closing.withdrawn || (use().asked && closing.crossed(now)); }
     void note(CloseReason why) {
         if (!reason) reason = why;
     }
@@ -90,6 +98,13 @@
         closing.first_until = now + Closing::kFirstWithin;
         begin_closing(CloseReason::Quiesce, now);
     }
+    /// The same at the end of the process, where one that has come lately may wait until requests are
+    /// withdrawn.
+    void shut_down(Micros now, Micros withdraw_at) {
+        closing.first_until =
+            std::min(use().accepted + EvictionOrder::kNewcomerGrace, withdraw_at + Closing::kRestWithin);
+        end_by(CloseReason::Shutdown, now, withdraw_at, true);
+    }
     /// The same, with the time by which it has to be over. Told again, the earlier time counts.
     void end_by(CloseReason why, Micros now, Micros time, bool lone_requests);
     void close(CloseReason why) {
@@ -110,9 +125,10 @@
 
     Clients(asio::io_context &io, core::Deadlines &deadlines, SocketBudget &budget, ClientFigures &figures,
             tcp::acceptor acceptor, Front front);
-    // At a planned end: serves on until the time given, new connections too, then closes all, by `end` at
-    // the latest. `done` is called once none is left.
-    void drain(Micros until, Micros end, std::function<void()> done);
+    // At a planned end: serves on until `let_go`, then ends connections between requests, and still takes new
+    // ones, for requests that have crossed such an end; at `withdraw_at` it stops listening, and what is open
+    // is answered. `done` is called once no connection is left.
+    void drain(Micros let_go, Micros withdraw_at, std::function<void()> done);
     // Sends all away once those who direct clients have had time to turn to others since the time given, or
     // stops doing so. New ones are still taken, and served. Called again, it changes nothing.
     void quiesce(std::optional<Micros> since);
@@ -133,6 +149,8 @@
     bool evict_one();         // to make room; false: all are in use
     void limit_idle_askers(); // closes the longest unused, if too many clients that asked stay
     void drain_turn();
+    void let_go();
+    void stop_listening();
     void send_away();
     bool sending_away() const; // operators want it, and the front has had its time to move
     void log_ended(const Client &client);
@@ -151,8 +169,10 @@
     std::function<void(Passed)> pass_;
     bool paused_ = false;
     core::Mailbox<bool> resumed_;
-    std::optional<Micros> quiesced_; // since when
-    Micros drain_until_ = 0, drain_end_ = 0, last_new_ = 0;
+    std::optional<Micros> quiesced_;         // since when
+    Micros let_go_at_ = 0, withdraw_at_ = 0; // while it drains
+    bool letting_go_ = false;                // the former is over
+    Micros last_change_ = 0;                 // when a connection last came or ended
     core::Deadlines::Entry look_, away_, report_;
     static constexpr int kEndedLines = 50; // a second
     core::LineLimit ended_lines_{kEndedLines};
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -43,10 +43,6 @@
     }
     while (!over_) {
         if (client_.use().closing && deadlines_.clock.now() >= client_.closing.end_by) closing_due();
-        if (cut_ && may_end()) {
-            take_last();
-            break;
-        }
         if (unread_ && !crowded()) {
             unread_ = false;
             took(true);
@@ -54,7 +50,7 @@
         }
         boost::system::error_code error;
         if (client_.pass && hand_over()) break;
-        if (client_.use().closing && !take_pending()) break;
+        if (client_.use().closing && end_between_requests()) break;
         mind();
         if (unread_ && (in_.size() >= kReadAhead || memory_.full())) {
             co_await rest(kLook, true);
@@ -90,41 +86,65 @@
     if (!heard_ && client_.use().closing) client_.close(CloseReason::ClientLeft);
     co_await end();
     closing_.reset();
-    first_.reset();
+    awaited_.reset();
     flush_.reset();
     client_.notify = nullptr;
 }
 
-// Told to end, a connection ends between requests, if there is such a moment in time: once nothing more has
-// come. Takes what has, a bounded part at once; false: this is that moment.
-bool Session::take_pending() {
+// Told to end, a connection ends between requests, if there is such a moment in time. Takes what has come, a
+// bounded part at once, and ends the connection where nothing has; true: it is over.
+bool Session::end_between_requests() {
     for (int n = 0; n < kReadsAtOnce && !crowded(); ++n) {
+        if (shut_down_if_quiet()) return true;
         const bool fresh = !begun();
         const std::size_t before = in_.size();
         const auto error = read_now(client_.socket, in_);
         const bool came = in_.size() != before;
         if (came) took(fresh);
-        if (over_) return false;
-        if (error || !came) return !client_.idle() || !may_end() || (!error && awaits_first());
+        if (over_) return true;
+        if (error || !came) return false;
     }
+    return false;
+}
+
+// The one place where a connection that was told to end does so. It looks for bytes and shuts the sending
+// side in two calls without a turn of the loop between them: a request that has come before is read and
+// answered, and one that comes later finds the end on its way to its client.
+bool Session::shut_down_if_quiet() {
+    const ConnectionUse &use = client_.use();
+    if (over_ || gone_ || !use.closing || use.owed > 0) return false;
+    if (unread_ || unwritten_ || !out_.empty() || !may_end() || awaits_bytes()) return false;
+    if (!quiet(client_.socket)) return false;
+    boost::system::error_code ignored;
+    client_.socket.shutdown(tcp::socket::shutdown_send, ignored);
+    client_.mark_ending();
+    shut_down_ = over_ = true;
     return true;
 }
 
 void Session::heed_closing() {
-    if (!client_.use().closing || cut_) return;
+    if (!client_.use().closing || client_.closing.withdrawn) return;
     closing_ = deadlines_.at(client_.closing.end_by, [this] { closing_due(); });
-    if (awaits_first()) first_ = deadlines_.at(client_.closing.first_until, [this] { stir(); });
+    if (!heard_) awaited_ = deadlines_.at(client_.closing.first_until, [this] { stir(); });
 }
 
-// A client that has just connected may be about to write.
-bool Session::awaits_first() const { return !heard_ && deadlines_.clock.now() < client_.closing.first_until; }
+// Bytes may be on their way: the first of a client that has just connected, or the rest of a request, for
+// which there is little time once requests are withdrawn.
+bool Session::awaits_bytes() const {
+    const Micros now = deadlines_.clock.now();
+    if (!heard_) return now < client_.closing.first_until;
+    return client_.use().partial && (!client_.closing.withdrawn || now < client_.closing.rest_until);
+}
 
 // The connection's time is over. A request that was taken long before may keep it, but nothing newer: answers
 // come in order, so that what stands before the newer has to be answered, too.
 void Session::closing_due() {
+    Closing &closing = client_.closing;
     const bool newer = newer_ || unread_ || client_.use().partial;
-    if (cut_ || (!newer && !client_.closing.lone_requests)) return;
-    cut_ = true;
+    if (closing.withdrawn || (!newer && !closing.lone_requests)) return;
+    closing.withdrawn = true;
+    closing.rest_until = deadlines_.clock.now() + Closing::kRestWithin;
+    awaited_ = deadlines_.at(std::max(closing.rest_until, closing.first_until), [this] { stir(); });
     flush_ = deadlines_.in(Closing::kFlushWithin, [this] {
         if (!passing_on()) client_.close(CloseReason::NotReading);
     });
@@ -132,22 +152,10 @@
         core::log("client {}: {} open requests are withdrawn ({})", client_.id, client_.use().owed,
                   name(*client_.reason));
     withdraw();
-    if (!over_) stir();
+    stir();
     wake();
 }
 
-// What has been read, or stands in the system's buffer, is refused; what comes later is not read.
-void Session::take_last() {
-    if (std::exchange(unread_, false)) took(true);
-    for (int n = 0; n < kReadsAtOnce && !over_; ++n) {
-        const bool fresh = !begun();
-        const std::size_t before = in_.size();
-        const auto error = read_now(client_.socket, in_);
-        if (in_.size() != before) took(fresh);
-        if (error || in_.size() == before) return;
-    }
-}
-
 bool Session::crowded() const { return client_.use().owed >= kMostOwed; }
 
 // Whoever waits for an answer and goes is seen here: nothing more is done for it.
@@ -249,12 +257,17 @@
         boost::system::error_code error;
         const auto limit = self->deadlines_.in(
             kReadWithin, [&client = self->client_] { client.close(CloseReason::NotReading); });
-        co_await write_all(self->client_.socket, out, error);
+        self->unwritten_ = true;
+        co_await write_whole(self->client_.socket, out, error);
+        self->unwritten_ = false;
         self->client_.settle_answers(answers);
         self->client_.received(self->deadlines_.clock.now());
         self->share_.set(self->held() + self->out_.size());
         // The reader sees it, and tells that the client has gone.
         if (error) self->client_.close(CloseReason::ClientLeft);
+        // At once: a client that goes on sending has its answer now, and its next request soon.
+        if (!error && !self->client_.pass) self->shut_down_if_quiet();
+        co_await asio::post(self->client_.socket.get_executor(), asio::use_awaitable); // others' turn
         self->wake();
     }
     self->writing_ = self->client_.writing = false;
@@ -270,15 +283,11 @@
 }
 
 // All that was asked is answered, then the client sees the end. What it wrote meanwhile is read and dropped,
-// so that its leaving is seen, and a reset does not take the last answer from it.
+// so that its leaving is seen, and a reset does not take the last answer from it. Before the sending side is
+// shut that is what stands behind QUIT or a malformed message.
 asio::awaitable<void> Session::end() {
     std::string dropped;
-    for (int n = 1; !gone_ && (writing_ || client_.use().owed > 0); ++n, dropped.clear()) {
-        if (cut_) { // a request that is read now could not be answered any more
-            co_await rest(kLook);
-            if (hung_up()) client_gone();
-            continue;
-        }
+    for (int n = 1; !gone_ && !shut_down_ && (writing_ || client_.use().owed > 0); ++n, dropped.clear()) {
         boost::system::error_code error = co_await readable();
         if (error == asio::error::operation_aborted && client_.socket.is_open()) continue;
         if (!error) error = read_now(client_.socket, dropped);
@@ -292,9 +301,11 @@
     while (writing_) co_await wake_.take();
     if (gone_) co_return;
     boost::system::error_code error;
-    client_.dropped_before_shutdown += client_.unread_bytes();
-    client_.socket.shutdown(tcp::socket::shutdown_send, error);
-    client_.mark_ending();
+    if (!shut_down_) {
+        client_.dropped_before_shutdown += client_.unread_bytes();
+        client_.socket.shutdown(tcp::socket::shutdown_send, error);
+        client_.mark_ending();
+    }
     const auto limit = deadlines_.in(kLinger, [this] {
         client_.close(CloseReason::ClientLeft);
         wake();
--- a/src/net/session.hpp
+++ b/src/net/session.hpp
@@ -50,11 +50,11 @@
     bool crowded() const; // as much is owed as one connection may ask for at once
     bool hand_over();
     void mind();
-    bool take_pending();
-    bool awaits_first() const;
+    bool end_between_requests();
+    bool shut_down_if_quiet();
+    bool awaits_bytes() const;
     void heed_closing();
     void closing_due();
-    void take_last();
     void stop_reading(CloseReason reason, const char *why);
     void client_gone();
     bool hung_up() const; // it has, behind whatever has come and is not read yet
@@ -72,14 +72,15 @@
     std::string out_;
     std::size_t out_answers_ = 0;
     bool writing_ = false, gone_ = false;
-    bool unread_ = false; // in_ holds what came while this connection was crowded
-    bool heard_ = false;  // the client has sent something
-    bool newer_ = false;  // bytes came after the connection was told to end
-    bool cut_ = false;    // it ends now: nothing more is read, and what is open has been withdrawn
+    bool unwritten_ = false; // what write() took out of out_ is not written whole yet
+    bool unread_ = false;    // in_ holds what came while this connection was crowded
+    bool heard_ = false;     // the client has sent something
+    bool newer_ = false;     // bytes came after the connection was told to end
+    bool shut_down_ = false; // the client has been told the end: nothing more can be answered
     asio::cancellation_signal stirred_;
     core::Memory::Share share_;
     core::Memory &memory_;
-    core::Deadlines::Entry patience_, closing_, first_, flush_;
+    core::Deadlines::Entry patience_, closing_, awaited_, flush_;
 };
 
 } // namespace marblewood::net
--- a/src/net/sockets.hpp
+++ b/src/net/sockets.hpp
@@ -117,10 +117,10 @@
     co_return error ? error : read_now(socket, in, most);
 }
 
-// Writes all bytes, the first of them at once, and gives other work a turn before it returns; how many went
-// out. Fewer than all come with an error.
-inline asio::awaitable<std::size_t> write_all(tcp::socket &socket, std::string_view bytes,
-                                              boost::system::error_code &error) {
+// Writes all bytes, the first of them at once; how many went out. Fewer than all come with an error. What
+// stands behind the call runs in the same turn as the last bytes.
+inline asio::awaitable<std::size_t> write_whole(tcp::socket &socket, std::string_view bytes,
+                                                boost::system::error_code &error) {
     std::size_t written = 0;
     socket.non_blocking(true, error);
     while (!error && written < bytes.size()) {
@@ -128,6 +128,13 @@
         if (!to_be_tried_again(error)) continue;
         co_await socket.async_wait(tcp::socket::wait_write, asio::redirect_error(asio::use_awaitable, error));
     }
+    co_return written;
+}
+
+// The same, and gives other work a turn before it returns.
+inline asio::awaitable<std::size_t> write_all(tcp::socket &socket, std::string_view bytes,
+                                              boost::system::error_code &error) {
+    const std::size_t written = co_await write_whole(socket, bytes, error);
     co_await asio::post(socket.get_executor(), asio::use_awaitable);
     co_return written;
 }
