--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -13,7 +13,9 @@
 constexpr Micros kStillComing = 450'000;
 constexpr std::chrono::milliseconds kAddressHeld{8'000}, kAddressLook{10}; // before anything is served
 constexpr Micros kFrontMoves = 1'000'000;  // us from quiescing until clients' connections are closed
-constexpr int kLastAccepts = 16;           // that may fail before the queue is given up at the end
+constexpr Micros kQueueWithin = 200'000;   // us for the queue to be accepted at the end
+constexpr Micros kQueueLook = 1'000;       // us between looks at it
+constexpr int kAcceptsAtOnce = 64;         // before others' turn
 constexpr Micros kReportEvery = 1'000'000; // us between reports of connections that are being closed
 constexpr Micros kSlowToClose = 500'000;   // us from being told to end, beyond which the log says how it went
 
@@ -287,6 +289,11 @@
         look_ = deadlines_.in(kRetryAccept, [this] { drain_turn(); });
         return;
     }
+    letting_go_ = true;
+    if (!paused_ && now < withdraw_at_ + kQueueWithin && !accept_queue()) { // else a successor accepts
+        look_ = deadlines_.in(kQueueLook, [this] { drain_turn(); });
+        return;
+    }
     stop_listening();
     if (clients_.empty() && done_) std::exchange(done_, nullptr)();
 }
@@ -298,26 +305,27 @@
     for (Client &client : clients_) client.shut_down(now, withdraw_at_);
 }
 
-// What waits to be accepted may have a request written to it, which counts as taken.
-void Clients::stop_listening() {
-    letting_go_ = true;
-    boost::system::error_code error;
-    int queued = 0;
-    for (int failures = 0; failures < kLastAccepts && !paused_;) { // else a successor accepts
-        if (budget_.clients_full()) evict_one();
+// What waits to be accepted may have a request written to it, which counts as taken. Accepts a bounded part
+// of it, as there is room; whether none waits any more.
+bool Clients::accept_queue() {
+    for (int n = 0; n < kAcceptsAtOnce; ++n) {
+        if (budget_.clients_full() && !evict_one()) return false;
         tcp::socket socket(io_);
+        boost::system::error_code error;
         acceptor_.accept(socket, error);
-        if (error == asio::error::would_block) break;
-        if (error) {
-            ++failures; // one connection has gone, or it passes
-            if (error.value() == EMFILE || error.value() == ENFILE) evict_one();
-            continue;
-        }
-        ++queued;
+        if (error == asio::error::would_block) return true;
+        if (error.value() == EMFILE || error.value() == ENFILE) evict_one();
+        if (error) return false; // one connection has gone, or it passes
+        ++last_accepts_;
         admit(std::move(socket), Passed());
     }
-    acceptor_.close(error);
-    core::log("shutdown: takes no more connections; {} were in the queue", queued);
+    return false;
+}
+
+void Clients::stop_listening() {
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    core::log("shutdown: takes no more connections; {} were in the queue at the end", last_accepts_);
 }
 
 } // namespace marblewood::net
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -39,6 +39,8 @@
     /// us beyond that for the rest of a request that has begun, and for the first of a new connection.
     static constexpr Micros kRestWithin = 50'000;
 
+    /// us from its accept for which a new connection stands: its client may send several requests at once.
+    static constexpr Micros kBurstWithin = 5'000;
     /// us for a client that has said nothing yet to begin: its first request may be on its way.
     static constexpr Micros kFirstWithin = 20'000;
 
@@ -150,6 +152,7 @@
     void limit_idle_askers(); // closes the longest unused, if too many clients that asked stay
     void drain_turn();
     void let_go();
+    bool accept_queue();
     void stop_listening();
     void send_away();
     bool sending_away() const; // operators want it, and the front has had its time to move
@@ -171,6 +174,7 @@
     core::Mailbox<bool> resumed_;
     std::optional<Micros> quiesced_;         // since when
     Micros let_go_at_ = 0, withdraw_at_ = 0; // while it drains
+    int last_accepts_ = 0;                   // once connections are withdrawn
     bool letting_go_ = false;                // the former is over
     Micros last_change_ = 0;                 // when a connection last came or ended
     core::Deadlines::Entry look_, away_, report_;
--- a/src/net/eviction_order.cpp
+++ b/src/net/eviction_order.cpp
@@ -44,7 +44,9 @@
 std::optional<std::size_t> EvictionOrder::queue_of(const Entry &entry) {
     const ConnectionUse &use = entry.use_;
     if (use.ending) return kEnding;
-    if (use.closing || use.owed > 0 || (use.partial && use.asked)) return std::nullopt;
+    const bool begun = use.asked || use.partial;
+    // One that is closing and has begun ends by itself. One that has not holds room that others may need.
+    if (use.owed > 0 || (use.closing && begun) || (use.partial && use.asked)) return std::nullopt;
     if (entry.newcomer_ && !use.asked) return kNewcomer;
     if (use.partial) return kPartial;
     return use.asked ? kAsked : kSilent;
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -21,7 +21,8 @@
 constexpr int kDropped = 8;          // reads, of what it still sends then, after which there is
 constexpr Micros kDropRest = 10'000; // a rest of so many us: whoever floods does not take the time of all
 constexpr std::size_t kReadAhead =
-    std::size_t{64} * 1024;      // bytes that a crowded connection is read ahead, to see its end
+    std::size_t{64} * 1024; // bytes that a crowded connection is read ahead, to see its end
+constexpr Micros kUnbounded = INT64_MAX;
 constexpr Micros kLook = 50'000; // us between looks at one on which more than that has come
 
 } // namespace
@@ -113,7 +114,8 @@
 bool Session::shut_down_if_quiet() {
     const ConnectionUse &use = client_.use();
     if (over_ || gone_ || !use.closing || use.owed > 0) return false;
-    if (unread_ || unwritten_ || !out_.empty() || !may_end() || awaits_bytes()) return false;
+    if (unread_ || unwritten_ || !out_.empty() || !may_end()) return false;
+    if (deadlines_.clock.now() < awaits_until()) return false;
     if (!quiet(client_.socket)) return false;
     boost::system::error_code ignored;
     client_.socket.shutdown(tcp::socket::shutdown_send, ignored);
@@ -123,17 +125,22 @@
 }
 
 void Session::heed_closing() {
-    if (!client_.use().closing || client_.closing.withdrawn) return;
-    closing_ = deadlines_.at(client_.closing.end_by, [this] { closing_due(); });
-    if (!heard_) awaited_ = deadlines_.at(client_.closing.first_until, [this] { stir(); });
+    if (!client_.use().closing) return;
+    if (!client_.closing.withdrawn)
+        closing_ = deadlines_.at(client_.closing.end_by, [this] { closing_due(); });
+    if (const Micros until = awaits_until(); until != kUnbounded)
+        awaited_ = deadlines_.at(until, [this] { stir(); });
 }
 
-// Bytes may be on their way: the first of a client that has just connected, or the rest of a request, for
-// which there is little time once requests are withdrawn.
-bool Session::awaits_bytes() const {
-    const Micros now = deadlines_.clock.now();
-    if (!heard_) return now < client_.closing.first_until;
-    return client_.use().partial && (!client_.closing.withdrawn || now < client_.closing.rest_until);
+// Until when bytes may be on their way for which the end waits: the rest of a burst on a new connection, the
+// first bytes of a client that has just connected, or the rest of a request, for which there is little time
+// once requests are withdrawn.
+Micros Session::awaits_until() const {
+    const Closing &closing = client_.closing;
+    const Micros burst = client_.use().accepted + Closing::kBurstWithin;
+    if (!heard_) return std::max(burst, closing.first_until);
+    if (!client_.use().partial) return burst;
+    return closing.withdrawn ? std::max(burst, closing.rest_until) : kUnbounded;
 }
 
 // The connection's time is over. A request that was taken long before may keep it, but nothing newer: answers
@@ -144,7 +151,7 @@
     if (closing.withdrawn || (!newer && !closing.lone_requests)) return;
     closing.withdrawn = true;
     closing.rest_until = deadlines_.clock.now() + Closing::kRestWithin;
-    awaited_ = deadlines_.at(std::max(closing.rest_until, closing.first_until), [this] { stir(); });
+    heed_closing();
     flush_ = deadlines_.in(Closing::kFlushWithin, [this] {
         if (!passing_on()) client_.close(CloseReason::NotReading);
     });
--- a/src/net/session.hpp
+++ b/src/net/session.hpp
@@ -52,7 +52,7 @@
     void mind();
     bool end_between_requests();
     bool shut_down_if_quiet();
-    bool awaits_bytes() const;
+    Micros awaits_until() const;
     void heed_closing();
     void closing_due();
     void stop_reading(CloseReason reason, const char *why);
