Add failing tests: a full disk under the log, and SIGHUP during the start, end the process

Seen while looking for other ways in which a process ends with requests owed. shutdown_log_full: with its log on a full disk (/dev/full, every write ENOSPC) the broker ends before it serves, as fmt::print throws; a disk that fills later ends a running broker the same way, at its next line. shutdown_hangup_at_start: SIGHUP while the start waits for an address that another process holds kills it, as its handler is set up only once it serves.

--- a/tests/shutdown_test.cpp
+++ b/tests/shutdown_test.cpp
@@ -128,6 +128,72 @@
     assert(tally.served > before);
 }
 
+// Waits until a process answers at the port, or has gone.
+bool await_ready(int port, const Child &child) {
+    for (const auto until = Clock::now() + 15s; Clock::now() < until && child.running();
+         std::this_thread::sleep_for(5ms)) {
+        const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+        const sockaddr_in at = local(port);
+        Socket socket(fd);
+        if (::connect(fd, reinterpret_cast<const sockaddr *>(&at), sizeof at) != 0) continue;
+        if (!socket.send("*1\r\n$4\r\nPING\r\n")) continue;
+        if (const auto answer = socket.value(); answer && answer->text == "PONG") return true;
+    }
+    return false;
+}
+
+// The log is on a disk that is full: every line of it fails to be written, and nothing else does.
+void a_log_that_cannot_be_written_costs_no_request() {
+    RespNode node(hangs_or_echoes(1ms));
+    const Discovery discovery(member("s-1", node.server.port, 0));
+    Program program(discovery, "", with_deadlines(kShort, kShort)); // for its configuration
+    program.signal(SIGKILL);
+    program.exit_code();
+    Child child;
+    child.start({"--config", program.path("config.json")}, "/dev/full", program.path(""), program.control);
+    assert(await_ready(program.port, child));
+    RequestTally tally;
+    std::list<LoopClient> clients;
+    for (int n = 0; n < 8; ++n)
+        clients.emplace_back(program.port, LoopHabits{.piece = n % 2 ? kPiece : kHanging, .pause = 1ms},
+                             tally);
+    std::this_thread::sleep_for(1500ms); // a line on what was asked of the fleet falls due each second
+    const auto kill = Clock::now() + kill_after(kShort);
+    child.signal(SIGTERM);
+    for (const LoopClient &client : clients) client.await_end();
+    const int code = child.exit_code();
+    fmt::print("{} exit code {}\n", tally.summary(), code);
+    std::fflush(stdout);
+    assert(tally.lost == 0 && code == 0 && Clock::now() < kill);
+}
+
+// A new configuration is announced while the process waits for its address: it starts all the same.
+void a_hangup_during_the_start_is_borne() {
+    const Discovery discovery(member("s-1", free_port(), 0));
+    Program program(discovery);
+    program.signal(SIGKILL);
+    program.exit_code();
+    std::optional<Server> holder(
+        std::in_place, [](Socket &) {}, program.port);
+    Child child;
+    child.start({"--config", program.path("config.json")}, program.path("log-held"), program.path(""), 0);
+    const auto said = [&](const std::string &words) {
+        std::ostringstream text;
+        text << std::ifstream(program.path("log-held")).rdbuf();
+        return text.str().find(words) != std::string::npos;
+    };
+    for (const auto until = Clock::now() + 10s; !said("is held by another process");
+         std::this_thread::sleep_for(5ms))
+        assert(Clock::now() < until);
+    for (int n = 0; n < 3; ++n) child.signal(SIGHUP);
+    std::this_thread::sleep_for(50ms);
+    holder.reset();
+    assert(await_ready(program.port, child));
+    for (const auto until = Clock::now() + 10s; !said("configuration read again");
+         std::this_thread::sleep_for(5ms))
+        assert(Clock::now() < until);
+}
+
 struct Scenario {
     const char *name;
     std::function<void()> play;
@@ -137,6 +203,8 @@
     {"partial", requests_that_come_whole_during_the_withdrawal_are_answered},
     {"busy", busy_clients_are_answered_or_see_the_end},
     {"newcomers", requests_on_new_connections_are_answered},
+    {"log_full", a_log_that_cannot_be_written_costs_no_request},
+    {"hangup_at_start", a_hangup_during_the_start_is_borne},
     {"successor", a_predecessor_listens_again_after_its_successor_ended},
 };
 
