Bear a log that can't be written, and signals during the start

Cause: core::log wrote by fmt::print, which throws where a write fails; SIGHUP had its default action, to end the process, until the broker served, which may take 8 s where an address is held; SIGTERM too, while connections already waited in the queue (by reading: a moment, or 8 s where the NVMe address is held; no test of its own). Change: a line that can't be written is lost. SIGHUP is held back from the first line of the program until its handler stands, and delivered then, in broker, keeper and distributor. SIGTERM has its handler before the clients' address is opened, and the NVMe address is opened first. A look for bytes that is interrupted (EINTR) is made again.

--- a/src/app/app.hpp
+++ b/src/app/app.hpp
@@ -3,6 +3,7 @@
 
 #include "config/config.hpp"
 #include "config/distribution.hpp"
+#include "core/held_signal.hpp"
 #include "net/address.hpp"
 
 #include <fmt/format.h>
@@ -21,10 +22,12 @@
 // The command line, as `marblewood` takes it (README); the process's exit code.
 int command(int argc, char **argv);
 
-// Each returns the process's exit code; what is wrong with the settings is thrown as config::Error.
-int serve(const std::string &path, config::Config config, const config::Operator &added);
-int keep(const std::string &operators);
-int distribute(const std::string &path);
+// Each returns the process's exit code; what is wrong with the settings is thrown as config::Error. SIGHUP is
+// held until they have set up what it asks for.
+int serve(const std::string &path, config::Config config, const config::Operator &added,
+          core::HeldSignal &hangup);
+int keep(const std::string &operators, core::HeldSignal &hangup);
+int distribute(const std::string &path, core::HeldSignal &hangup);
 // One call to the operators' address of a keeper or broker. 0: yes, 1: no, 2: no answer.
 int call_cells(const std::string &control, const std::string &call, const std::vector<std::string> &words);
 
--- a/src/app/command.cpp
+++ b/src/app/command.cpp
@@ -20,6 +20,7 @@
 
 int command(int argc, char **argv) {
     std::signal(SIGPIPE, SIG_IGN);
+    core::HeldSignal hangup(SIGHUP);
     CLI::App app{"marblewood, a broker between clients and storage nodes"};
     std::string path;
     app.add_option("--config", path, "configuration file; $BALANCER_CONFIG otherwise")
@@ -53,8 +54,8 @@
             return 0;
         }
         if (*cells) return call_cells(control, call, words);
-        if (*keeper) return keep(operators);
-        if (*distributor) return distribute(distributor_file);
+        if (*keeper) return keep(operators, hangup);
+        if (*distributor) return distribute(distributor_file, hangup);
         if (path.empty()) throw config::Error("no configuration: give --config or set BALANCER_CONFIG");
         config::Config config = config::load(path);
         if (const char *const at = std::getenv("BALANCER_CONTROL"); at && *at) config.control = at;
@@ -68,7 +69,7 @@
             fmt::print("{}: in order\n", path);
             return 0;
         }
-        return serve(path, config, added);
+        return serve(path, config, added, hangup);
     } catch (const std::exception &error) {
         fmt::print(stderr, "marblewood: {}\n", error.what());
         return 1;
--- a/src/app/distribute.cpp
+++ b/src/app/distribute.cpp
@@ -107,9 +107,10 @@
         if (!config.control.empty()) serve_control();
     }
 
-    void run() {
+    void run(core::HeldSignal &hangup) {
         core::log("distributor {} serves at {}", config_.name, config_.listen);
         await_hangup();
+        hangup.release();
         asio::signal_set signals(io_, SIGTERM, SIGINT);
         signals.async_wait([&](const boost::system::error_code &error, int) {
             if (!error) io_.stop();
@@ -247,7 +248,7 @@
 
 } // namespace
 
-int distribute(const std::string &path) {
+int distribute(const std::string &path, core::HeldSignal &hangup) {
     config::DistributorConfig config = config::load_distributor(path);
     check_addresses(config);
     fit_to_descriptors(config);
@@ -255,7 +256,7 @@
     const std::uint64_t seed = static_cast<std::uint64_t>(random()) << 32 | random();
     // Its loop holds coroutines that refer to it, so it is never destroyed: see serve().
     auto *const process = new DistributorProcess(config, seed);
-    process->run();
+    process->run(hangup);
     std::fflush(nullptr);
     std::quick_exit(0);
 }
--- a/src/app/keep.cpp
+++ b/src/app/keep.cpp
@@ -26,7 +26,7 @@
 
 } // namespace
 
-int keep(const std::string &operators) {
+int keep(const std::string &operators, core::HeldSignal &hangup) {
     const net::cells::Layout layout = read(operators);
     asio::io_context io(1);
     core::Clock clock;
@@ -62,6 +62,7 @@
         });
     };
     await_hangup();
+    hangup.release();
     asio::signal_set signals(io, SIGTERM, SIGINT);
     signals.async_wait([&](const boost::system::error_code &error, int) {
         if (!error) io.stop();
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -90,7 +90,8 @@
 
 } // namespace
 
-int serve(const std::string &path, config::Config config, const config::Operator &added) {
+int serve(const std::string &path, config::Config config, const config::Operator &added,
+          core::HeldSignal &hangup) {
     rlimit files{};
     int sockets = config.sockets; // the lower of what we are told and what the system allows
     if (getrlimit(RLIMIT_NOFILE, &files) == 0)
@@ -244,17 +245,21 @@
 
     net::resp::OpenIds open;
     net::ClientFigures client_figures;
+    std::optional<tcp::acceptor> nvme_listener; // may have to wait, which nobody should who has connected
+    if (!mapping.listen.empty())
+        nvme_listener = listener(io, net::Descriptor(), inherited("nvme"),
+                                 address<tcp::endpoint>(mapping.listen, "nvme.listen"));
+    // From here on requests may be written to connections that wait: a signal to end finds them answered.
+    asio::signal_set signals(io, SIGTERM, SIGINT);
     net::Clients clients(
         io, deadlines, budget, client_figures,
         listener(io, passed_socket(), inherited("clients"), address<tcp::endpoint>(config.listen, "listen")),
         [&](net::Client &client) { return net::resp::serve(client, desk, open); });
     net::nvme::Controllers controllers;
     std::optional<net::Clients> nvme_clients;
-    if (!mapping.listen.empty())
+    if (nvme_listener)
         nvme_clients.emplace(
-            io, deadlines, budget, client_figures,
-            listener(io, net::Descriptor(), inherited("nvme"),
-                     address<tcp::endpoint>(mapping.listen, "nvme.listen")),
+            io, deadlines, budget, client_figures, std::move(*nvme_listener),
             [&](net::Client &client) { return net::nvme::serve(client, desk, mapping, controllers); });
     const auto costs = [&] {
         net::Costs c;
@@ -394,12 +399,12 @@
         });
     };
     await_hangup();
+    hangup.release();
     core::Deadlines::Entry last_look;
     const std::function<void()> stop = [&] { // once all that goes over has gone
         if (!handover || handover->sent()) return io.stop();
         last_look = deadlines.in(kLook, stop);
     };
-    asio::signal_set signals(io, SIGTERM, SIGINT);
     const std::function<void()> await_further_signals = [&] { // they change nothing
         signals.async_wait([&](const boost::system::error_code &error, int number) {
             if (error) return;
--- a/src/core/log.hpp
+++ b/src/core/log.hpp
@@ -1,9 +1,11 @@
-// The log: one line an event on standard error, with the time since the start.
+// The log: one line an event on standard error, with the time since the start. A line that can't be written
+// (a full disk, a reader that has gone) is lost; nothing else is.
 #pragma once
 
 #include <chrono>
 #include <cstdio>
 #include <fmt/format.h>
+#include <string>
 
 namespace marblewood::core {
 
@@ -12,7 +14,9 @@
     return std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count();
 }
 template <typename... Args> void log(fmt::format_string<Args...> format, Args &&...args) {
-    fmt::print(stderr, "{:.3f} {}\n", seconds_up(), fmt::format(format, std::forward<Args>(args)...));
+    const std::string line =
+        fmt::format("{:.3f} {}\n", seconds_up(), fmt::format(format, std::forward<Args>(args)...));
+    std::fwrite(line.data(), 1, line.size(), stderr); // fmt::print would throw
 }
 
 } // namespace marblewood::core
--- a/src/net/sockets.hpp
+++ b/src/net/sockets.hpp
@@ -95,9 +95,14 @@
 
 // Whether the other side has neither ended the connection nor sent anything that is not read yet.
 inline bool quiet(tcp::socket &socket) {
+    constexpr int kTries = 8; // an interrupted call says nothing
     char byte;
-    const auto got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    for (int n = 0; n < kTries; ++n) {
+        const auto got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        if (got >= 0) return false;
+        if (errno != EINTR) return errno == EAGAIN || errno == EWOULDBLOCK;
+    }
+    return false;
 }
 
 // Appends what has come. One buffer serves all connections: those that wait need none.
