Add a failing test: an ending NVMe connection asks for a write's data

Related code of the incident: once its connection is being ended a new write command was answered with R2T, so that the end waited for data that the host need not send, until the withdrawal or the close after it.

--- a/tests/nvme_test.cpp
+++ b/tests/nvme_test.cpp
@@ -464,6 +464,28 @@
     if (process_ends) assert(program.exit_code() == 0);
 }
 
+// Once connections are being ended a write is refused at once: its data is not asked for, which the host
+// might never send.
+void a_write_is_refused_before_its_data_once_its_connection_ends() {
+    RespNode node([](const auto &, int) {
+        std::this_thread::sleep_for(2s);
+        return RespNode::served(block_of('v'));
+    });
+    const Discovery discovery(member("s-1", node.server.port, 0));
+    const int port = free_port();
+    const Program program(discovery, operators(port, false));
+    Host host(port);
+    std::this_thread::sleep_for(700ms);
+    host.io.send(Host::command(op::kRead, 1, 1)); // its connection stays as long as this is open
+    while (node.taken().empty()) std::this_thread::sleep_for(5ms);
+    assert(program.call("POST", "quiesce").first == 200);
+    std::this_thread::sleep_for(1300ms);
+    host.io.send(Host::command(op::kWrite, 2, 2));
+    const auto answer = receive(host.io);
+    assert(answer && answer->type == Type::Response && Completion::read(*answer).cid == 2);
+    assert(!Completion::read(*answer).status.ok());
+}
+
 // A host that always has commands out, and more to come, is sent away all the same.
 void a_host_that_never_rests_is_sent_away() {
     RespNode node([](const auto &, int) {
@@ -508,5 +530,6 @@
     outcomes_are_the_same_over_both_protocols();
     commands_are_completed_before_a_host_is_let_go(false);
     commands_are_completed_before_a_host_is_let_go(true);
+    a_write_is_refused_before_its_data_once_its_connection_ends();
     a_host_that_never_rests_is_sent_away();
 }
