Refuse an NVMe write at once on a connection that is being ended

Cause: the front refused a command only when its request was made, which for a write is after its data has come.

--- a/src/net/nvme/front.cpp
+++ b/src/net/nvme/front.cpp
@@ -149,6 +149,7 @@
         if (c.opcode() != op::kWrite || length != mapping_.block_bytes)
             return complete(c.cid(), {status::kInvalidField, 0, true});
         if (const Status16 refused = check(c); !refused.ok()) return complete(c.cid(), refused);
+        if (client_.refuses(deadlines_.clock.now())) return complete(c.cid(), {status::kNotReady, 0, false});
         ask_for_data(c, length);
     }
 
