--- a/tests/shutdown_test.cpp
+++ b/tests/shutdown_test.cpp
@@ -108,6 +108,24 @@
     check(tally, program);
 }
 
+// A client rests until the broker ends its connection, and asks on a new one at once, as one has to whose
+// request crossed the end.
+void a_request_sent_again_after_the_end_of_a_resting_connection_is_answered() {
+    RespNode node(hangs_or_echoes(1ms));
+    const Discovery discovery(member("s-1", node.server.port, 0));
+    Program program(discovery, "", with_deadlines(kShort, kShort));
+    Socket resting = program.client();
+    resting.send(get(kPiece));
+    assert(resting.value().has_value());
+    const auto kill = Clock::now() + kill_after(kShort);
+    program.signal(SIGTERM);
+    resting.ended();
+    Socket again = program.client();
+    again.send(get(kPiece));
+    assert(again.value().has_value());
+    assert(program.exit_code() == 0 && Clock::now() < kill);
+}
+
 // A successor is told to end while its predecessor still lives: that serves again, new connections, too.
 void a_predecessor_listens_again_after_its_successor_ended() {
     RespNode node(hangs_or_echoes(1ms));
@@ -203,6 +221,7 @@
     {"partial", requests_that_come_whole_during_the_withdrawal_are_answered},
     {"busy", busy_clients_are_answered_or_see_the_end},
     {"newcomers", requests_on_new_connections_are_answered},
+    {"sent_again", a_request_sent_again_after_the_end_of_a_resting_connection_is_answered},
     {"log_full", a_log_that_cannot_be_written_costs_no_request},
     {"hangup_at_start", a_hangup_during_the_start_is_borne},
     {"successor", a_predecessor_listens_again_after_its_successor_ended},
