--- a/src/net/nvme/front.cpp
+++ b/src/net/nvme/front.cpp
@@ -12,6 +12,7 @@
 constexpr std::uint64_t kCap = (kQueueEntries - 1) | 1ull << 16 /* contiguous queues */ |
                                20ull << 24 /* ready within 10 s */ | 1ull << 37 /* the NVM command set */;
 constexpr std::uint32_t kVersion = 0x00010400;
+constexpr Micros kRetryDelayUnit = 100'000; // us: the specification's unit of kRetryDelays
 constexpr Micros kKeepAliveSlack = 1'000'000;
 constexpr std::size_t kMostHead = 24; // bytes told of a PDU that never came whole
 constexpr std::size_t kConnectData = 1024, kIdentifyData = 4096;
@@ -28,7 +29,7 @@
     if (outcome.retry_after > 0) {
         refused.retry_delay = 3;
         for (std::uint8_t n = 3; n > 0; --n)
-            if (kRetryDelays[n - 1] * 100'000 >= outcome.retry_after) refused.retry_delay = n;
+            if (kRetryDelays[n - 1] * kRetryDelayUnit >= outcome.retry_after) refused.retry_delay = n;
     }
     return refused;
 }
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -29,30 +29,30 @@
 
 asio::awaitable<void> Session::run() {
     client_.notify = [this] {
-        heed_closing();
+        arm_closing_timers();
         if (over_)
             wake();
         else if (client_.use().owed == 0)
-            stir();
+            interrupt_read();
     };
     heard_ = client_.early.asked; // by the process that had this client before
-    heed_closing();
+    arm_closing_timers();
     if (!client_.early.bytes.empty()) { // read by the process that had this client before
         in_ = std::exchange(client_.early.bytes, {});
         since_ = client_.early.since;
-        took(false);
+        handle_received(false);
     }
     while (!over_) {
         if (client_.use().closing && deadlines_.clock.now() >= client_.closing.end_by) closing_due();
         if (unread_ && !crowded()) {
             unread_ = false;
-            took(true);
+            handle_received(true);
             continue;
         }
         boost::system::error_code error;
         if (client_.pass && hand_over()) break;
         if (client_.use().closing && end_between_requests()) break;
-        mind();
+        arm_patience();
         if (unread_ && (in_.size() >= kReadAhead || memory_.full())) {
             co_await rest(kLook, true);
             if (!hung_up()) continue;
@@ -71,7 +71,7 @@
         if (unread_)
             share_.set(held() + out_.size());
         else
-            took(fresh);
+            handle_received(fresh);
         if (wrong_) {
             wrong_ = false;
             co_await rest(kRest);
@@ -101,7 +101,7 @@
         const std::size_t before = in_.size();
         const auto error = read_now(client_.socket, in_);
         const bool came = in_.size() != before;
-        if (came) took(fresh);
+        if (came) handle_received(fresh);
         if (over_) return true;
         if (error || !came) return false;
     }
@@ -124,12 +124,12 @@
     return true;
 }
 
-void Session::heed_closing() {
+void Session::arm_closing_timers() {
     if (!client_.use().closing) return;
     if (!client_.closing.withdrawn)
         closing_ = deadlines_.at(client_.closing.end_by, [this] { closing_due(); });
     if (const Micros until = awaits_until(); until != kUnbounded)
-        awaited_ = deadlines_.at(until, [this] { stir(); });
+        awaited_ = deadlines_.at(until, [this] { interrupt_read(); });
 }
 
 // Until when bytes may be on their way for which the end waits: the rest of a burst on a new connection, the
@@ -151,7 +151,7 @@
     if (closing.withdrawn || (!newer && !closing.lone_requests)) return;
     closing.withdrawn = true;
     closing.rest_until = deadlines_.clock.now() + Closing::kRestWithin;
-    heed_closing();
+    arm_closing_timers();
     flush_ = deadlines_.in(Closing::kFlushWithin, [this] {
         if (!passing_on()) client_.close(CloseReason::NotReading);
     });
@@ -159,7 +159,7 @@
         core::log("client {}: {} open requests are withdrawn ({})", client_.id, client_.use().owed,
                   name(*client_.reason));
     withdraw();
-    stir();
+    interrupt_read();
     wake();
 }
 
@@ -182,7 +182,8 @@
     boost::system::error_code error;
     co_await client_.socket.async_wait(
         tcp::socket::wait_read,
-        asio::bind_cancellation_slot(stirred_.slot(), asio::redirect_error(asio::use_awaitable, error)));
+        asio::bind_cancellation_slot(read_interrupted_.slot(),
+                                     asio::redirect_error(asio::use_awaitable, error)));
     co_return error;
 }
 
@@ -198,7 +199,7 @@
     return true;
 }
 
-void Session::took(bool fresh) {
+void Session::handle_received(bool fresh) {
     client_.received(deadlines_.clock.now());
     heard_ = true;
     if (client_.refuses(client_.use().used)) newer_ = true;
@@ -214,7 +215,7 @@
 
 // What the client is given time for now. One that holds a connection and says nothing, or half of something,
 // takes descriptors and memory from the others.
-void Session::mind() {
+void Session::arm_patience() {
     patience_.reset();
     const Micros idle = may_idle();
     if (over_) return;
@@ -281,7 +282,7 @@
     self->wake();
     if (self->flow_.empty()) self->flow_.put(true);
     if (!self->client_.notify) co_return; // it has ended
-    self->mind();
+    self->arm_patience();
     if (self->client_.use().closing || self->client_.pass) self->client_.notify();
 }
 
--- a/src/net/session.hpp
+++ b/src/net/session.hpp
@@ -46,24 +46,26 @@
     bool wrong_ = false; // it sent what is of no use: it is read on after a rest
 
 private:
-    void took(bool fresh);
+    void handle_received(bool fresh);
     bool crowded() const; // as much is owed as one connection may ask for at once
     bool hand_over();
-    void mind();
+    void arm_patience();
     bool end_between_requests();
     bool shut_down_if_quiet();
     Micros awaits_until() const;
-    void heed_closing();
+    void arm_closing_timers();
     void closing_due();
     void stop_reading(CloseReason reason, const char *why);
     void client_gone();
     bool hung_up() const; // it has, behind whatever has come and is not read yet
-    asio::awaitable<boost::system::error_code> readable(); // operation_aborted where it was stirred instead
+    asio::awaitable<boost::system::error_code> readable(); // operation_aborted where it was interrupted instead
     asio::awaitable<void> rest(Micros length, bool until_room = false); // or until no longer crowded
-    void stir() { stirred_.emit(asio::cancellation_type::all); }        // ends readable(), and nothing else
-    void wake() {                                                       // at most one call waits to be heard
+    void interrupt_read() {
+        read_interrupted_.emit(asio::cancellation_type::all);
+    }             // ends readable(), and nothing else
+    void wake() { // at most one call waits to be heard
         if (wake_.empty()) wake_.put(true);
-        if (over_ || unread_) stir();
+        if (over_ || unread_) interrupt_read();
     }
     asio::awaitable<void> write(std::shared_ptr<Session> self);
     asio::awaitable<void> end();
@@ -77,7 +79,7 @@
     bool heard_ = false;     // the client has sent something
     bool newer_ = false;     // bytes came after the connection was told to end
     bool shut_down_ = false; // the client has been told the end: nothing more can be answered
-    asio::cancellation_signal stirred_;
+    asio::cancellation_signal read_interrupted_;
     core::Memory::Share share_;
     core::Memory &memory_;
     core::Deadlines::Entry patience_, closing_, awaited_, flush_;
