--- a/tests/shutdown_test.cpp
+++ b/tests/shutdown_test.cpp
@@ -108,6 +108,36 @@
     check(tally, program);
 }
 
+// Several requests come in one piece after requests have been withdrawn: each of them has its answer, or the
+// end came before all.
+void a_batch_after_a_withdrawal_is_answered_whole() {
+    constexpr int kClients = 20, kBatch = 3;
+    RespNode node(hangs_or_echoes(1ms));
+    const Discovery discovery(member("s-1", node.server.port, 0));
+    Program program(discovery, "", with_deadlines(kShort, kShort));
+    Socket resting = program.client(); // for which the broker stays
+    resting.send(get(kPiece));
+    assert(resting.value().has_value());
+    const auto told = Clock::now();
+    program.signal(SIGTERM);
+    std::this_thread::sleep_until(told + 570ms); // connections are let go, requests not withdrawn yet
+    std::list<Socket> clients;
+    for (int n = 0; n < kClients; ++n) clients.push_back(program.client());
+    int whole = 0, at = 0;
+    for (Socket &client : clients) {
+        std::this_thread::sleep_until(told + 650ms + ++at * 2ms); // new connections stand until 700 ms
+        client.send(get(kPiece) + get(kPiece) + get(kPiece));
+    }
+    for (Socket &client : clients) {
+        int answers = 0;
+        while (client.value()) ++answers;
+        assert(answers == 0 || answers == kBatch);
+        if (answers == kBatch) ++whole;
+    }
+    fmt::print("{} of {} batches were answered\n", whole, kClients);
+    assert(program.exit_code() == 0);
+}
+
 // A client rests until the broker ends its connection, and asks on a new one at once, as one has to whose
 // request crossed the end.
 void a_request_sent_again_after_the_end_of_a_resting_connection_is_answered() {
@@ -221,6 +251,7 @@
     {"partial", requests_that_come_whole_during_the_withdrawal_are_answered},
     {"busy", busy_clients_are_answered_or_see_the_end},
     {"newcomers", requests_on_new_connections_are_answered},
+    {"batch", a_batch_after_a_withdrawal_is_answered_whole},
     {"sent_again", a_request_sent_again_after_the_end_of_a_resting_connection_is_answered},
     {"log_full", a_log_that_cannot_be_written_costs_no_request},
     {"hangup_at_start", a_hangup_during_the_start_is_borne},
