Answer a batch whole before its connection ends; accept the whole queue in one turn

Change: no connection is shut while what was read is being parsed. It is accepted to its end in one turn, and after 100 ms, where there was no room before, over the budget.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -13,9 +13,9 @@
 constexpr Micros kStillComing = 450'000;
 constexpr std::chrono::milliseconds kAddressHeld{8'000}, kAddressLook{10}; // before anything is served
 constexpr Micros kFrontMoves = 1'000'000;  // us from quiescing until clients' connections are closed
-constexpr Micros kQueueWithin = 200'000;   // us for the queue to be accepted at the end
+constexpr Micros kQueueWithin = 100'000;   // us for the queue to be accepted at the end
 constexpr Micros kQueueLook = 1'000;       // us between looks at it
-constexpr int kAcceptsAtOnce = 64;         // before others' turn
+constexpr int kAcceptsAtOnce = 4096;       // more than the queue holds
 constexpr Micros kReportEvery = 1'000'000; // us between reports of connections that are being closed
 constexpr Micros kSlowToClose = 500'000;   // us from being told to end, beyond which the log says how it went
 
@@ -290,7 +290,8 @@
         return;
     }
     letting_go_ = true;
-    if (!paused_ && now < withdraw_at_ + kQueueWithin && !accept_queue()) { // else a successor accepts
+    const bool last = now >= withdraw_at_ + kQueueWithin;
+    if (!paused_ && !accept_queue(last) && !last) { // else a successor accepts
         look_ = deadlines_.in(kQueueLook, [this] { drain_turn(); });
         return;
     }
@@ -305,11 +306,11 @@
     for (Client &client : clients_) client.shut_down(now, withdraw_at_);
 }
 
-// What waits to be accepted may have a request written to it, which counts as taken. Accepts a bounded part
-// of it, as there is room; whether none waits any more.
-bool Clients::accept_queue() {
+// What waits to be accepted may have a request written to it, which counts as taken. Accepts all of it in one
+// turn, as others may join it in the meantime, and as there is room, or without: `last`. Whether none waits.
+bool Clients::accept_queue(bool last) {
     for (int n = 0; n < kAcceptsAtOnce; ++n) {
-        if (budget_.clients_full() && !evict_one()) return false;
+        if (budget_.clients_full() && !evict_one() && !last) return false;
         tcp::socket socket(io_);
         boost::system::error_code error;
         acceptor_.accept(socket, error);
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -152,7 +152,7 @@
     void limit_idle_askers(); // closes the longest unused, if too many clients that asked stay
     void drain_turn();
     void let_go();
-    bool accept_queue();
+    bool accept_queue(bool last);
     void stop_listening();
     void send_away();
     bool sending_away() const; // operators want it, and the front has had its time to move
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -114,7 +114,7 @@
 bool Session::shut_down_if_quiet() {
     const ConnectionUse &use = client_.use();
     if (over_ || gone_ || !use.closing || use.owed > 0) return false;
-    if (unread_ || unwritten_ || !out_.empty() || !may_end()) return false;
+    if (parsing_ || unread_ || unwritten_ || !out_.empty() || !may_end()) return false;
     if (deadlines_.clock.now() < awaits_until()) return false;
     if (!quiet(client_.socket)) return false;
     boost::system::error_code ignored;
@@ -204,7 +204,9 @@
     heard_ = true;
     if (client_.refuses(client_.use().used)) newer_ = true;
     if (fresh) since_ = client_.use().used;
-    take_all();
+    parsing_ = true;
+    take_all(); // may answer, and write the answers, before all of it is parsed
+    parsing_ = false;
     if (in_.empty()) std::string().swap(in_); // its room, too
     // Many connections with a part of a message each must not add up to more than the machine has.
     if (begun() && !over_ && memory_.full() && held() > kFreeRein)
--- a/src/net/session.hpp
+++ b/src/net/session.hpp
@@ -58,7 +58,8 @@
     void stop_reading(CloseReason reason, const char *why);
     void client_gone();
     bool hung_up() const; // it has, behind whatever has come and is not read yet
-    asio::awaitable<boost::system::error_code> readable(); // operation_aborted where it was interrupted instead
+    asio::awaitable<boost::system::error_code>
+    readable(); // operation_aborted where it was interrupted instead
     asio::awaitable<void> rest(Micros length, bool until_room = false); // or until no longer crowded
     void interrupt_read() {
         read_interrupted_.emit(asio::cancellation_type::all);
@@ -75,6 +76,7 @@
     std::size_t out_answers_ = 0;
     bool writing_ = false, gone_ = false;
     bool unwritten_ = false; // what write() took out of out_ is not written whole yet
+    bool parsing_ = false;   // what was read is being taken
     bool unread_ = false;    // in_ holds what came while this connection was crowded
     bool heard_ = false;     // the client has sent something
     bool newer_ = false;     // bytes came after the connection was told to end
