--- a/src/net/nvme/front.cpp
+++ b/src/net/nvme/front.cpp
@@ -248,12 +248,13 @@
         working.taker = &taker;
         const std::uint64_t serial = working.serial;
         const std::weak_ptr<Session> weak = weak_from_this();
-        const RequestId id = taker.submit(r, [this, weak, cid = c.cid(), serial](core::Outcome outcome) {
-            if (const auto self = weak.lock())
-                answer(cid, serial, outcome);
-            else if (outcome.stream)
-                outcome.stream->abandon();
-        });
+        const RequestId id =
+            taker.submit(r, [this, weak, cid = c.cid(), serial](const core::Outcome &outcome) {
+                if (const auto self = weak.lock())
+                    answer(cid, serial, outcome);
+                else if (outcome.stream)
+                    outcome.stream->abandon();
+            });
         if (const auto it = commands_.find(c.cid()); it != commands_.end() && it->second.serial == serial)
             it->second.id = id;
     }
