--- a/review/common/case.hpp
+++ b/review/common/case.hpp
@@ -135,6 +135,12 @@
             ::close(std::exchange(fd_, -1));
     }
     bool open() const { return fd_ >= 0; }
+    /// Ends the connection for both sides as a reset by the network does.
+    void reset() {
+        const linger zero_linger{1, 0};
+        ::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &zero_linger, sizeof zero_linger);
+        close();
+    }
     bool send(std::string_view bytes) const {
         while (!bytes.empty()) {
             const auto sent = ::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
