--- a/review/common/case.hpp
+++ b/review/common/case.hpp
@@ -150,6 +150,21 @@
         }
         return true;
     }
+    /// The bytes that come until `until` or the end of the connection, whichever is first.
+    std::string bytes(double until) {
+        std::string all;
+        for (double left; (left = until - now_ms()) > 0;) {
+            pollfd waiting{fd_, POLLIN, 0};
+            char chunk[4096];
+            if (::poll(&waiting, 1, static_cast<int>(left) + 1) <= 0)
+                break;
+            const auto got = ::recv(fd_, chunk, sizeof chunk, 0);
+            if (got <= 0)
+                break;
+            all.append(chunk, static_cast<std::size_t>(got));
+        }
+        return all;
+    }
     /// How taking an answer ended.
     enum class End { Answer, Closed, Nothing };
     /// Waits for the next answer until `until` (in ms of now_ms()).
