--- a/review/1/pipeline.cpp
+++ b/review/2/pipeline.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// Case 1: a reporting program sends 600 exports at once on one connection. The first one costs much more
+/// Case 2: a reporting program sends 600 exports at once on one connection. The first one costs much more
 /// work than usual, so that the answers of all the others wait for it. Every command has to get an answer.
 #include "../common/case.hpp"
 
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -5,7 +5,7 @@
 export RUN_COMMAND
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-timeout -k 2 110 review/bin/repeat "$folder" review/2/record.txt
+timeout -k 2 110 review/bin/pipeline "$folder" review/2/record.txt
 result=$?
 [ "$result" -le 1 ] || { cat "$folder"/*.log >>review/2/record.txt; exit 2; }
 exit "$result"
