--- a/review/2/pipeline.cpp
+++ b/review/2/pipeline.cpp
@@ -98,6 +98,8 @@
         std::_Exit(kCannotRun);
     }
     const double sent_at = now_ms();
+    for (const std::string &id : ids)
+        record.line("client: has sent {}", id);
     record.say("sent {} commands ({} bytes) on one connection, all written", ids.size(), bytes.size());
 
     // The client keeps the connection open and reads, well beyond every deadline.
@@ -110,7 +112,7 @@
             closed = end == Connection::End::Closed;
             break;
         }
-        record.line("{} answered: {}", ids[answered], text_of(value));
+        record.line("client: {} is answered: {}", ids[answered], text_of(value));
         foreign |= value.kind == Value::Kind::Bulk && value.text != ids[answered];
         ++answered;
     }
