--- a/review/2/pipeline.cpp
+++ b/review/2/pipeline.cpp
@@ -1,6 +1,7 @@
 /// \file
-/// Case 2: a reporting program sends 600 exports at once on one connection. The first one costs much more
-/// work than usual, so that the answers of all the others wait for it. Every command has to get an answer.
+/// Case 2: a client sends 25 commands at once, eight times a second, on one connection. The first command's
+/// node is silent, so that the answers of all the others wait for that one. Every command has to get an
+/// answer.
 #include "../common/case.hpp"
 
 using namespace review;
@@ -8,11 +9,12 @@
 
 namespace {
 
-constexpr int kOthers = 599;      // behind the costly command, on the same connection
-constexpr int kDeadlineMs = 5000; // of the class
-constexpr int kUsualMs = 110;     // the site: 74 to 120
-constexpr int kCostlyMs =
-    29 * 110; // the page: 5.7 to 30 times the usual work, of 1 to 2.7% of a class's requests
+constexpr int kNodes = 5;                 // one of them, 20%, is silent: the page has up to 20%
+constexpr int kBatches = 28, kBatch = 25; // commands at once; 200 a second, which the page has for a broker
+constexpr int kBatchEveryMs = 125;        // for 3.5 s
+constexpr std::size_t kPiece = 1000;      // messages come in pieces
+constexpr int kExportMs = 110, kReadMs = 30; // the site: 74 to 120, 24 to 39
+constexpr int kExportDeadlineMs = 5000, kReadDeadlineMs = 2500;
 
 const std::string kSettings =
     R"({"bounds":{"cancel":true,"connect_timeout":250.0,"idle_close":15000.0,"max_attempts":3,)"
@@ -27,16 +29,16 @@
     R"("client_habits":{"marks_retry":false},"contract":{"cold":18000.0,"drain_grace":250.0,"fall":1500.0,)"
     R"("grace_to_answer":58.0,"must_ask_in":10000.0,"start_capacity":0.18,"tip_multiple":3.0},)"
     R"("dcs":["pasig"],"family":"stores","family_info":{"beyond_share":0.1,"class_writes":[false,true,false],)"
-    R"("cold_bears":76.0,"fair_worth":0.35,"largest":8,"metering":500.0,"says_others":false,"shards":2,)"
+    R"("cold_bears":76.0,"fair_worth":0.35,"largest":8,"metering":500.0,"says_others":false,"shards":5,)"
     R"("usual_units":2.0},"instances":1,"kinds":["box-2c"],"membership_mode":"pushed","my_zone":"pasig",)"
-    R"("period":2.0,"policies":[{"name":"basic","nominal":40.0,"parts":1.0,"pays":0.8,"reserve":20.0}],)"
+    R"("period":2.0,"policies":[{"name":"basic","nominal":400.0,"parts":1.0,"pays":0.8,"reserve":200.0}],)"
     R"("position":0,"telemetry":{"fields":[],"how":"none"},"tier":0,"tiers":["msg-store"],"weights":"none"})";
 
-std::string command(const std::string &id, int shard) {
+std::string command(const std::string &id, bool is_export, int shard) {
     return test::resp::command(
         {"OBJ.GET", "7f3a9c21e0b4d655", id,
-         fmt::format("c=export,t=basic,d={},volume=00000003b4d60021,units=2,shard={},hosts=1", kDeadlineMs,
-                     shard)});
+         fmt::format("c={},t=basic,d={},volume=00000003b4d60021,units=2,shard={},hosts=1",
+                     is_export ? "export" : "read", is_export ? kExportDeadlineMs : kReadDeadlineMs, shard)});
 }
 
 } // namespace
@@ -44,26 +46,26 @@
 int main(int, char **argv) {
     const std::string folder = argv[1];
     Record record(argv[2]);
-    const bool costly = trouble();
-    const std::string costly_id = "00000000c0571e00";
-
-    const auto serve = [&](const char *node) {
-        return [&record, &costly_id, costly, node](const std::vector<std::string> &words, int) {
+    std::list<test::RespNode> nodes;
+    std::string members;
+    for (int n = 0; n < kNodes; ++n) {
+        nodes.emplace_back([&record, n](const std::vector<std::string> &words, int) {
+            if (n == 0 && trouble()) // silent: no reset, no answer
+                std::this_thread::sleep_for(60s);
             if (words[0] == "PING")
                 return std::string("+PONG\r\n");
             if (words[0] == "INFO")
                 return std::string("$0\r\n\r\n");
             if (words[0] != "OBJ.GET")
                 return std::string("-ERR unknown\r\n");
-            record.line("{} runs {} {}", node, words[2], words[3]);
-            const int work = costly && words[2] == costly_id ? kCostlyMs : kUsualMs;
-            std::this_thread::sleep_for(std::chrono::milliseconds(work));
+            record.line("node {} runs {} {}", n, words[2], words[3]);
+            std::this_thread::sleep_for(
+                std::chrono::milliseconds(words[3].starts_with("c=export") ? kExportMs : kReadMs));
             return "*3\r\n$16\r\n" + words[2] + "\r\n$-1\r\n$-1\r\n";
-        };
-    };
-    test::RespNode node_0(serve("node 0")), node_1(serve("node 1"));
-    test::Discovery discovery(test::member("s-0", node_0.server.port, 0) + "," +
-                              test::member("s-1", node_1.server.port, 1));
+        });
+        members += (n ? "," : "") + test::member(fmt::format("s-{}", n), nodes.back().server.port, n);
+    }
+    test::Discovery discovery(members);
 
     const int port = test::free_port();
     const std::string listen = fmt::format("127.0.0.1:{}", port);
@@ -85,29 +87,40 @@
         std::_Exit(kCannotRun);
     }
 
-    // All commands are written at once.
-    std::vector<std::string> ids{costly_id};
-    std::string bytes = command(costly_id, 0);
-    for (int n = 0; n < kOthers; ++n) {
-        ids.push_back(fmt::format("0000000000{:06x}", n));
-        bytes += command(ids.back(), 1);
-    }
+    // The client writes in pieces and reads at the same time; it keeps the connection beyond every deadline.
     Connection client(port);
-    if (!client.open() || !client.send(bytes)) {
-        record.say("the commands could not be written");
-        std::_Exit(kCannotRun);
-    }
-    const double sent_at = now_ms();
-    for (const std::string &id : ids)
-        record.line("client: has sent {}", id);
-    record.say("sent {} commands ({} bytes) on one connection, all written", ids.size(), bytes.size());
-
-    // The client keeps the connection open and reads, well beyond every deadline.
+    std::vector<std::string> ids;
+    for (int n = 0; n < kBatches * kBatch; ++n)
+        ids.push_back(fmt::format("0000000000{:06x}", n));
+    const double start = now_ms();
+    std::vector<double> sent_at(ids.size());
+    std::atomic<std::size_t> sent = 0;
+    std::thread writer([&] {
+        std::string bytes;
+        for (int batch = 0; batch < kBatches; ++batch) {
+            for (int n = 0; n < kBatch; ++n) {
+                const int number = batch * kBatch + n;
+                bytes += command(ids[static_cast<std::size_t>(number)], number == 0,
+                                 number == 0 ? 0 : 1 + number % (kNodes - 1));
+            }
+            for (; !bytes.empty(); bytes.erase(0, kPiece), std::this_thread::sleep_for(2ms))
+                if (!client.send(std::string_view(bytes).substr(0, kPiece)))
+                    return record.say("the connection ended while commands were written");
+            for (int n = 0; n < kBatch; ++n) {
+                sent_at[sent] = now_ms();
+                record.line("client: has sent {}", ids[sent]);
+                ++sent;
+            }
+            const double next = start + (batch + 1) * kBatchEveryMs;
+            if (const double left = next - now_ms(); left > 0)
+                std::this_thread::sleep_for(std::chrono::duration<double, std::milli>(left));
+        }
+    });
     std::size_t answered = 0;
     bool closed = false, foreign = false;
     while (answered < ids.size()) {
         Value value;
-        const auto end = client.answer(value, sent_at + 12'000);
+        const auto end = client.answer(value, start + 14'000);
         if (end != Connection::End::Answer) {
             closed = end == Connection::End::Closed;
             break;
@@ -116,14 +129,23 @@
         foreign |= value.kind == Value::Kind::Bulk && value.text != ids[answered];
         ++answered;
     }
-    record.say("{} of {} commands answered by {:.0f} ms after they were sent; {}", answered, ids.size(),
-               now_ms() - sent_at,
+    const double ended_at = now_ms();
+    writer.join();
+    // A request that was written within a second before the end may have crossed it, and isn't counted.
+    std::size_t missing = 0;
+    for (std::size_t n = answered; n < sent; ++n)
+        missing += sent_at[n] < ended_at - 1000;
+    record.say("{} of {} commands answered by {:.0f} ms after the first; {}; {} written over a second before "
+               "that have "
+               "no answer",
+               answered, sent.load(), ended_at - start,
                closed                   ? "then the broker ended the connection"
                : answered == ids.size() ? "none is missing"
-                                        : "the connection is open and silent");
+                                        : "the connection is open and silent",
+               missing);
     if (foreign)
         record.say("a command was served with the value of another one");
-    const int result = answered == ids.size() && !foreign ? kHeld : kBroken;
+    const int result = missing == 0 && !foreign ? kHeld : kBroken;
     broker.kill();
     std::_Exit(result);
 }
