Review case 2: the silent node keeps its open connection; nodes have their site's zones

The pieces in which its client writes no longer end with a batch, so that the failure does not hang on how they are read. The nodes of all cases have a zone and kind of their site.

--- a/review/2/pipeline.cpp
+++ b/review/2/pipeline.cpp
@@ -47,11 +47,14 @@
     const std::string folder = argv[1];
     Record record(argv[2]);
     std::list<test::RespNode> nodes;
+    std::atomic<bool> silent = false;
     std::string members;
     for (int n = 0; n < kNodes; ++n) {
-        nodes.emplace_back([&record, n](const std::vector<std::string> &words, int) {
-            if (n == 0 && trouble()) // silent: no reset, no answer
-                std::this_thread::sleep_for(60s);
+        nodes.emplace_back([&record, &silent, n](const std::vector<std::string> &words, int) {
+            if (n == 0 && silent) { // no reset, no answer; it comes back after the script's end
+                record.line("node 0 is silent; {} came to its open connection", words[2]);
+                std::this_thread::sleep_for(20s);
+            }
             if (words[0] == "PING")
                 return std::string("+PONG\r\n");
             if (words[0] == "INFO")
@@ -63,7 +66,8 @@
                 std::chrono::milliseconds(words[3].starts_with("c=export") ? kExportMs : kReadMs));
             return "*3\r\n$16\r\n" + words[2] + "\r\n$-1\r\n$-1\r\n";
         });
-        members += (n ? "," : "") + test::member(fmt::format("s-{}", n), nodes.back().server.port, n);
+        members +=
+            (n ? "," : "") + member(fmt::format("s-{}", n), nodes.back().server.port, n, "pasig", "box-2c");
     }
     test::Discovery discovery(members);
 
@@ -87,29 +91,53 @@
         std::_Exit(kCannotRun);
     }
 
-    // The client writes in pieces and reads at the same time; it keeps the connection beyond every deadline.
+    // One ordinary command, so that the broker has an open connection to the node that will fall silent:
+    // those "remain open and silent", and no new ones come up.
+    {
+        Connection client(port);
+        Value value;
+        if (!client.send(command("00000000aaaaaaaa", true, 0)) ||
+            client.answer(value, now_ms() + 5500) != Connection::End::Answer ||
+            value.kind != Value::Kind::Bulk) {
+            record.say("an ordinary command was not served");
+            std::_Exit(kCannotRun);
+        }
+        std::this_thread::sleep_for(100ms);
+    }
+    const int connections_before = nodes.front().server.accepted;
+    silent = trouble();
+
+    // The client writes in pieces of kPiece and reads at the same time; it keeps the connection beyond every
+    // deadline.
     Connection client(port);
     std::vector<std::string> ids;
     for (int n = 0; n < kBatches * kBatch; ++n)
         ids.push_back(fmt::format("0000000000{:06x}", n));
     const double start = now_ms();
     std::vector<double> sent_at(ids.size());
+    std::vector<std::size_t> ends; // where each command ends in all that is written
     std::atomic<std::size_t> sent = 0;
     std::thread writer([&] {
-        std::string bytes;
+        std::string bytes; // all commands so far
+        std::size_t written = 0;
         for (int batch = 0; batch < kBatches; ++batch) {
             for (int n = 0; n < kBatch; ++n) {
                 const int number = batch * kBatch + n;
                 bytes += command(ids[static_cast<std::size_t>(number)], number == 0,
                                  number == 0 ? 0 : 1 + number % (kNodes - 1));
+                ends.push_back(bytes.size());
             }
-            for (; !bytes.empty(); bytes.erase(0, kPiece), std::this_thread::sleep_for(2ms))
-                if (!client.send(std::string_view(bytes).substr(0, kPiece)))
+            const bool last = batch + 1 == kBatches; // what does not fill a piece goes with the next commands
+            while (written + kPiece <= bytes.size() || (last && written < bytes.size())) {
+                const std::string_view piece = std::string_view(bytes).substr(written, kPiece);
+                if (!client.send(piece))
                     return record.say("the connection ended while commands were written");
-            for (int n = 0; n < kBatch; ++n) {
-                sent_at[sent] = now_ms();
-                record.line("client: has sent {}", ids[sent]);
-                ++sent;
+                written += piece.size();
+                for (; sent < ends.size() && ends[sent] <= written; ++sent) {
+                    sent_at[sent] = now_ms();
+                    record.line("client: has sent {}", ids[sent]);
+                }
+                std::this_thread::sleep_for(2ms);
             }
             const double next = start + (batch + 1) * kBatchEveryMs;
             if (const double left = next - now_ms(); left > 0)
@@ -143,6 +171,11 @@
                : answered == ids.size() ? "none is missing"
                                         : "the connection is open and silent",
                missing);
+    if (nodes.front().server.accepted != connections_before && trouble()) {
+        record.say(
+            "cannot run: the broker made a new connection to the silent node, which would not come up");
+        std::_Exit(kCannotRun);
+    }
     if (foreign)
         record.say("a command was served with the value of another one");
     const int result = missing == 0 && !foreign ? kHeld : kBroken;
--- a/review/common/case.hpp
+++ b/review/common/case.hpp
@@ -111,6 +111,14 @@
     pid_t pid_ = -1;
 };
 
+/// One node of the list, in a zone and of a kind that the site has.
+inline std::string member(const std::string &id, int port, int shard, const std::string &zone,
+                          const std::string &kind) {
+    return fmt::format(R"({{"id":"{}","host_port":"127.0.0.1:{}","locality":"{}","flavor":"{}","cell":{},)"
+                       R"("phase":"up","size":1.0,"up_since_ms":0}})",
+                       id, port, zone, kind, shard);
+}
+
 /// Connects to a port on the loopback address; -1 if that fails.
 inline int connect_to(int port) {
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
--- a/review/common/cells.hpp
+++ b/review/common/cells.hpp
@@ -42,8 +42,8 @@
 public:
     CellInstallation(std::string folder, Record &record, int north_node, int south_node)
         : folder_(std::move(folder)), record_(record),
-          discovery_(test::member("s-5be2a07c", north_node, 0) + "," +
-                     test::member("s-a37be810", south_node, 1)) {
+          discovery_(member("s-5be2a07c", north_node, 0, "east-bldg", "std-2c") + "," +
+                     member("s-a37be810", south_node, 1, "east-bldg", "std-2c")) {
         std::filesystem::create_directory(folder_ + "/state");
         for (int n = 0; n < 4; ++n)
             brokers[static_cast<std::size_t>(n)].name = fmt::format("n{}", n);
