Log what a client had sent when the rest of its message is no longer awaited

Evidence that was missing: the broker's log of such a run had no line about that connection, and no figure tells a client that stopped in the middle of a message from input that the broker itself has not handled. So these could not be told apart: (1) the message's timeout runs while the broker holds input back at its limit of open requests, (2) the client did stop, (3) its bytes were in the socket's receive buffer, (4) memory was short, (5) the connection was being closed for another reason.

Change: a line client_message_abandoned with the reason, the time waited, open requests, unparsed and unread bytes, at most 10 a second.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -143,6 +143,9 @@
     client->inherited = std::move(inherited);
     client->transfer = transfer_;
     client->exempt_from_idle_timeout = on_drained_ != nullptr;
+    client->on_message_abandoned = [this, &client = *client](const AbandonedMessage &message) {
+        log_abandoned_message(client, message);
+    };
     if (closing_for_quiesce())
         client->close_for_quiesce(now);
     if (closing_all_)
@@ -281,6 +284,18 @@
               client.dropped_after_shutdown, ended_line_limiter_.take_suppressed());
 }
 
+// Logs that the broker no longer waits for the rest of a client's message. Bytes that are unparsed or unread
+// then are input that the client has sent and the broker has not handled.
+void Clients::log_abandoned_message(const Client &client, const AbandonedMessage &message) {
+    if (!abandoned_line_limiter_.allow(deadlines_.clock.now()))
+        return;
+    core::log(
+        "client_message_abandoned client={} reason=\"{}\" waited_ms={} open_requests={} unparsed_bytes={} "
+        "unread_bytes={} suppressed_lines={}",
+        client.id, message.reason, message.waited / 1000, message.open_requests, message.unparsed_bytes,
+        message.unread_bytes, abandoned_line_limiter_.take_suppressed());
+}
+
 void Clients::report_closing(std::string_view cause) {
     const auto open_requests = [](const Client &client) { return client.use().open_requests > 0; };
     const auto partial = [](const Client &client) { return client.use().partial; };
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -14,6 +14,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
 #include <list>
+#include <optional>
+#include <string_view>
 
 namespace marblewood::net {
 
@@ -72,6 +74,15 @@
     }
 };
 
+/// What the broker knew of a client's input when it stopped waiting for the rest of a message.
+struct AbandonedMessage {
+    std::string_view reason;
+    std::size_t open_requests = 0;
+    std::size_t unparsed_bytes = 0; ///< read and not parsed, as the connection was at its limit of requests
+    std::size_t unread_bytes = 0;   ///< in the socket's receive buffer
+    Micros waited = 0;              ///< since the time from which the message's timeout counts
+};
+
 /// One client connection, as its front end sees it. Through the functions of EvictionOrder::Entry the front
 /// end reports what the connection receives and which requests are open on it.
 struct Client : EvictionOrder::Entry {
@@ -93,6 +104,8 @@
     /// and after. The former may hold a request that gets no answer; the latter were sent before the client
     /// saw the end of the stream.
     std::size_t dropped_before_shutdown = 0, dropped_after_shutdown = 0;
+    /// Set by Clients. The session calls it when it stops waiting for the rest of a message.
+    std::function<void(const AbandonedMessage &)> on_message_abandoned;
 
     bool idle() const { return use().idle(); }
     /// Whether a request received now is refused. A connection's first request, for which it was opened, is
@@ -187,6 +200,7 @@
     void close_for_quiesce();
     bool closing_for_quiesce() const; // the broker is quiesced and kQuiesceGrace is over
     void log_ended(const Client &client);
+    void log_abandoned_message(const Client &client, const AbandonedMessage &message);
     // Logs every kReportInterval, while any connection is open, what keeps the closing ones open.
     void report_closing(std::string_view cause);
 
@@ -210,6 +224,8 @@
     core::Deadlines::Entry drain_timer_, quiesce_timer_, report_timer_;
     static constexpr int kMaxEndedLinesPerSecond = 50;
     core::LogRateLimiter ended_line_limiter_{kMaxEndedLinesPerSecond};
+    static constexpr int kMaxAbandonedLinesPerSecond = 10;
+    core::LogRateLimiter abandoned_line_limiter_{kMaxAbandonedLinesPerSecond};
 };
 
 } // namespace marblewood::net
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -272,6 +272,11 @@
 
 void Session::stop_reading(CloseReason reason, const char *why) {
     client_.note_close_reason(reason);
+    client_.on_message_abandoned({.reason = why,
+                                  .open_requests = client_.use().open_requests,
+                                  .unparsed_bytes = unparsed_input_ ? input_.size() : 0,
+                                  .unread_bytes = client_.unread_bytes(),
+                                  .waited = deadlines_.clock.now() - message_started_at_});
     reject_input(why);
     reading_finished_ = true;
     client_.set_partial(false);
--- a/tests/resp_test.cpp
+++ b/tests/resp_test.cpp
@@ -320,6 +320,9 @@
     for (Socket *s : {&silent, &pings, &half, &line, &huge})
         assert(s->ended());
     assert(std::chrono::steady_clock::now() - from < 3s);
+    // The log tells a client that stopped from input that the broker has not handled.
+    program.await_log("client_message_abandoned client=");
+    program.await_log("open_requests=0 unparsed_bytes=0 unread_bytes=0");
 
     std::list<Socket> crowd; // 9 MB of partial messages; the budget is a quarter of 16 MB
     for (int n = 0; n < 150; ++n) {
