Do not time a client's partial message while the broker holds its rest back

NVMe hosts got a TermReq PDU instead of completions.

Cause: with 256 open requests a session reads ahead and parses nothing. The timeout for the rest of a partial message, 2.5 s, ran on from the last parse, although the rest had come and the broker held it back. It then dropped all input, whole requests among it.

Evidence: client_message_abandoned of: waited_ms=2500 open_requests=258 unparsed_bytes=61302 unread_bytes=0.

Change: no timeout of the client runs while its input is held back. What is left of a message afterwards is timed from the last read of the socket, and from the end of the suspension where reading was suspended, so that a client that did stop still gets its error within 3 s. That works as the timeout now runs only while the broker waits for the client. Both fronts share the code.

--- a/src/net/nvme/front.cpp
+++ b/src/net/nvme/front.cpp
@@ -104,7 +104,7 @@
                     return end_connection("the host ended the connection");
                 else
                     throw Malformed(Fatal::Sequence, "unexpected PDU", pdu->head);
-                message_started_at_ = deadlines_.clock.now();
+                message_started_at_ = last_read_at_; // the bytes after it arrived no later
                 if (keep_alive_ > 0)
                     restart_keep_alive_timer();
             }
--- a/src/net/resp/front.cpp
+++ b/src/net/resp/front.cpp
@@ -85,7 +85,7 @@
         try {
             while (auto value = reading_finished_ ? std::nullopt : reader_.take(bytes)) {
                 handle_command(std::move(*value));
-                message_started_at_ = deadlines_.clock.now(); // the bytes after it arrived no later than now
+                message_started_at_ = last_read_at_; // the bytes after it arrived no later
             }
             input_.erase(0, input_.size() - bytes.size());
         } catch (const Malformed &error) { // the start of the next command is unknown
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -39,15 +39,14 @@
     arm_closing_timers();
     if (!client_.inherited.bytes.empty()) { // read before the handover
         input_ = std::exchange(client_.inherited.bytes, {});
-        message_started_at_ = client_.inherited.since;
+        message_started_at_ = last_read_at_ = client_.inherited.since;
         handle_received(false);
     }
     while (!reading_finished_) {
         if (client_.use().closing && deadlines_.clock.now() >= client_.closing.deadline)
             handle_close_deadline();
         if (unparsed_input_ && !at_request_limit()) {
-            unparsed_input_ = false;
-            handle_received(true);
+            handle_held_input();
             continue;
         }
         boost::system::error_code error;
@@ -58,6 +57,7 @@
         arm_client_timeout();
         if (unparsed_input_ && (input_.size() >= kMaxReadAheadBytes || memory_.is_exhausted())) {
             co_await pause(kHangUpCheckInterval, true);
+            last_read_at_ = deadlines_.clock.now();
             if (!client_hung_up())
                 continue;
             handle_disconnect();
@@ -68,7 +68,7 @@
         if (error == asio::error::operation_aborted && client_.socket.is_open())
             continue;
         if (!error)
-            error = read_available(client_.socket, input_);
+            error = read_input();
         if (error) {
             handle_disconnect();
             break;
@@ -109,7 +109,7 @@
             return true;
         const bool starts_message = !has_partial_message();
         const std::size_t before = input_.size();
-        const auto error = read_available(client_.socket, input_);
+        const auto error = read_input();
         const bool received = input_.size() != before;
         if (received)
             handle_received(starts_message);
@@ -230,13 +230,28 @@
     return true;
 }
 
+// Appends the bytes that have arrived to `input_`.
+boost::system::error_code Session::read_input() {
+    const boost::system::error_code error = read_available(client_.socket, input_);
+    last_read_at_ = deadlines_.clock.now();
+    return error;
+}
+
+// Handles the input that was read ahead while the connection was at its request limit. What is left of it
+// afterwards is part of a message, whose client is timed from the last read: until then the client may have
+// been sending, and in between the broker did not wait for it.
+void Session::handle_held_input() {
+    unparsed_input_ = false;
+    handle_received(true);
+}
+
 void Session::handle_received(bool starts_message) {
     client_.received(deadlines_.clock.now());
     received_any_ = true;
     if (client_.refuses(client_.use().last_used))
         received_refused_ = true;
     if (starts_message)
-        message_started_at_ = client_.use().last_used;
+        message_started_at_ = last_read_at_;
     parsing_ = true;
     parse_received(); // may send answers before all of the input is parsed
     parsing_ = false;
@@ -251,11 +266,12 @@
 }
 
 // Sets the timeout for what the client has to do next: complete a message, send its first request, or send
-// another one. Idle connections and partial messages take descriptors and memory from other clients.
+// another one. Idle connections and partial messages take descriptors and memory from other clients. While
+// the broker holds input back, the client owes nothing, so that no timeout runs.
 void Session::arm_client_timeout() {
     client_timeout_.reset();
     const Micros idle = idle_timeout();
-    if (reading_finished_)
+    if (reading_finished_ || unparsed_input_)
         return;
     const ConnectionUse &use = client_.use();
     if (use.partial)
--- a/src/net/session.hpp
+++ b/src/net/session.hpp
@@ -55,12 +55,17 @@
     Client &client_;
     core::Deadlines &deadlines_;
     std::string input_;             // received and not yet parsed
-    Micros message_started_at_ = 0; // when the first byte of the message in `input_` arrived
+    Micros message_started_at_ = 0; // from when the timeout of the partial message counts
+    // When the socket was last read. While reading is suspended: when it last was not read, as bytes may have
+    // arrived until then.
+    Micros last_read_at_ = 0;
     bool reading_finished_ = false; // no more requests are read; open ones are still answered
     bool pause_reading_ = false; // the client sent an invalid command: reading pauses for kInvalidInputPause
 
 private:
+    boost::system::error_code read_input();
     void handle_received(bool starts_message);
+    void handle_held_input();
     bool at_request_limit() const; // has kMaxOpenRequests open requests
     bool hand_over();
     void arm_client_timeout();
@@ -94,7 +99,9 @@
     bool writing_ = false, disconnected_ = false;
     bool write_unfinished_ = false; // write() has taken bytes out of output_ and not written all of them yet
     bool parsing_ = false;          // parse_received() is running
-    bool unparsed_input_ = false;   // input_ holds bytes read ahead while at the request limit
+    // input_ holds bytes read ahead while at the request limit. The client is not timed meanwhile: it may
+    // have sent all that is expected of it.
+    bool unparsed_input_ = false;
     bool received_any_ = false;     // the client has sent at least one byte
     bool received_refused_ = false; // has received bytes that are refused (Client::refuses)
     bool send_shut_down_ = false;   // the sending side is shut down: no more answers can be sent
--- a/tests/nvme_test.cpp
+++ b/tests/nvme_test.cpp
@@ -556,6 +556,42 @@
     writer.join();
 }
 
+// Limits what the system buffers for the receiver of `s`, so that a host that does not read soon has answers
+// waiting at the broker.
+void buffer_little(const Socket &s) {
+    const int bytes = 64 * 1024;
+    setsockopt(s.descriptor(), SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+}
+std::string identify(std::uint16_t cid) {
+    Command command = Command::make(op::kIdentify, cid, 1);
+    command.set_dword(10, 1); // Identify Controller
+    return command.capsule();
+}
+
+// Guards against blaming a host for part of a PDU whose rest the front end itself holds back, as too many
+// answers wait for the host to read them: the host got a TermReq PDU, and its commands no completion.
+void commands_held_back_behind_unread_answers_are_completed() {
+    constexpr std::uint16_t kCommands = 2500; // 10 MB of answers, more than the system buffers
+    constexpr auto kNotReading = 3200ms;      // longer than the 2.5 s in which a host must complete a PDU
+    const Discovery discovery(member("s-1", free_port(), 0));
+    const int port = free_port();
+    const Program program(discovery, operator_settings(port, false));
+    Host host(port);
+    buffer_little(host.admin);
+    std::thread writer([&] {
+        std::string commands;
+        for (std::uint16_t cid = 1; cid <= kCommands; ++cid)
+            commands += identify(cid);
+        host.admin.send(commands);
+    });
+    std::this_thread::sleep_for(kNotReading);
+    std::string pages;
+    for (std::uint16_t cid = 1; cid <= kCommands; ++cid)
+        assert(host.completion(host.admin, &pages).cid == cid);
+    writer.join();
+    assert(pages.size() == kCommands * std::size_t{4096});
+}
+
 } // namespace
 
 int main() {
@@ -576,4 +612,5 @@
     commands_are_completed_before_a_host_is_let_go(true);
     a_write_is_refused_before_its_data_once_its_connection_ends();
     a_host_that_never_rests_is_sent_away();
+    commands_held_back_behind_unread_answers_are_completed();
 }
