Time a request that was held back from its arrival, not from its parsing

Cause: both fronts took the time of parsing for that of the request's last byte. A session at its limit of 256 open requests reads ahead and parses later.

What came while reading was suspended counts from the begin of the suspension, as its true arrival is unknown and too much time is what the rule forbids.

--- a/src/net/nvme/front.cpp
+++ b/src/net/nvme/front.cpp
@@ -97,7 +97,7 @@
                 if (!started_)
                     handle_initialize(*pdu);
                 else if (pdu->type == Type::Command)
-                    handle_command(*pdu);
+                    handle_command(*pdu, arrival_before(input_.size()));
                 else if (pdu->type == Type::H2CData)
                     handle_data(*pdu);
                 else if (pdu->type == Type::H2CTermReq)
@@ -147,15 +147,14 @@
         send(ic_resp(kMaxPduDataBytes), 0);
     }
 
-    void handle_command(const Pdu &pdu) {
+    void handle_command(const Pdu &pdu, Micros received_at) {
         Command c{pdu.head.substr(8, 64)};
         if (commands_.count(c.cid())) { // the host could not tell two answers with one identifier apart
             client_.add_open_request();
             return send_completion(c.cid(), {status::kIdConflict, 0, true});
         }
         client_.add_open_request();
-        commands_[c.cid()] = {
-            c.opcode() == op::kWrite, deadlines_.clock.now(), nullptr, {}, {}, ++last_serial_};
+        commands_[c.cid()] = {c.opcode() == op::kWrite, received_at, nullptr, {}, {}, ++last_serial_};
         const bool has_data =
             c.opcode() == op::kWrite || (c.opcode() == op::kFabrics && c.fabrics_type() == op::kConnect);
         if (!has_data)
--- a/src/net/resp/front.cpp
+++ b/src/net/resp/front.cpp
@@ -84,7 +84,7 @@
         std::string_view bytes = input_;
         try {
             while (auto value = reading_finished_ ? std::nullopt : reader_.take(bytes)) {
-                handle_command(std::move(*value));
+                handle_command(std::move(*value), arrival_before(bytes.size()));
                 message_started_at_ = last_read_at_; // the bytes after it arrived no later
             }
             input_.erase(0, input_.size() - bytes.size());
@@ -113,7 +113,7 @@
         reply(fmt::format("-ERR {}\r\n", why));
     }
 
-    void handle_command(Value &&value) {
+    void handle_command(Value &&value, Micros received_at) {
         if (value.kind != Value::Kind::Array || value.null || value.elements.empty())
             throw Malformed("expected an array of bulk strings");
         for (const Value &word : value.elements)
@@ -132,7 +132,9 @@
         if (name != "OBJ.GET" && name != "OBJ.PUT")
             return reject_command("unknown command");
         try {
-            submit_request(read_request(std::move(value), services_.settings));
+            core::Request request = read_request(std::move(value), services_.settings);
+            request.received_at = received_at; // at the last byte: slow writes use up no time
+            submit_request(std::move(request));
         } catch (const Malformed &error) {
             const std::uint64_t count = ++services_.metrics.malformed_requests;
             if ((count & (count - 1)) == 0) // logs only the 1st, 2nd, 4th, 8th, ...
@@ -152,7 +154,6 @@
             ++client_.requests_while_closing;
         invalid_commands_ = 0;
         read.connection_id = client_.id;
-        read.received_at = deadlines_.clock.now(); // at the last byte: slow writes use up no time
         auto request = std::make_shared<const core::Request>(std::move(read));
         core::RequestHandler &request_handler = services_.request_handler(*request);
         const std::uint64_t number = add_slot();
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -40,6 +40,7 @@
     if (!client_.inherited.bytes.empty()) { // read before the handover
         input_ = std::exchange(client_.inherited.bytes, {});
         message_started_at_ = last_read_at_ = client_.inherited.since;
+        arrivals_.add(input_.size(), last_read_at_);
         handle_received(false);
     }
     while (!reading_finished_) {
@@ -56,6 +57,8 @@
             break;
         arm_client_timeout();
         if (unparsed_input_ && (input_.size() >= kMaxReadAheadBytes || memory_.is_exhausted())) {
+            if (!reading_suspended_at_)
+                reading_suspended_at_ = last_read_at_;
             co_await pause(kHangUpCheckInterval, true);
             last_read_at_ = deadlines_.clock.now();
             if (!client_hung_up())
@@ -232,8 +235,12 @@
 
 // Appends the bytes that have arrived to `input_`.
 boost::system::error_code Session::read_input() {
+    const std::size_t before = input_.size();
     const boost::system::error_code error = read_available(client_.socket, input_);
     last_read_at_ = deadlines_.clock.now();
+    arrivals_.add(input_.size() - before, reading_suspended_at_.value_or(last_read_at_));
+    if (reading_suspended_at_ && !client_.has_unread_bytes())
+        reading_suspended_at_.reset();
     return error;
 }
 
@@ -255,6 +262,7 @@
     parsing_ = true;
     parse_received(); // may send answers before all of the input is parsed
     parsing_ = false;
+    arrivals_.keep(input_.size());
     if (input_.empty())
         std::string().swap(input_); // frees its memory, which clear() would keep
     // Bounds the memory that many connections with a partial message each take together.
--- a/src/net/session.hpp
+++ b/src/net/session.hpp
@@ -6,6 +6,7 @@
 #include "core/mailbox.hpp"
 #include "core/memory_budget.hpp"
 #include "net/clients.hpp"
+#include "net/input_arrivals.hpp"
 
 #include <boost/asio/cancellation_signal.hpp>
 
@@ -46,6 +47,9 @@
     /// waits until `client_.notify` is called.
     virtual bool may_end() const { return true; }
 
+    /// When the last byte before the last `unparsed` bytes of the input arrived: a message's time counts from
+    /// there, however long the broker held it back.
+    Micros arrival_before(std::size_t unparsed) const { return arrivals_.before(unparsed); }
     /// Queues bytes for the client. Once they are written, `answers` open requests count as completed.
     void send(std::string_view bytes, std::size_t answers);
     bool is_disconnected() const { return disconnected_; }
@@ -102,6 +106,10 @@
     // input_ holds bytes read ahead while at the request limit. The client is not timed meanwhile: it may
     // have sent all that is expected of it.
     bool unparsed_input_ = false;
+    InputArrivals arrivals_; // of the bytes in input_
+    // Since when the socket is not read, until all that arrived meanwhile is read. That time stands for the
+    // unknown arrival of each of these bytes, so that no request is given more time than its client has.
+    std::optional<Micros> reading_suspended_at_;
     bool received_any_ = false;     // the client has sent at least one byte
     bool received_refused_ = false; // has received bytes that are refused (Client::refuses)
     bool send_shut_down_ = false;   // the sending side is shut down: no more answers can be sent
--- a/tests/backpressure_test.cpp
+++ b/tests/backpressure_test.cpp
@@ -143,6 +143,46 @@
     expect_answers(client, ids);
 }
 
+// Guards against a broken rule: a request that the broker had held back was given its whole time anew, so
+// that its node was told a later deadline than its client's, and expired requests were forwarded.
+void time_held_back_counts(int count) {
+    constexpr int kShortWaitMs = 1500, kLongWaitMs = 6000;
+    constexpr double kSlackMs = 150;
+    std::map<std::string, Clock::time_point> due; // by request id: when its client stops waiting
+    std::atomic<int> forwarded = 0, too_late = 0;
+    RespNode first([](const auto &, int) {
+        std::this_thread::sleep_for(kHeldBack);
+        return RespNode::served("late");
+    });
+    RespNode second([&](const auto &words, int) {
+        const std::chrono::duration<double, std::milli> left = due.at(words[2]) - Clock::now();
+        ++forwarded;
+        too_late += number_after(words[3], ",d=", 0) > left.count() + kSlackMs;
+        return RespNode::served(words[2]);
+    });
+    const Discovery discovery(member("s-1", first.server.port, 0) + "," +
+                              member("s-2", second.server.port, 1));
+    const Program program(discovery, "", kLongDeadlines);
+    Socket client = program.client();
+    client.send(get(kPiece, 0, kFirstWaitMs) + pings(kMaxOpenRequests));
+    while (first.taken().empty())
+        std::this_thread::sleep_for(10ms);
+    std::string reads;
+    for (int n = 0; n < count; ++n) {
+        const std::string id = fresh_id();
+        const int wait_ms = n % 2 ? kShortWaitMs : kLongWaitMs;
+        due[id] = Clock::now() + wait_ms * 1ms;
+        reads += get(kPiece, 1, wait_ms, id);
+    }
+    std::thread writer([&] { client.send(reads); });
+    assert(client.value()->text == "late");
+    expect_pongs(client, kMaxOpenRequests);
+    for (int n = 0; n < count; ++n)
+        assert(client.value());
+    writer.join();
+    assert(forwarded > 0 && too_late == 0);
+}
+
 struct Scenario {
     const char *name;
     void (*run)();
@@ -151,6 +191,8 @@
     {"behind_slow", requests_behind_a_slow_one_are_answered},
     {"stopped", a_client_that_stops_behind_them_gets_its_error},
     {"behind_long_values", requests_behind_values_read_slowly_are_answered},
+    {"deadlines", [] { time_held_back_counts(100); }},
+    {"deadlines_unread", [] { time_held_back_counts(1000); }}, // more than the broker reads ahead
 };
 
 } // namespace
