Do not miss keep-alives of NVMe hosts that the front end holds back

What callers saw: a host that sends keep-alives in time and reads its answers late lost its admin queue, and with it the controller and all commands open on its I/O queues.

Cause: the keep-alive timer is restarted by each PDU that is parsed. A session with 256 answers unwritten reads ahead and parses nothing; the timer ran on.

Change: at its expiry the timer starts anew while input is held back, which the limit on writing (10 s) bounds.

--- a/src/net/nvme/front.cpp
+++ b/src/net/nvme/front.cpp
@@ -474,6 +474,8 @@
     }
     void restart_keep_alive_timer() {
         keep_alive_timer_ = deadlines_.in(keep_alive_, [this] {
+            if (holds_input_back())
+                return restart_keep_alive_timer();
             core::log("nvme client {}: no keep-alive in time", client_.id);
             client_.close(CloseReason::KeepAlive);
         });
--- a/src/net/session.hpp
+++ b/src/net/session.hpp
@@ -53,6 +53,9 @@
     /// Queues bytes for the client. Once they are written, `answers` open requests count as completed.
     void send(std::string_view bytes, std::size_t answers);
     bool is_disconnected() const { return disconnected_; }
+    /// Whether input that has arrived is not parsed, because the connection is at its request limit. What the
+    /// client is waited for may be in it.
+    bool holds_input_back() const { return unparsed_input_; }
     /// Waits until all queued bytes are written or the client has disconnected.
     asio::awaitable<void> wait_flushed();
 
