Do not hold back the data that an NVMe host's open writes wait for

What callers saw: a host with 300 writes open on a queue got a transfer error for each after the class's whole time, though it had sent the data of each as soon as it was asked for.

Cause: a deadlock. At 256 open commands a session parses nothing more, open commands that wait for their data counted, and that data stands in the input behind. By reading, a host that keeps to the announced 128 entries has at most 254 open and was not affected.

Change: commands that wait for data do not count for the limit of open requests. A limit of their own, 256 a queue, bounds their memory; beyond it a write is refused before its data is asked for. The bound on transfer tags is as before.

Test: writes_get_the_data_that_they_wait_for in nvme_test, which failed before the change and passes after it.

--- a/src/net/nvme/front.cpp
+++ b/src/net/nvme/front.cpp
@@ -2,6 +2,7 @@
 
 #include "net/session.hpp"
 
+#include <algorithm>
 #include <bit>
 #include <fmt/format.h>
 
@@ -15,6 +16,8 @@
 constexpr Micros kRetryDelayUnit = 100'000; // unit of kRetryDelays in the specification
 constexpr Micros kKeepAliveSlack = 1'000'000;
 constexpr std::size_t kMaxReportedHeadBytes = 24; // of an incomplete PDU, in the termination request
+constexpr std::size_t kMaxTransferTags = 0xffff;
+constexpr std::size_t kMaxOpenTransfers = 2 * kQueueEntries; // whose commands wait for the data
 constexpr std::size_t kConnectDataBytes = 1024, kIdentifyDataBytes = 4096;
 
 std::string_view until_nul(std::string_view field) {
@@ -121,6 +124,10 @@
             bytes += transfer.data.size();
         return bytes;
     }
+    std::size_t requests_awaiting_input() const override {
+        return static_cast<std::size_t>(
+            std::ranges::count_if(transfers_, [](const auto &entry) { return entry.second.needed; }));
+    }
     Micros idle_timeout() const override { return 0; } // the keep-alive timeout applies instead
     void reject_input(const char *why) override {
         core::log("nvme client {}: {}", client_.id, why);
@@ -175,7 +182,7 @@
     }
 
     void request_data(const Command &c, std::uint32_t length) {
-        if (transfers_.size() >= 0xffff)
+        if (requests_awaiting_input() >= kMaxOpenTransfers || transfers_.size() >= kMaxTransferTags)
             return complete(c.cid(), {status::kNotReady, 1, false});
         do
             ++last_tag_; // skips tags of transfers whose data may still arrive
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -191,7 +191,8 @@
 }
 
 bool Session::at_request_limit() const {
-    return client_.use().open_requests >= kMaxOpenRequests;
+    const std::size_t open = client_.use().open_requests;
+    return open >= kMaxOpenRequests && open - requests_awaiting_input() >= kMaxOpenRequests;
 }
 
 // Records that the client has disconnected, also while it waits for answers, and abandons its open requests.
--- a/src/net/session.hpp
+++ b/src/net/session.hpp
@@ -41,6 +41,9 @@
     virtual const char *front_name() const = 0; ///< identifies the front end in a hot restart
     /// Has all open requests answered at once, except one whose value is being streamed to the client.
     virtual void answer_now() = 0;
+    /// The number of open requests that wait for more bytes of the client. The request limit does not count
+    /// them, as holding input back would hold back what they wait for.
+    virtual std::size_t requests_awaiting_input() const { return 0; }
     /// Whether a long value is being streamed from a node to the client.
     virtual bool is_streaming() const { return false; }
     /// Whether the connection can end without ending others that have open requests. If not, the session
@@ -73,7 +76,7 @@
     boost::system::error_code read_input();
     void handle_received(bool starts_message);
     void handle_held_input();
-    bool at_request_limit() const; // has kMaxOpenRequests open requests
+    bool at_request_limit() const; // has kMaxOpenRequests open requests that do not wait for input
     bool hand_over();
     void arm_client_timeout();
     bool end_between_requests();
--- a/tests/nvme_test.cpp
+++ b/tests/nvme_test.cpp
@@ -625,6 +625,37 @@
     }
 }
 
+// Guards against a deadlock: the data of writes was held back as too many commands were open, which were just
+// these writes, so that each failed once its time was over.
+void writes_get_the_data_that_they_wait_for() {
+    constexpr std::uint16_t kCommands = 300; // more than a connection may have open
+    RespNode node([](const auto &, int) { return RespNode::served("OK"); });
+    const Discovery discovery(member("s-1", node.server.port, 0));
+    const int port = free_port();
+    const Program program(discovery, operator_settings(port, false));
+    Host host(port);
+    std::string commands;
+    for (std::uint16_t cid = 1; cid <= kCommands; ++cid)
+        commands += Host::command(op::kWrite, cid, cid % 200);
+    host.io.send(commands);
+    int served = 0;
+    for (std::uint16_t completed = 0; completed < kCommands;) {
+        const auto pdu = receive(host.io);
+        assert(pdu && (pdu->type == Type::R2T || pdu->type == Type::Response));
+        if (pdu->type == Type::R2T) {
+            const auto cid = nvme::get<std::uint16_t>(pdu->head, 8),
+                       tag = nvme::get<std::uint16_t>(pdu->head, 10);
+            host.io.send(nvme::data(Type::H2CData, cid, tag, 0, block_of('w'), true));
+            continue;
+        }
+        const auto status = Completion::read(*pdu).status;
+        assert(status.code != status::kTransferError);
+        served += status.ok();
+        ++completed;
+    }
+    assert(served > 0);
+}
+
 } // namespace
 
 int main() {
@@ -647,4 +678,5 @@
     a_host_that_never_rests_is_sent_away();
     commands_held_back_behind_unread_answers_are_completed();
     keep_alives_held_back_behind_unread_answers_count();
+    writes_get_the_data_that_they_wait_for();
 }
