Do not count answers that wait as a client's partial message when memory is short

What callers saw: "-ERR Protocol error: no room for it" for the first 9 bytes of a command, and the end of the connection, with the whole requests behind dropped, while the client's earlier answers waited for a slow one and memory was short.

Cause: the bound on partial messages (over 4 KiB when memory is short) was checked against buffered_bytes(), which in the RESP2 front also counts answers that the broker holds back until earlier ones are ready.

Evidence: the test on the commit before: 5 MB of answers wait, 9 bytes of a PING come, the error follows at once.

Change: partial_message_bytes(), the bytes of incomplete messages alone. Requests are still refused while memory is short, so that waiting answers do not grow.

Test: backpressure_test memory, which failed before the change (no PONG) and passes after it; resp_test, which has the bound on partial messages, passes.

--- a/src/net/nvme/front.cpp
+++ b/src/net/nvme/front.cpp
@@ -118,7 +118,7 @@
             end_connection("malformed");
         }
     }
-    std::size_t buffered_bytes() const override {
+    std::size_t partial_message_bytes() const override {
         std::size_t bytes = input_.size();
         for (const auto &[tag, transfer] : transfers_)
             bytes += transfer.data.size();
--- a/src/net/resp/front.cpp
+++ b/src/net/resp/front.cpp
@@ -95,9 +95,8 @@
         }
     }
     bool has_partial_message() const override { return !input_.empty() || !reader_.is_between_messages(); }
-    std::size_t buffered_bytes() const override {
-        return input_.size() + reader_.incomplete_bytes() + ready_bytes_;
-    }
+    std::size_t buffered_bytes() const override { return partial_message_bytes() + ready_bytes_; }
+    std::size_t partial_message_bytes() const override { return input_.size() + reader_.incomplete_bytes(); }
     Micros idle_timeout() const override { return kIdleTimeout; }
     void reject_input(const char *why) override {
         std::string().swap(input_); // frees its memory while the connection is being closed
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -268,7 +268,7 @@
         std::string().swap(input_); // frees its memory, which clear() would keep
     // Bounds the memory that many connections with a partial message each take together.
     if (has_partial_message() && !reading_finished_ && memory_.is_exhausted() &&
-        buffered_bytes() > kAlwaysKeptBytes)
+        partial_message_bytes() > kAlwaysKeptBytes)
         stop_reading(CloseReason::Incomplete, "no room for it");
     client_.set_partial(has_partial_message() && !reading_finished_);
     memory_reservation_.resize(buffered_bytes() + output_.size());
--- a/src/net/session.hpp
+++ b/src/net/session.hpp
@@ -30,7 +30,9 @@
     /// Whether the client has sent only a part of its next message so far.
     virtual bool has_partial_message() const { return !input_.empty(); }
     /// Bytes that count towards the memory budget, apart from the output queue.
-    virtual std::size_t buffered_bytes() const { return input_.size(); }
+    virtual std::size_t buffered_bytes() const { return partial_message_bytes(); }
+    /// Bytes that are kept for messages that the client has not completed.
+    virtual std::size_t partial_message_bytes() const { return input_.size(); }
     /// For how long a client that has sent a request before may stay idle; 0 means without limit.
     virtual Micros idle_timeout() const = 0;
     /// Sends a protocol error to the client and discards the input, which cannot be completed or parsed.
--- a/tests/backpressure_test.cpp
+++ b/tests/backpressure_test.cpp
@@ -183,6 +183,35 @@
     assert(forwarded > 0 && too_late == 0);
 }
 
+// Guards against refusing a client's message for lack of memory because of answers that the broker itself
+// holds back: the message was a few bytes long, and the requests behind it were dropped.
+void answers_held_back_do_not_count_as_a_message() {
+    constexpr int kReads = 90; // of 60,000 bytes each: more than the 4 MB that this program has for clients
+    RespNode first([](const auto &, int) {
+        std::this_thread::sleep_for(2s);
+        return RespNode::served("late");
+    });
+    RespNode second([](const auto &, int) { return RespNode::served(std::string(60'000, 'v')); });
+    const Discovery discovery(member("s-1", first.server.port, 0) + "," +
+                              member("s-2", second.server.port, 1));
+    const Program program(discovery, "", kLongDeadlines);
+    Socket client = program.client();
+    client.send(get(kPiece, 0, kFirstWaitMs));
+    for (int n = 0; n < kReads; ++n) { // one at a time, as a burst would be refused
+        client.send(get(kPiece, 1, kFirstWaitMs));
+        std::this_thread::sleep_for(5ms);
+    }
+    client.send(kPing.substr(0, 9));
+    std::this_thread::sleep_for(200ms);
+    client.send(kPing.substr(9) + kPing);
+    assert(client.value()->text == "late");
+    int refused = 0;
+    for (int n = 0; n < kReads; ++n)
+        refused += client.value()->text.starts_with("BUSY");
+    assert(refused > 0); // memory was short
+    expect_pongs(client, 2);
+}
+
 struct Scenario {
     const char *name;
     void (*run)();
@@ -191,6 +220,7 @@
     {"behind_slow", requests_behind_a_slow_one_are_answered},
     {"stopped", a_client_that_stops_behind_them_gets_its_error},
     {"behind_long_values", requests_behind_values_read_slowly_are_answered},
+    {"memory", answers_held_back_do_not_count_as_a_message},
     {"deadlines", [] { time_held_back_counts(100); }},
     {"deadlines_unread", [] { time_held_back_counts(1000); }}, // more than the broker reads ahead
 };
