Do not cut off an operator's call while the broker waits for the coordinator

What callers saw: a call about cells that took more than 0.5 s to send ended without a reply when the coordinator was silent, instead of with 503.

Cause: one limit of 2 s counted for receiving and executing a call; the broker gives the coordinator 1.5 s of it. The timer blamed the caller while the broker held the reply back.

Change: the limit runs while the server waits for the caller: until the call is whole, and again while the reply is written. Execution has the limit of its own that it had.

--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -13,7 +13,7 @@
 /// Limit on connections; the socket budget keeps descriptors in reserve for them.
 constexpr std::size_t kMaxCallers = 12;
 constexpr std::size_t kMaxCallBytes = 8192;
-/// Time limit for receiving and executing a call.
+/// Time limit for receiving a call, and again for writing its reply. Executing it takes the caller no time.
 constexpr Micros kCallTimeout = 2'000'000;
 /// Time for a caller to read its reply. If the connection were closed at once, data that the caller still
 /// sends would cause a reset, and the caller could lose the reply.
@@ -124,19 +124,24 @@
 }
 
 asio::awaitable<void> AdminServer::serve(CallerIterator caller) {
-    auto timeout = deadlines_.in(kCallTimeout, [caller] { caller->close(); });
+    close_after(*caller, kCallTimeout);
     const std::string response = co_await receive_and_execute(*caller);
     if (!response.empty()) {
+        close_after(*caller, kCallTimeout);
         boost::system::error_code error;
         co_await net::write_all(caller->socket, response, error);
         caller->socket.shutdown(tcp::socket::shutdown_send, error);
-        timeout = deadlines_.in(kLingerTimeout, [caller] { caller->close(); });
+        close_after(*caller, kLingerTimeout);
         co_await drain(*caller, error);
     }
     caller->close();
     callers_.erase(caller);
 }
 
+void AdminServer::close_after(Caller &caller, Micros timeout) {
+    caller.timeout = deadlines_.in(timeout, [&caller] { caller.close(); });
+}
+
 // Returns the response, or an empty string if the caller closed the connection before its call was complete.
 asio::awaitable<std::string> AdminServer::receive_and_execute(Caller &caller) {
     std::string received;
@@ -145,9 +150,10 @@
     while (response.empty() && !error) {
         error = co_await net::read_more(caller.socket, received);
         try {
-            if (auto request = net::http::read_request(received))
+            if (auto request = net::http::read_request(received)) {
+                caller.timeout.reset();
                 response = co_await execute(std::move(*request));
-            else if (received.size() > kMaxCallBytes)
+            } else if (received.size() > kMaxCallBytes)
                 response = respond_error(413, "Content Too Large");
         } catch (const std::runtime_error &) {
             response = respond_error(400, "Bad Request");
--- a/src/admin/admin_server.hpp
+++ b/src/admin/admin_server.hpp
@@ -47,12 +47,15 @@
         explicit Caller(tcp::socket accepted) : socket(std::move(accepted)) {}
         void close();
         tcp::socket socket;
+        /// Closes the connection; set while the server waits for the caller.
+        core::Deadlines::Entry timeout;
     };
     using CallerIterator = std::list<Caller>::iterator;
 
     asio::awaitable<void> accept();
     asio::awaitable<void> wait_after_failed_accept();
     asio::awaitable<void> serve(CallerIterator caller);
+    void close_after(Caller &caller, Micros timeout);
     asio::awaitable<std::string> receive_and_execute(Caller &caller);
     /// Reads and discards what the caller still sends, until it closes the connection, an error occurs or the
     /// limit on the size of a call is reached.
--- a/tests/cells_net_test.cpp
+++ b/tests/cells_net_test.cpp
@@ -306,6 +306,19 @@
     assert(request(*installation.broker_a, get(kPiece)) == "b");
 }
 
+// Guards against closing an operator's connection while the broker itself waits for the coordinator: the time
+// for receiving a call went on during its execution.
+void a_call_sent_slowly_is_answered_without_the_coordinator() {
+    Installation installation(serving("a"), serving("b"));
+    installation.coordinator.kill();
+    Socket caller = Socket::to(installation.broker_a->control);
+    caller.send("GET /admin/cells/list HTTP/1.1\r\n");
+    std::this_thread::sleep_for(1s); // of the 2 s that a caller has; the coordinator has 1.5 s for its reply
+    caller.send("Host: broker\r\n\r\n");
+    caller.ended();
+    assert(caller.in.starts_with("HTTP/1.1 503 "));
+}
+
 // An invalid layout is reported with field and line, and the coordinator does not start.
 void a_wrong_layout_names_the_field() {
     const std::filesystem::path folder =
@@ -353,4 +366,5 @@
     a_broker_in_a_cell_watches_the_endpoint_list();
     malformed_bytes_end_only_their_connection();
     the_layout_is_reloaded();
+    a_call_sent_slowly_is_answered_without_the_coordinator();
 }
