Leave an NVMe node for an overdue admin command only, not for one under way

What callers saw: requests at a sound NVMe node ended as reset, each 5 s at the most, when an Abort or a probe's keep-alive was without its completion just as the next keep-alive was due; requests that must not run twice failed.

Cause: the keep-alive timer took any pending admin command for one that the node had left without completion for the whole interval.

Change: admin commands have the time at which they were issued, and the node is left when one is a whole interval old.

Tests: a_node_has_time_for_each_admin_command failed before the change and passes after it; a_node_that_misses_a_keep_alive_is_left shows that a silent node is still left at the second interval.

--- a/src/net/nvme/node_port.cpp
+++ b/src/net/nvme/node_port.cpp
@@ -2,6 +2,7 @@
 
 #include "core/log.hpp"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
@@ -51,6 +52,7 @@
         std::function<void()> on_written;                  // called once `fully_written` is set
         bool write_started = false, fully_written = false; // the writing has started; all bytes are written
         core::Deadlines::Entry abort_timer;                // runs once the command is abandoned
+        Micros issued_at = 0;                              // of an admin command
     };
     // An encoded PDU that waits to be written.
     struct OutgoingPdu {
@@ -146,7 +148,9 @@
         if (!cid)
             return false;
         set(command.bytes, 2, *cid);
-        admin_->pending[*cid].mailbox = mailbox;
+        Queue::PendingCommand &pending_command = admin_->pending[*cid];
+        pending_command.mailbox = mailbox;
+        pending_command.issued_at = deadlines_.clock.now();
         enqueue(admin_, {command.capsule(), *cid, true, {}});
         return true;
     }
@@ -394,13 +398,20 @@
         keep_alive_ = deadlines_.in(kKeepAliveInterval, [this] {
             if (!admin_)
                 return;
-            if (!admin_->pending.empty())
+            if (has_overdue_admin_command())
                 return close_connections("keep-alive timed out");
             send_admin_command(Command::make(op::kKeepAlive, 0), nullptr);
             keep_alive();
         });
     }
 
+    // Whether the node has had kKeepAliveInterval for an admin command and has not completed it.
+    bool has_overdue_admin_command() const {
+        const Micros overdue = deadlines_.clock.now() - kKeepAliveInterval;
+        return std::ranges::any_of(
+            admin_->pending, [overdue](const auto &entry) { return entry.second.issued_at <= overdue; });
+    }
+
     asio::awaitable<void> receive_pdus([[maybe_unused]] std::shared_ptr<Association> self, QueuePtr queue) {
         const char *reason = "connection lost";
         std::string termination;
--- a/tests/nvme_test.cpp
+++ b/tests/nvme_test.cpp
@@ -32,6 +32,8 @@
     using Script = std::function<Behavior(bool write, std::uint64_t block, int nth)>;
     explicit Target(Script script) : script_(std::move(script)), server([this](Socket &s) { serve(s); }) {}
     std::atomic<int> commands = 0, aborts = 0;
+    std::atomic<int> abort_delay_ms = 0; // from an Abort command to its completion
+    std::atomic<bool> ignore_keep_alives = false;
 
 private:
     void serve(Socket &s) {
@@ -66,8 +68,11 @@
                 nvme::set<std::uint16_t>(page, 128, 8);
                 nvme::set<std::uint8_t>(page, 130, 12);
                 s.send(nvme::data(Type::C2HData, c.cid(), 0, 0, page, true));
+            } else if (c.opcode() == op::kKeepAlive && ignore_keep_alives) {
+                continue;
             } else if (c.opcode() == op::kAbort) {
                 ++aborts;
+                std::this_thread::sleep_for(abort_delay_ms.load() * 1ms);
             } else if (c.opcode() == op::kWrite) {
                 writes[c.cid()] = {c.dword<std::uint64_t>(10), ""};
                 s.send(nvme::r2t(c.cid(), c.cid(), 0, kExtendedBlockBytes));
@@ -656,6 +661,46 @@
     assert(served > 0);
 }
 
+// Guards against closing a node's association, with all commands open on it, because an admin command was on
+// its way when the next keep-alive was due: it was taken for one that the node had not answered.
+void a_node_has_time_for_each_admin_command() {
+    constexpr auto kKeepAliveInterval = 5s; // of the broker to its nodes
+    constexpr int kAbortMs = 600;           // less than the 2 s that a node has for an Abort command
+    constexpr int kWaitMs = 300;
+    Target target(
+        [](bool, std::uint64_t block, int) { return block == 0x105 ? Behavior::Silent : Behavior::Serve; });
+    target.abort_delay_ms = kAbortMs;
+    const Discovery discovery(member("s-1", target.server.port, 0));
+    const Program program(discovery, operator_settings(free_port(), true));
+    Socket first = program.client();
+    first.send(get("0000000000000106")); // establishes the association
+    assert(first.value()->kind == resp::Value::Kind::Bulk);
+    const auto established = std::chrono::steady_clock::now();
+    std::this_thread::sleep_until(established + kKeepAliveInterval - (kWaitMs + kAbortMs / 2) * 1ms);
+    Socket client = program.client();                 // the first one was idle for too long
+    client.send(get("0000000000000105", 0, kWaitMs)); // aborted at its deadline
+    assert(client.value()->kind == resp::Value::Kind::Error);
+    std::this_thread::sleep_until(established + kKeepAliveInterval + kAbortMs * 1ms);
+    assert(target.aborts == 1);
+    assert(program.log().find("keep-alive timed out") == std::string::npos);
+    assert(target.server.accepted == 2); // still the first association
+}
+
+// A node that leaves a keep-alive without a completion until the next is due loses its association.
+void a_node_that_misses_a_keep_alive_is_left() {
+    constexpr auto kKeepAliveInterval = 5s;
+    Target target(serve_all);
+    target.ignore_keep_alives = true;
+    const Discovery discovery(member("s-1", target.server.port, 0));
+    const Program program(discovery, operator_settings(free_port(), true));
+    Socket client = program.client();
+    client.send(get("0000000000000106"));
+    assert(client.value()->kind == resp::Value::Kind::Bulk);
+    std::this_thread::sleep_for(2 * kKeepAliveInterval - 1s);
+    assert(program.log().find("keep-alive timed out") == std::string::npos);
+    program.await_log("keep-alive timed out");
+}
+
 } // namespace
 
 int main() {
@@ -679,4 +724,6 @@
     commands_held_back_behind_unread_answers_are_completed();
     keep_alives_held_back_behind_unread_answers_count();
     writes_get_the_data_that_they_wait_for();
+    a_node_has_time_for_each_admin_command();
+    a_node_that_misses_a_keep_alive_is_left();
 }
