Test that requests held back are answered before a quiesce or the end ends their connection

Quiesce and SIGTERM with 300 and with 1,500 requests held back behind a node that takes 6 s, the latter more than the broker reads ahead: every request has its answer in order, and the connection ends in time.

--- a/tests/backpressure_test.cpp
+++ b/tests/backpressure_test.cpp
@@ -212,6 +212,36 @@
     expect_pongs(client, 2);
 }
 
+// A connection that the broker ends while it holds input back: every request has an answer first, a refusal
+// at least, and the connection is ended in time. Guards against dropping what was read and not parsed.
+void requests_held_back_are_answered_before_the_end(bool process_ends, int count) {
+    constexpr auto kEndLimit = 4s; // after the call or signal; the process may be killed after 3.7 s
+    const Nodes nodes(6s);         // answers when all is over
+    Program program(nodes.discovery, "", kLongDeadlines);
+    Socket client = program.client();
+    const auto ids = fresh_ids(count);
+    client.send(get(kPiece, 0, kFirstWaitMs) + pings(kMaxOpenRequests));
+    nodes.await_first();
+    std::thread writer([&] { client.send(reads_of_second(ids)); });
+    std::this_thread::sleep_for(200ms);
+    const auto called = Clock::now();
+    if (process_ends)
+        program.signal(SIGTERM);
+    else
+        assert(program.call("POST", "quiesce").first == 200);
+    const auto first = client.value();
+    assert(first && first->text.starts_with("BUSY"));
+    expect_pongs(client, kMaxOpenRequests);
+    for (const std::string &id : ids) {
+        const auto answer = client.value();
+        assert(answer && (answer->text == id || answer->text.starts_with("BUSY")));
+    }
+    assert(client.ended() && Clock::now() - called < kEndLimit);
+    writer.join();
+    if (process_ends)
+        assert(program.exit_code() == 0 && Clock::now() - called < 3700ms);
+}
+
 struct Scenario {
     const char *name;
     void (*run)();
@@ -220,6 +250,10 @@
     {"behind_slow", requests_behind_a_slow_one_are_answered},
     {"stopped", a_client_that_stops_behind_them_gets_its_error},
     {"behind_long_values", requests_behind_values_read_slowly_are_answered},
+    {"quiesce", [] { requests_held_back_are_answered_before_the_end(false, 300); }},
+    {"quiesce_unread", [] { requests_held_back_are_answered_before_the_end(false, 1500); }},
+    {"shutdown", [] { requests_held_back_are_answered_before_the_end(true, 300); }},
+    {"shutdown_unread", [] { requests_held_back_are_answered_before_the_end(true, 1500); }},
     {"memory", answers_held_back_do_not_count_as_a_message},
     {"deadlines", [] { time_held_back_counts(100); }},
     {"deadlines_unread", [] { time_held_back_counts(1000); }}, // more than the broker reads ahead
