--- a/tests/backpressure_test.cpp
+++ b/tests/backpressure_test.cpp
@@ -14,11 +14,7 @@
 // The time within which a client that stops in the middle of a message gets its error.
 constexpr auto kErrorLimit = 3s;
 constexpr int kFirstWaitMs = 7000;
-const std::string kLongDeadlines = [] {
-    std::string settings = kSettings;
-    const std::string usual = R"("hard_limit":1500.0)";
-    return settings.replace(settings.find(usual), usual.size(), R"("hard_limit":7500.0)");
-}();
+const std::string kLongDeadlines = settings_with_read_limit(7500);
 
 // Two shards of one node each: that of shard 0 answers after `time` with `value`, that of shard 1 at once
 // with the request's id.
--- a/tests/cells_net_test.cpp
+++ b/tests/cells_net_test.cpp
@@ -13,15 +13,8 @@
 // The settings of helper.hpp with a shorter deduplication window, so that a restarted broker soon knows all
 // keys that are still valid.
 std::string settings() {
-    std::string text = kSettings;
-    const auto change = [&](const std::string &from, const std::string &to) {
-        const std::size_t at = text.find(from);
-        assert(at != std::string::npos);
-        text.replace(at, from.size(), to);
-    };
-    change(R"("dedup_window":4000.0)", R"("dedup_window":1500.0)");
-    change(R"("hard_limit":2500.0)", R"("hard_limit":1000.0)");
-    return text;
+    const std::string shorter = replaced(kSettings, R"("dedup_window":4000.0)", R"("dedup_window":1500.0)");
+    return replaced(shorter, R"("hard_limit":2500.0)", R"("hard_limit":1000.0)");
 }
 
 // Two cells of one broker and one node each.
--- a/tests/closing_test.cpp
+++ b/tests/closing_test.cpp
@@ -18,11 +18,7 @@
 const std::string kPiece = "7f3a9c21e0b4d655", kHangingPiece = "00000000000000aa";
 const std::string kPing = "*1\r\n$4\r\nPING\r\n";
 // With the longest deadline above 3 s, the process may be killed 3.7 s after SIGTERM.
-const std::string kLongDeadlines = [] {
-    std::string settings = kSettings;
-    const std::string usual = R"("hard_limit":1500.0)";
-    return settings.replace(settings.find(usual), usual.size(), R"("hard_limit":7500.0)");
-}();
+const std::string kLongDeadlines = settings_with_read_limit(7500);
 
 // Answers each request after `time` with the request's id as the value, but one for kHangingPiece after 10 s.
 RespNode::Script echo_after(std::chrono::milliseconds time) {
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -30,11 +30,6 @@
     bool set_ = false;
 };
 
-std::string replaced(std::string settings, const std::string &from, const std::string &to) {
-    const auto at = settings.find(from);
-    assert(at != std::string::npos);
-    return settings.replace(at, from.size(), to);
-}
 const std::string kLongConnectTimeout =
     replaced(kSettings, R"("connect_timeout":250.0)", R"("connect_timeout":4000.0)");
 
--- a/tests/helper.hpp
+++ b/tests/helper.hpp
@@ -361,17 +361,21 @@
     R"("usual_units":2.18},"instances":1,"membership_mode":"on_request","period":2.0,"policies":[)"
     R"({"name":"standard","nominal":700.0,"parts":1.0,"pays":1.2,"reserve":800.0}],"position":0})";
 
+/// `text` with the first `from`, which it has to contain, replaced by `to`.
+inline std::string replaced(std::string text, const std::string &from, const std::string &to) {
+    const std::size_t at = text.find(from);
+    assert(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+/// kSettings with another hard limit of reads, in ms.
+inline std::string settings_with_read_limit(int limit_ms) {
+    return replaced(kSettings, R"("hard_limit":1500.0)", fmt::format(R"("hard_limit":{}.0)", limit_ms));
+}
+
 /// kSettings with a latency target of 5 s and a hard limit of 8 s for reads, so that a retry is still on time
 /// after the test machine has stalled: the broker holds back late work (policy/admission.hpp).
 inline std::string settings_with_relaxed_reads() {
-    std::string settings = kSettings;
-    const auto replace = [&](const std::string &from, const std::string &to) {
-        assert(settings.find(from) != std::string::npos);
-        settings.replace(settings.find(from), from.size(), to);
-    };
-    replace(R"("target":300.0)", R"("target":5000.0)");
-    replace(R"("hard_limit":1500.0)", R"("hard_limit":8000.0)");
-    return settings;
+    return replaced(settings_with_read_limit(8000), R"("target":300.0)", R"("target":5000.0)");
 }
 /// The time for which a client of these settings waits for a read, in ms.
 inline constexpr int kRelaxedReadWaitMs = 8000;
--- a/tests/nvme_test.cpp
+++ b/tests/nvme_test.cpp
@@ -488,10 +488,8 @@
     });
     const Discovery discovery(member("s-1", node.server.port, 0));
     const int port = free_port();
-    std::string settings = kSettings; // with a limit that does not force the exit earlier
-    const std::string default_limit = R"("hard_limit":1500.0)";
-    settings.replace(settings.find(default_limit), default_limit.size(), R"("hard_limit":4000.0)");
-    Program program(discovery, operator_settings(port, false), settings);
+    // A limit that does not force the exit earlier.
+    Program program(discovery, operator_settings(port, false), settings_with_read_limit(4000));
     Host host(port);
     for (std::uint16_t cid = 1; cid <= kCommands; ++cid)
         host.io.send(Host::command(op::kRead, cid, cid));
--- a/tests/pushed_test.cpp
+++ b/tests/pushed_test.cpp
@@ -13,10 +13,7 @@
 const std::string kObjectKey = "7f3a9c21e0b4d655";
 
 std::string pushed_settings(const std::string &more = "") {
-    std::string settings = kSettings;
-    const std::string on_request = R"("membership_mode":"on_request")";
-    settings.replace(settings.find(on_request), on_request.size(), R"("membership_mode":"pushed")" + more);
-    return settings;
+    return replaced(kSettings, R"("membership_mode":"on_request")", R"("membership_mode":"pushed")" + more);
 }
 RespNode::Script serve(const std::string &value) {
     return [value](const auto &, int) { return RespNode::served(value); };
--- a/tests/watch_test.cpp
+++ b/tests/watch_test.cpp
@@ -68,11 +68,9 @@
 };
 
 std::string broker_settings(bool pushed) {
-    std::string settings = kSettings;
-    const std::string on_request = R"("membership_mode":"on_request")";
-    if (pushed)
-        settings.replace(settings.find(on_request), on_request.size(), R"("membership_mode":"pushed")");
-    return settings;
+    if (!pushed)
+        return kSettings;
+    return replaced(kSettings, R"("membership_mode":"on_request")", R"("membership_mode":"pushed")");
 }
 std::string read_value(const Program &program, int shard = 0, int wait = 600) {
     Socket client = program.client();
