--- a/src/net/nvme/front.cpp
+++ b/src/net/nvme/front.cpp
@@ -17,7 +17,7 @@
 constexpr Micros kKeepAliveSlack = 1'000'000;
 constexpr std::size_t kMaxReportedHeadBytes = 24; // of an incomplete PDU, in the termination request
 constexpr std::size_t kMaxTransferTags = 0xffff;
-constexpr std::size_t kMaxOpenTransfers = 2 * kQueueEntries; // whose commands wait for the data
+constexpr std::size_t kMaxOpenTransfers = std::size_t{2} * kQueueEntries; // whose commands wait for the data
 constexpr std::size_t kConnectDataBytes = 1024, kIdentifyDataBytes = 4096;
 
 std::string_view until_nul(std::string_view field) {
