Log and export what memory the process holds, and when the event loop falls behind

Once a second the process is sampled; a line process_sample is written if resident memory has grown by 1 MB, the loop is 20 ms late, or the budget of memory became short or free again. It names the connection that has sent the most. The statistics have four gauges more, at their end.

--- a/src/admin/statistics.cpp
+++ b/src/admin/statistics.cpp
@@ -63,6 +63,14 @@
     out.gauge("clients_closing", status.clients_closing);
 }
 
+void write_memory(MetricsWriter &out, const BrokerStatus &status) {
+    constexpr std::size_t kBytesPerKilobyte = 1024;
+    out.gauge("memory_resident_kb", status.memory.resident_kb);
+    out.gauge("memory_peak_kb", status.memory.peak_kb);
+    out.gauge("memory_reserved_kb", status.reserved_bytes / kBytesPerKilobyte);
+    out.gauge("quota_accounts", status.quota_accounts);
+}
+
 } // namespace
 
 std::string format_statistics(const core::Metrics &metrics, const Settings &settings,
@@ -75,6 +83,7 @@
     out.gauge("current", status.open_requests);
     out.gauge("cluster_size", status.nodes);
     out.gauge("cluster_unhealthy", status.avoided_nodes);
+    write_memory(out, status);
     return out.take();
 }
 
--- a/src/admin/statistics.hpp
+++ b/src/admin/statistics.hpp
@@ -3,6 +3,7 @@
 /// of the metrics are fixed, because operators' tools read them (see tests/fixtures/admin/).
 #pragma once
 
+#include "core/memory_usage.hpp"
 #include "core/metrics.hpp"
 #include "net/client_figures.hpp"
 #include "net/costs.hpp"
@@ -20,6 +21,9 @@
     net::ClientFigures clients;
     std::size_t clients_open = 0;
     std::size_t clients_closing = 0;
+    core::MemoryUsage memory;
+    std::size_t reserved_bytes = 0; ///< of the budget for clients' requests and answers
+    std::size_t quota_accounts = 0; ///< volumes that this host accounts for
 };
 
 /// Formats one line per metric: "balancer.NAME:VALUE|c" for counters, "balancer.NAME:VALUE|g" for gauges.
--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -284,6 +284,7 @@
     stats_.emplace(BrokerStats::Sources{.metrics = metrics_,
                                         .settings = config_.settings,
                                         .sockets = sockets_,
+                                        .memory = memory_,
                                         .endpoints = endpoints_,
                                         .dispatchers = dispatchers_,
                                         .clients = *clients_,
@@ -292,6 +293,7 @@
                                         .peers = peers_,
                                         .cell_router = cell_router_});
     cost_log_.emplace(deadlines_, [this] { return stats_->costs(); });
+    process_monitor_.emplace(deadlines_, [this] { return stats_->process_state(); });
     if (admin_acceptor_)
         admin_.emplace(io_, deadlines_, std::move(*admin_acceptor_), admin_operations());
     clients_->apply(quiesce_);
--- a/src/app/broker.hpp
+++ b/src/app/broker.hpp
@@ -113,6 +113,7 @@
     std::optional<ClientServers> clients_;
     std::optional<BrokerStats> stats_;
     std::optional<net::CostLog> cost_log_;
+    std::optional<ProcessMonitor> process_monitor_;
     std::optional<admin::AdminServer> admin_;
     std::optional<ProcessHandover> process_handover_;
     boost::asio::signal_set reload_signals_{io_};
--- a/src/app/broker_stats.cpp
+++ b/src/app/broker_stats.cpp
@@ -19,6 +19,14 @@
     return sum;
 }
 
+/// Volumes with an account, summed over all dispatchers.
+std::size_t quota_accounts(const net::EndpointRegistry::Dispatchers &dispatchers) {
+    std::size_t sum = 0;
+    for (const auto &dispatcher : dispatchers)
+        sum += dispatcher->quota_accounts();
+    return sum;
+}
+
 } // namespace
 
 net::Costs BrokerStats::costs() const {
@@ -39,6 +47,18 @@
     return costs;
 }
 
+ProcessState BrokerStats::process_state() const {
+    const net::Clients::Busiest busiest = sources_.clients.take_busiest();
+    return {.reserved_bytes = sources_.memory.reserved(),
+            .reserved_limit_bytes = sources_.memory.limit(),
+            .clients_open = sources_.clients.open_connections(),
+            .clients_closing = sources_.clients.closing_connections(),
+            .open_requests = sources_.endpoints.open_requests(),
+            .quota_accounts = quota_accounts(sources_.dispatchers),
+            .busiest_client = busiest.client,
+            .busiest_received = busiest.bytes};
+}
+
 std::string BrokerStats::text() const {
     admin::BrokerStatus status;
     status.open_requests = sources_.endpoints.open_requests();
@@ -48,6 +68,9 @@
     status.clients = sources_.clients.metrics();
     status.clients_open = sources_.clients.open_connections();
     status.clients_closing = sources_.clients.closing_connections();
+    status.memory = core::read_memory_usage().value_or(core::MemoryUsage{});
+    status.reserved_bytes = sources_.memory.reserved();
+    status.quota_accounts = quota_accounts(sources_.dispatchers);
     std::string text = admin::format_statistics(sources_.metrics, sources_.settings, status);
     if (sources_.documents)
         text += fmt::format("balancer.configuration_version:{}|g\nbalancer.configuration_refused:{}|c\n",
--- a/src/app/broker_stats.hpp
+++ b/src/app/broker_stats.hpp
@@ -3,6 +3,8 @@
 #pragma once
 
 #include "app/client_servers.hpp"
+#include "app/process_monitor.hpp"
+#include "core/memory_budget.hpp"
 #include "core/metrics.hpp"
 #include "discovery/discovery_client.hpp"
 #include "gossip/gossip_transport.hpp"
@@ -24,9 +26,10 @@
         const core::Metrics &metrics;
         const Settings &settings;
         const net::SocketBudget &sockets;
+        const core::MemoryBudget &memory;
         const net::EndpointRegistry &endpoints;
         const net::EndpointRegistry::Dispatchers &dispatchers;
-        const ClientServers &clients;
+        ClientServers &clients;
         const std::optional<discovery::DiscoveryClient> &discovery;
         const std::optional<list_distribution::DocumentWatch> &documents;
         const std::optional<gossip::GossipTransport> &peers;
@@ -36,6 +39,8 @@
     explicit BrokerStats(Sources sources) : sources_(sources) {}
     /// Counts of the load that the broker puts on other hosts, for the log and as part of text().
     net::Costs costs() const;
+    /// The state of the process. Restarts the count of bytes received from each client.
+    ProcessState process_state() const;
     /// All metrics in StatsD format, one per line.
     std::string text() const;
 
--- a/src/app/client_servers.cpp
+++ b/src/app/client_servers.cpp
@@ -26,6 +26,12 @@
     return resp_.closing() + (nvme_ ? nvme_->closing() : 0);
 }
 
+net::Clients::Busiest ClientServers::take_busiest() {
+    const net::Clients::Busiest resp = resp_.take_busiest();
+    const net::Clients::Busiest nvme = nvme_ ? nvme_->take_busiest() : net::Clients::Busiest{};
+    return nvme.bytes > resp.bytes ? nvme : resp;
+}
+
 void ClientServers::apply(const QuiesceState &state) {
     resp_.quiesce(state.active_since());
     if (nvme_)
--- a/src/app/client_servers.hpp
+++ b/src/app/client_servers.hpp
@@ -41,6 +41,8 @@
     /// How many of the open connections are being closed.
     std::size_t closing_connections() const;
     const net::ClientFigures &metrics() const { return metrics_; }
+    /// The connection that has sent the most bytes since the last call, over all front ends.
+    net::Clients::Busiest take_busiest();
 
     void apply(const QuiesceState &state);
     void pause_accepting();
--- a/src/core/memory_budget.hpp
+++ b/src/core/memory_budget.hpp
@@ -14,7 +14,10 @@
     MemoryBudget(const MemoryBudget &) = delete;
     MemoryBudget &operator=(const MemoryBudget &) = delete;
 
-    bool is_exhausted() const { return reserved_bytes_ >= (shared_ ? limit_bytes_ / 2 : limit_bytes_); }
+    bool is_exhausted() const { return reserved_bytes_ >= limit(); }
+    std::size_t reserved() const { return reserved_bytes_; }
+    /// The limit of this process, in bytes.
+    std::size_t limit() const { return shared_ ? limit_bytes_ / 2 : limit_bytes_; }
     /// While the budget is shared with another process (hot restart), this process may use half of the limit.
     void set_shared(bool shared) { shared_ = shared; }
 
--- a/src/core/request_dispatcher.hpp
+++ b/src/core/request_dispatcher.hpp
@@ -70,6 +70,8 @@
     bool is_known_node(NodeId node) const { return scheduler_.concurrency_limit(node).has_value(); }
     bool is_avoided(NodeId node) const { return scheduler_.is_avoided(node); }
     OverloadMetrics overload() const { return scheduler_.overload(); }
+    /// The number of volumes whose quotas this host accounts for.
+    std::size_t quota_accounts() const { return scheduler_.entry_counts().volumes; }
     /// The number of requests whose clients wait for an answer.
     std::size_t unanswered() const { return unanswered_count_; }
 
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -264,6 +264,16 @@
         std::ranges::count_if(clients_, [](const Client &client) { return client.use().closing; }));
 }
 
+Clients::Busiest Clients::take_busiest() {
+    Busiest busiest;
+    for (Client &client : clients_) {
+        const std::uint64_t bytes = std::exchange(client.bytes_received, 0);
+        if (bytes > busiest.bytes)
+            busiest = {client.id, bytes};
+    }
+    return busiest;
+}
+
 // Logs the end of a connection if the broker had discarded unparsed input of it before shutting it down.
 // Otherwise logs it only if the broker was closing the connection, and either is quiesced or shutting down,
 // or took at least kSlowClose to close it. In all cases the number of lines is rate limited.
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -104,6 +104,7 @@
     /// and after. The former may hold a request that gets no answer; the latter were sent before the client
     /// saw the end of the stream.
     std::size_t dropped_before_shutdown = 0, dropped_after_shutdown = 0;
+    std::uint64_t bytes_received = 0; // since the last call of Clients::take_busiest()
     /// Set by Clients. The session calls it when it stops waiting for the rest of a message.
     std::function<void(const AbandonedMessage &)> on_message_abandoned;
 
@@ -186,6 +187,14 @@
     std::size_t open() const { return clients_.size(); }
     std::size_t closing() const; ///< number of connections that are closing and still open
 
+    /// The connection that has sent the most, and how many bytes.
+    struct Busiest {
+        std::uint64_t client = 0; ///< its number; 0: none has sent anything
+        std::uint64_t bytes = 0;
+    };
+    /// The busiest connection since the last call.
+    Busiest take_busiest();
+
 private:
     asio::awaitable<void> accept();
     void admit(tcp::socket socket, HandedOverClient inherited);
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -239,6 +239,7 @@
     const std::size_t before = input_.size();
     const boost::system::error_code error = read_available(client_.socket, input_);
     last_read_at_ = deadlines_.clock.now();
+    client_.bytes_received += input_.size() - before;
     arrivals_.add(input_.size() - before, reading_suspended_at_.value_or(last_read_at_));
     if (reading_suspended_at_ && !client_.has_unread_bytes())
         reading_suspended_at_.reset();
--- a/tests/helper.hpp
+++ b/tests/helper.hpp
@@ -451,6 +451,12 @@
     { source.known() } -> std::convertible_to<std::string>;
 };
 
+/// The limits that a program's configuration gives it.
+struct Limits {
+    int memory_mb = 16;
+    int sockets = 256;
+};
+
 /// The real program, with its configuration and log in a folder that the destructor removes.
 class Program {
 public:
@@ -458,8 +464,8 @@
     /// Starts the program and waits until it answers PING.
     explicit Program(const ListSource auto &discovery, const std::string &operators = "",
                      const std::string &settings = kSettings, const std::filesystem::path &folder = {},
-                     int listen = 0, std::string name = "n0")
-        : port(listen ? listen : free_port()), control(free_port()), name_(std::move(name)),
+                     int listen = 0, std::string name = "n0", Limits limits = {})
+        : port(listen ? listen : free_port()), control(free_port()), name_(std::move(name)), limits_(limits),
           folder_(folder.empty() ? make_folder() : folder) {
         configure(discovery, settings);
         if (!operators.empty())
@@ -508,8 +514,8 @@
             "config.json",
             fmt::format(
                 R"({{"name":"{}","listen":"127.0.0.1:{}","control":"127.0.0.1:{}","discovery":"127.0.0.1:{}",)"
-                R"("seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":16,"sockets":256}},"known":{},"settings":{}}})",
-                name_, port, control, discovery, known, settings));
+                R"("seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},"known":{},"settings":{}}})",
+                name_, port, control, discovery, limits_.memory_mb, limits_.sockets, known, settings));
     }
     void write(const std::string &name, const std::string &text) const {
         std::ofstream(folder_ / name) << text;
@@ -526,14 +532,9 @@
         assert(log().find(words) != std::string::npos);
     }
     /// Resident memory of the process.
-    std::size_t memory_kb() const {
-        std::ifstream status(fmt::format("/proc/{}/status", child_.pid()));
-        for (std::string word; status >> word;)
-            if (word == "VmRSS:" && status >> word)
-                return std::stoul(word);
-        assert(!"no such process");
-        return 0;
-    }
+    std::size_t memory_kb() const { return status_kb("VmRSS:"); }
+    /// The most that the process's resident memory has been.
+    std::size_t peak_memory_kb() const { return status_kb("VmHWM:"); }
     void signal(int number) const { child_.signal(number); }
     int exit_code() { return child_.exit_code(); }
     bool running() const { return child_.running(); }
@@ -566,6 +567,14 @@
         arguments.insert(arguments.end(), more_arguments.begin(), more_arguments.end());
         child_.start(std::move(arguments), log_path(), folder_, control);
     }
+    std::size_t status_kb(const std::string &field) const {
+        std::ifstream status(fmt::format("/proc/{}/status", child_.pid()));
+        for (std::string word; status >> word;)
+            if (word == field && status >> word)
+                return std::stoul(word);
+        assert(!"no such process");
+        return 0;
+    }
     static std::filesystem::path make_folder() {
         std::string name = std::filesystem::temp_directory_path() / "marblewood-XXXXXX";
         assert(::mkdtemp(name.data()));
@@ -573,6 +582,7 @@
     }
     std::string log_path() const { return folder_ / (successor_ ? "log-2" : "log"); }
     const std::string name_;
+    const Limits limits_;
     const std::filesystem::path folder_;
     bool successor_ = false;
     Child child_;
