--- /dev/null
+++ b/tests/departed_client_test.cpp
@@ -0,0 +1,140 @@
+// Clients that close their connection with requests open or unread, and requests that come again with the
+// same id.
+// Usage: departed_client_test SCENARIO
+#include "helper.hpp"
+
+#include <algorithm>
+
+using namespace test;
+using Clock = std::chrono::steady_clock;
+
+namespace {
+
+const std::string kPiece = "7f3a9c21e0b4d655";
+// Writes run at most once: nodes do not recognise a second copy.
+const std::string kSettingsWithPlainWrites =
+    replaced(kSettings, R"("dedup_window":4000.0,"effect":"deduplicated","group":"cell")",
+             R"("effect":"at_most_once")");
+
+// An attempt that begins later than this after its client closed its connection is a lost request.
+constexpr auto kDepartureGrace = 100ms;
+
+// Guards against forwarding requests that were still unread when their client closed its connection.
+void unread_requests_are_not_forwarded() {
+    constexpr int kClients = 150, kRequests = 800; // the broker takes seconds to read them all
+    std::mutex mutex;
+    std::vector<Clock::time_point> arrivals;
+    RespNode node([&](const auto &words, int) {
+        const std::lock_guard lock(mutex);
+        arrivals.push_back(Clock::now());
+        return RespNode::served(words[2]);
+    });
+    const Discovery discovery(member("s-1", node.server.port, 0));
+    const Program program(discovery, "", kSettings, {}, 0, "n0", {.memory_mb = 64, .sockets = 1024});
+    std::list<Socket> clients;
+    for (int n = 0; n < kClients; ++n)
+        clients.push_back(program.client());
+    std::vector<std::string> requests(kClients);
+    for (std::string &bytes : requests)
+        for (int n = 0; n < kRequests; ++n)
+            bytes += get(kPiece, 0, 3000);
+    auto bytes = requests.begin();
+    for (const Socket &client : clients)
+        client.send(*bytes++);
+    clients.clear();
+    const auto closed = Clock::now();
+    std::this_thread::sleep_for(4s);
+    const std::lock_guard lock(mutex);
+    const auto late = std::ranges::count_if(
+        arrivals, [&](const Clock::time_point at) { return at > closed + kDepartureGrace; });
+    fmt::print(stderr, "forwarded: {}, of these too late: {}\n", arrivals.size(), late);
+    assert(late == 0);
+}
+
+std::string write_with_id(const std::string &id) {
+    return resp::command({"OBJ.PUT", kPiece, id,
+                          "c=new-write,t=standard,d=2500,volume=00000003b4d60021,units=2,"
+                          "shard=0,hosts=1",
+                          "body"});
+}
+
+// A node that takes its time over a write, so that it runs on when its client has gone.
+struct SlowWrites {
+    SlowWrites()
+        : node([](const auto &, int) {
+              std::this_thread::sleep_for(1s);
+              return RespNode::served("OK");
+          }),
+          discovery(member("s-1", node.server.port, 0)) {}
+    std::size_t runs_of(const std::string &id) const {
+        const auto taken = node.taken();
+        return static_cast<std::size_t>(
+            std::ranges::count_if(taken, [&](const auto &words) { return words[2] == id; }));
+    }
+    void await_run(const std::string &id) const {
+        for (int n = 0; n < 500 && runs_of(id) == 0; ++n)
+            std::this_thread::sleep_for(10ms);
+        assert(runs_of(id) == 1);
+    }
+    RespNode node;
+    Discovery discovery;
+};
+
+// Guards against running a request twice that comes again with its id after its client has left.
+void an_id_does_not_run_again_after_its_client_has_left() {
+    const SlowWrites writes;
+    const Program program(writes.discovery, "", kSettingsWithPlainWrites);
+    const std::string id = fresh_id();
+    {
+        Socket first = program.client();
+        first.send(write_with_id(id));
+        writes.await_run(id);
+    }
+    std::this_thread::sleep_for(200ms); // the broker has seen that it left
+    Socket second = program.client();
+    second.send(write_with_id(id));
+    const auto answer = second.value();
+    assert(answer && answer->kind == resp::Value::Kind::Error);
+    std::this_thread::sleep_for(1s);
+    assert(writes.runs_of(id) == 1);
+}
+
+// The same, when the second comes to the new process of an upgrade.
+void an_id_does_not_run_again_at_the_other_process() {
+    const SlowWrites writes;
+    const Program program(writes.discovery, "", kSettingsWithPlainWrites);
+    const std::string id = fresh_id();
+    Socket first = program.client();
+    first.send(write_with_id(id));
+    writes.await_run(id);
+    const Program successor(program);
+    Socket second = successor.client();
+    second.send(write_with_id(id));
+    const auto answer = second.value();
+    assert(answer && answer->kind == resp::Value::Kind::Error);
+    assert(first.value()->text == "OK");
+    assert(writes.runs_of(id) == 1);
+}
+
+struct Scenario {
+    const char *name;
+    void (*run)();
+};
+constexpr Scenario kScenarios[] = {
+    {"unread", unread_requests_are_not_forwarded},
+    {"same_id", an_id_does_not_run_again_after_its_client_has_left},
+    {"same_id_upgrade", an_id_does_not_run_again_at_the_other_process},
+};
+
+} // namespace
+
+int main(int argc, char **argv) {
+    const std::string wanted = argc > 1 ? argv[1] : "";
+    for (const Scenario &scenario : kScenarios)
+        if (scenario.name == wanted) {
+            scenario.run();
+            return 0;
+        }
+    fmt::print(stderr, "usage: departed_client_test SCENARIO\n");
+    return 2;
+}
--- /dev/null
+++ b/tests/memory_limit_test.cpp
@@ -0,0 +1,244 @@
+// The resident memory of the process while clients misbehave in numbers: it has to stay under
+// limits.memory_mb, over which the platform kills the process.
+// Usage: memory_limit_test SCENARIO
+#include "crowd.hpp"
+
+#include "net/nvme/pdu.hpp"
+
+using namespace test;
+
+namespace {
+
+const std::string kPiece = "7f3a9c21e0b4d655", kPing = "*1\r\n$4\r\nPING\r\n";
+constexpr Limits kLimits{.memory_mb = 32, .sockets = 1024};
+constexpr int kCrowd = 700; // connections, of the 728 that clients can have
+constexpr std::size_t kKilobytesPerMegabyte = 1024;
+
+namespace nvme = marblewood::net::nvme;
+const std::string kSubsystem = "nqn.2026-12.net.hanbit:store";
+
+std::string nvme_operator_settings(int port) {
+    return fmt::format(
+        R"({{"nvme":{{"listen":"127.0.0.1:{}","subsystem":"{}","block_bytes":65536,"namespaces":[{{"nsid":1,)"
+        R"("volume":"00000003b4d60021","plan":"standard","read_class":"read","write_class":"new-write",)"
+        R"("shard":0,"first_piece":"0000000000000100","blocks":256}}],"nodes":{{}}}}}})",
+        port, kSubsystem);
+}
+
+// One shard, whose node answers each request with `value`.
+struct Fixture {
+    explicit Fixture(std::string value = "value")
+        : node([value](const auto &, int) { return RespNode::served(value); }),
+          discovery(member("s-1", node.server.port, 0)),
+          program(discovery, nvme_operator_settings(nvme_port), kSettings, {}, 0, "n0", kLimits) {
+        fmt::print(stderr, "start: {} kB\n", program.memory_kb());
+    }
+    void expect_within_limit() const {
+        const std::size_t peak = program.peak_memory_kb();
+        fmt::print(stderr, "peak: {} kB, limit: {} kB\n", peak, kLimits.memory_mb * kKilobytesPerMegabyte);
+        assert(program.running());
+        assert(peak < kLimits.memory_mb * kKilobytesPerMegabyte);
+    }
+    // Other clients are served while the crowd is there.
+    void expect_service() const {
+        Socket client = program.client();
+        client.send(kPing);
+        assert(client.value()->text == "PONG");
+    }
+    void check(CrowdBehavior behavior, std::chrono::milliseconds duration) const {
+        check(program.port, std::move(behavior), duration);
+    }
+    void check(int port, CrowdBehavior behavior, std::chrono::milliseconds duration) const {
+        Crowd crowd(port, std::move(behavior));
+        crowd.run(duration);
+        expect_service();
+        fmt::print(stderr, "open: {}, read: {}\n", crowd.open(), crowd.bytes_read);
+        expect_within_limit();
+    }
+    int nvme_port = free_port();
+    RespNode node;
+    Discovery discovery;
+    Program program;
+};
+
+std::string repeated(const std::string &text, int count) {
+    std::string all;
+    for (int n = 0; n < count; ++n)
+        all += text;
+    return all;
+}
+std::string put_head(std::size_t body) {
+    const std::string whole = put(kPiece, std::string(body, 'b'));
+    return whole.substr(0, whole.size() - body - 2);
+}
+// A read whose list of names and values has `fields` short fields of no meaning.
+std::string read_with_fields(int fields, int wait_ms = 1500) {
+    std::string list =
+        fmt::format("c=read,t=standard,d={},volume=00000003b4d60021,units=2,shard=0,hosts=1", wait_ms);
+    list += repeated(",a=", fields);
+    return resp::command({"OBJ.GET", kPiece, fresh_id(), list});
+}
+std::string read_of_new_volume() {
+    static std::uint64_t number = 0;
+    ++number;
+    return resp::command({"OBJ.GET", fmt::format("{:016x}", number), fresh_id(),
+                          fmt::format("c=read,t=standard,d=1500,volume={:016x},units=2,shard={},hosts=1",
+                                      number, number % 1'000'000)});
+}
+
+// Guards against an incident: connections that were being ended for invalid input held 64 KiB each.
+void invalid_input_at_once() {
+    const Fixture fixture;
+    fixture.check({.connections = kCrowd,
+                   .next = [] { return std::string(100'000, '?'); },
+                   .read_bytes_per_turn = 4096,
+                   .reconnects = true},
+                  3s);
+}
+void invalid_commands_at_once() {
+    const Fixture fixture;
+    const std::string commands = repeated("*1\r\n$7\r\nINVALID\r\n", 5000);
+    fixture.check({.connections = kCrowd,
+                   .next = [&] { return commands; },
+                   .read_bytes_per_turn = 4096,
+                   .reconnects = true},
+                  3s);
+}
+void large_requests_that_stop_half_way() {
+    const Fixture fixture;
+    fixture.check({.connections = kCrowd, .opening = put_head(65'536) + std::string(40'000, 'b')}, 2s);
+}
+void large_requests_written_slowly() {
+    const Fixture fixture;
+    fixture.check({.connections = kCrowd,
+                   .opening = put_head(65'536),
+                   .next = [] { return std::string(300, 'b'); },
+                   .reconnects = true},
+                  4s);
+}
+void heads_of_short_fields() {
+    const Fixture fixture;
+    fixture.check({.connections = 300,
+                   .next = [] { return read_with_fields(21'000); },
+                   .read_bytes_per_turn = 4096,
+                   .reconnects = true},
+                  3s);
+}
+void replies_not_read() {
+    const Fixture fixture;
+    const std::string pings = repeated(kPing, 4000);
+    fixture.check({.connections = kCrowd, .next = [&] { return pings; }, .receive_buffer_bytes = 4096}, 3s);
+}
+void long_answers_read_slowly() {
+    const Fixture fixture(std::string(60'000, 'v'));
+    fixture.check({.connections = 300,
+                   .next = [] { return get(kPiece); },
+                   .read_bytes_per_turn = 300,
+                   .reconnects = true,
+                   .receive_buffer_bytes = 4096},
+                  5s);
+}
+void values_passed_on_slowly() {
+    const Fixture fixture(std::string(1'000'000, 'v'));
+    fixture.check({.connections = 300,
+                   .opening = get(kPiece),
+                   .read_bytes_per_turn = 300,
+                   .reconnects = true,
+                   .receive_buffer_bytes = 4096},
+                  5s);
+}
+void ever_new_volumes() {
+    const Fixture fixture;
+    fixture.check({.connections = 1,
+                   .next =
+                       [] {
+                           std::string requests;
+                           for (int n = 0; n < 200; ++n)
+                               requests += read_of_new_volume();
+                           return requests;
+                       },
+                   .read_bytes_per_turn = 65'536},
+                  10s);
+}
+
+// Two processes during an upgrade have one limit together.
+void invalid_input_during_an_upgrade() {
+    const Fixture fixture;
+    const Program successor(fixture.program);
+    Crowd crowd(fixture.program.port, {.connections = kCrowd,
+                                       .next = [] { return std::string(100'000, '?'); },
+                                       .read_bytes_per_turn = 4096,
+                                       .reconnects = true});
+    crowd.run(3s);
+    const std::size_t peak = fixture.program.peak_memory_kb() + successor.peak_memory_kb();
+    fmt::print(stderr, "peak of both: {} kB\n", peak);
+    assert(fixture.program.running() && successor.running());
+    assert(peak < kLimits.memory_mb * kKilobytesPerMegabyte);
+}
+
+std::string nvme_connect(std::uint16_t cid) {
+    nvme::Command command = nvme::Command::make(nvme::op::kFabrics, cid);
+    nvme::set(command.bytes, 4, nvme::op::kConnect);
+    command.describe_data(1024, true);
+    std::string data(1024, '\0');
+    data.replace(256, kSubsystem.size(), kSubsystem);
+    return command.capsule(data);
+}
+std::string nvme_identify(std::uint16_t cid) {
+    nvme::Command command = nvme::Command::make(nvme::op::kIdentify, cid);
+    command.set_dword(10, 1);
+    return command.capsule();
+}
+void nvme_invalid_input_at_once() {
+    const Fixture fixture;
+    fixture.check(fixture.nvme_port,
+                  {.connections = kCrowd,
+                   .next = [] { return std::string(100'000, '?'); },
+                   .read_bytes_per_turn = 4096,
+                   .reconnects = true},
+                  3s);
+}
+void nvme_replies_not_read() {
+    const Fixture fixture;
+    std::string commands;
+    for (std::uint16_t cid = 2; cid < 900; ++cid)
+        commands += nvme_identify(cid);
+    fixture.check(fixture.nvme_port,
+                  {.connections = 300,
+                   .opening = nvme::ic_req() + nvme_connect(1),
+                   .next = [&] { return commands; },
+                   .receive_buffer_bytes = 4096},
+                  3s);
+}
+
+struct Scenario {
+    const char *name;
+    void (*run)();
+};
+constexpr Scenario kScenarios[] = {
+    {"invalid_input", invalid_input_at_once},
+    {"invalid_commands", invalid_commands_at_once},
+    {"half_requests", large_requests_that_stop_half_way},
+    {"slow_requests", large_requests_written_slowly},
+    {"short_fields", heads_of_short_fields},
+    {"unread_replies", replies_not_read},
+    {"slow_readers", long_answers_read_slowly},
+    {"slow_streams", values_passed_on_slowly},
+    {"new_volumes", ever_new_volumes},
+    {"upgrade", invalid_input_during_an_upgrade},
+    {"nvme_invalid_input", nvme_invalid_input_at_once},
+    {"nvme_unread_replies", nvme_replies_not_read},
+};
+
+} // namespace
+
+int main(int argc, char **argv) {
+    const std::string wanted = argc > 1 ? argv[1] : "";
+    for (const Scenario &scenario : kScenarios)
+        if (scenario.name == wanted) {
+            scenario.run();
+            return 0;
+        }
+    fmt::print(stderr, "usage: memory_limit_test SCENARIO\n");
+    return 2;
+}
