Do not keep what a connection discards while it ends

Cause: Session::finish() read what is to be discarded into a string of its own and cleared it, which keeps up to 64 KiB for the 200 ms in which the client may close. No budget counted it. Input read and not parsed was kept as long.

Change: discarded bytes stay in the one read buffer that all connections share; input that is not parsed any more is freed at once.

--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -376,15 +376,17 @@
 // the socket with unread bytes does not cause a reset that destroys the last answer. Until the sending side
 // is shut down, this input is what follows QUIT or a malformed message.
 asio::awaitable<void> Session::finish() {
-    std::string dropped;
+    if (!client_.use().partial)
+        client_.dropped_before_shutdown += input_.size(); // read and never parsed
+    std::string().swap(input_);
+    memory_reservation_.resize(buffered_bytes() + output_.size());
     for (int n = 1; !disconnected_ && !send_shut_down_ && (writing_ || client_.use().open_requests > 0);
-         ++n, dropped.clear()) {
+         ++n) {
         boost::system::error_code error = co_await wait_readable();
         if (error == asio::error::operation_aborted && client_.socket.is_open())
             continue;
         if (!error)
-            error = read_available(client_.socket, dropped);
-        client_.dropped_before_shutdown += dropped.size();
+            client_.dropped_before_shutdown += receive_available(client_.socket, error).size();
         if (error || client_hung_up())
             handle_disconnect();
         else if (n % kDiscardReadsPerPause == 0)
@@ -397,8 +399,6 @@
     if (disconnected_)
         co_return;
     boost::system::error_code error;
-    if (!client_.use().partial)
-        client_.dropped_before_shutdown += input_.size(); // read and never parsed
     if (!send_shut_down_) {
         client_.dropped_before_shutdown += client_.unread_bytes();
         client_.socket.shutdown(tcp::socket::shutdown_send, error);
@@ -408,9 +408,11 @@
         client_.close(CloseReason::ClientDisconnected);
         wake();
     });
-    for (int n = 0; n < kDiscardReadsPerPause && !error; ++n, dropped.clear()) {
-        error = co_await read_more(client_.socket, dropped);
-        client_.dropped_after_shutdown += dropped.size();
+    for (int n = 0; n < kDiscardReadsPerPause && !error; ++n) {
+        co_await client_.socket.async_wait(tcp::socket::wait_read,
+                                           asio::redirect_error(asio::use_awaitable, error));
+        if (!error)
+            client_.dropped_after_shutdown += receive_available(client_.socket, error).size();
     }
     while (!error && client_.socket.is_open())
         co_await wake_signal_.take();
--- a/src/net/sockets.hpp
+++ b/src/net/sockets.hpp
@@ -122,17 +122,24 @@
 
 inline constexpr std::size_t kReadChunkBytes = 64 * 1024;
 
-/// Appends the bytes that have arrived to `in`, without waiting. All connections share one static buffer, so
-/// that connections that wait for bytes need none.
-inline boost::system::error_code read_available(tcp::socket &socket, std::string &in,
-                                                std::size_t max_bytes = kReadChunkBytes) {
+/// Reads the bytes that have arrived, without waiting. They are valid until the next call: all connections
+/// share one static buffer, so that connections that wait for bytes need none.
+inline std::string_view receive_available(tcp::socket &socket, boost::system::error_code &error,
+                                          std::size_t max_bytes = kReadChunkBytes) {
     static char chunk[kReadChunkBytes];
-    boost::system::error_code error;
+    std::size_t received = 0;
     socket.non_blocking(true, error);
     if (!error)
-        in.append(chunk, socket.read_some(asio::buffer(chunk, max_bytes), error));
+        received = socket.read_some(asio::buffer(chunk, max_bytes), error);
     if (is_retryable(error))
         error.clear();
+    return {chunk, received};
+}
+/// Appends the bytes that have arrived to `in`, without waiting.
+inline boost::system::error_code read_available(tcp::socket &socket, std::string &in,
+                                                std::size_t max_bytes = kReadChunkBytes) {
+    boost::system::error_code error;
+    in += receive_available(socket, error, max_bytes);
     return error;
 }
 /// Waits until the socket is readable, then appends the bytes that have arrived to `in`.
