Hold a request's fields as text, and count the whole request in the budget

Cause: each field that is passed on uninterpreted was kept as two strings, 64 bytes for the three that it takes on the wire, and the budget counted the body alone.

Change: the fields are kept as the text in which they are sent, and a request reserves what it holds, in the dispatcher and while it is forwarded to another cell or waits for a migration.

--- a/src/core/in_flight_request.hpp
+++ b/src/core/in_flight_request.hpp
@@ -41,7 +41,7 @@
                     RequestHandler::ReleaseCallback released)
         : id(number), request(std::move(submitted)), on_complete(std::move(complete)),
           on_released(std::move(released)), messages(std::move(executor)),
-          body_reservation(memory, request->body.size()) {}
+          reservation(memory, request->held_bytes()) {}
 
     const RequestId id;
     const std::shared_ptr<const Request> request;
@@ -55,7 +55,7 @@
     std::shared_ptr<Attempt> streaming_attempt; ///< its value is being streamed to the client; may be null
 
     Mailbox<RequestMessage> messages; ///< consumed one at a time by the request's coroutine
-    MemoryBudget::Reservation body_reservation;
+    MemoryBudget::Reservation reservation;
 
     bool awaits_answer() const { return on_complete != nullptr; }
 };
--- a/src/core/request.hpp
+++ b/src/core/request.hpp
@@ -3,14 +3,13 @@
 /// and encode Outcomes.
 #pragma once
 
+#include "core/forwarded_fields.hpp"
 #include "core/stream.hpp"
 #include "marblewood/events.hpp"
 
 #include <cstdint>
 #include <memory>
 #include <string>
-#include <utility>
-#include <vector>
 
 namespace marblewood::core {
 
@@ -23,10 +22,19 @@
     RequestArrived arrival;      ///< the event for the Scheduler; the dispatcher sets `id` and `time_left`
     std::string idempotency_key; ///< only in classes with Idempotency::WithKey
     std::string body;
-    /// Names and values of other fields, forwarded to the node uninterpreted.
-    std::vector<std::pair<std::string, std::string>> forwarded_fields;
-    Micros received_at = 0; ///< Unix time at which its last byte arrived
-    Micros timeout = 0;     ///< how long the client waits for the answer, from `received_at`
+    ForwardedFields forwarded_fields; ///< all other fields
+    Micros received_at = 0;           ///< Unix time at which its last byte arrived
+    Micros timeout = 0;               ///< how long the client waits for the answer, from `received_at`
+
+    /// The memory that it takes while it is open, in bytes.
+    std::size_t held_bytes() const {
+        return kOpenRequestBytes + id.size() + idempotency_key.size() + body.size() +
+               forwarded_fields.text().size();
+    }
+
+private:
+    // The rest of a request, the state of the dispatcher and of the decision module for it, and its attempt.
+    static constexpr std::size_t kOpenRequestBytes = 3072;
 };
 
 /// The final outcome of a request, to be encoded by the front end.
--- a/src/net/cells/cell_router.hpp
+++ b/src/net/cells/cell_router.hpp
@@ -58,7 +58,7 @@
         std::shared_ptr<core::Attempt> attempt; ///< Set if forwarded.
         bool waiting = false;                   ///< Whether the request waits for a migration.
         core::Deadlines::Entry wait_timeout;
-        std::unique_ptr<core::MemoryBudget::Reservation> body_memory; ///< Set if forwarded or waiting.
+        std::unique_ptr<core::MemoryBudget::Reservation> reservation; ///< Set if forwarded or waiting.
     };
     struct Counters {
         std::uint64_t forwarded = 0;
--- a/src/net/cells/cell_router_requests.cpp
+++ b/src/net/cells/cell_router_requests.cpp
@@ -30,7 +30,7 @@
 }
 
 void remove_hops(core::Request &request) {
-    std::erase_if(request.forwarded_fields, [](const auto &field) { return field.first == kHopsField; });
+    request.forwarded_fields.remove(kHopsField);
 }
 
 /// Hashes the idempotency key together with the data key, because keys are deduplicated per piece of data.
@@ -54,9 +54,8 @@
     routing.deadline = request.received_at + request.timeout;
     if (cls.idempotency == Idempotency::WithKey && !request.idempotency_key.empty())
         routing.idempotency_key = idempotency_hash(request);
-    for (const auto &[name, value] : request.forwarded_fields)
-        if (name == kHopsField)
-            routing.hops = parse_hops(value);
+    if (const auto hops = request.forwarded_fields.find(kHopsField))
+        routing.hops = parse_hops(*hops);
     return routing;
 }
 
@@ -92,7 +91,7 @@
     request->arrival.hosts = decision.serving_brokers;
     remove_hops(*request);
     pending.request = request;
-    pending.body_memory = nullptr; // the dispatcher reserves the memory itself
+    pending.reservation = nullptr; // the dispatcher reserves the memory itself
     pending.dispatcher = &select_dispatcher_(*request);
     member_.on_request_started(deadlines_.clock.now(), pending.routing);
     const auto served = std::make_shared<bool>(false);
@@ -129,8 +128,8 @@
         return reject(id);
     ++counters_.forwarded;
     PendingRequest &pending = pending_.at(id);
-    pending.body_memory =
-        std::make_unique<core::MemoryBudget::Reservation>(memory_, pending.request->body.size());
+    pending.reservation =
+        std::make_unique<core::MemoryBudget::Reservation>(memory_, pending.request->held_bytes());
     asio::co_spawn(io_, forward(id, broker, cell->name, pending.request, pending.routing),
                    [](const std::exception_ptr &error) {
                        if (error)
@@ -146,7 +145,7 @@
     const bool queue_full = waiting_ >= static_cast<std::size_t>(layout_.max_waiting);
     if (deadlines_.clock.now() >= until || memory_.is_exhausted() || queue_full)
         return reject(id);
-    pending.body_memory = std::make_unique<core::MemoryBudget::Reservation>(memory_, request.body.size());
+    pending.reservation = std::make_unique<core::MemoryBudget::Reservation>(memory_, request.held_bytes());
     pending.waiting = true;
     ++waiting_;
     ++counters_.waited;
@@ -203,7 +202,7 @@
     ++forwarded_by_cell_[cell];
     const auto request = std::make_shared<core::Request>(*received);
     remove_hops(*request);
-    request->forwarded_fields.emplace_back(kHopsField, std::to_string(routing.hops + 1));
+    request->forwarded_fields.add(kHopsField, std::to_string(routing.hops + 1));
     core::AttemptResult result;
     for (int attempts = 0; attempts < kMaxForwardAttempts; ++attempts) {
         if (!pending_.contains(id)) // the client has disconnected
--- a/src/net/resp/front.cpp
+++ b/src/net/resp/front.cpp
@@ -321,7 +321,7 @@
             if (f.hosts < 1 || f.hosts > 1'000'000)
                 throw Malformed("invalid hosts");
         } else
-            r.forwarded_fields.emplace_back(name, value);
+            r.forwarded_fields.add(name, value);
     }
     if (f.cls < 0 || f.plan < 0 || r.timeout <= 0)
         throw Malformed("c, t and d are needed");
--- a/src/net/resp/node_port.cpp
+++ b/src/net/resp/node_port.cpp
@@ -280,8 +280,7 @@
     list += fmt::format(",volume={:016x},units={},shard={},hosts={}",
                         static_cast<std::uint64_t>(arrival.volume), arrival.units,
                         arrival.shard ? static_cast<std::int64_t>(*arrival.shard) : -1, arrival.hosts);
-    for (const auto &[name, value] : request.forwarded_fields)
-        list += "," + name + "=" + value;
+    list += request.forwarded_fields.text();
     if (arrival.write)
         return command({"OBJ.PUT", request.data_key, request.id, list, request.body});
     return command({"OBJ.GET", request.data_key, request.id, list});
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -2,6 +2,7 @@
 #include "app/shutdown_schedule.hpp"
 #include "core/backoff.hpp"
 #include "core/endpoint_list.hpp"
+#include "core/forwarded_fields.hpp"
 #include "core/log_rate_limiter.hpp"
 #include "core/memory_budget.hpp"
 #include "core/metrics.hpp"
@@ -119,5 +120,24 @@
     EXPECT_FALSE(endpoints.uncordon(node).entries[0].restored);
 }
 
+TEST(ForwardedFields, KeepTheirOrderAndText) {
+    core::ForwardedFields fields;
+    EXPECT_EQ(fields.text(), "");
+    fields.add("a", "1");
+    fields.add("hop", "2");
+    fields.add("ho", "=3");
+    fields.add("", "");
+    EXPECT_EQ(fields.text(), ",a=1,hop=2,ho==3,=");
+    EXPECT_EQ(fields.find("hop"), "2");
+    EXPECT_EQ(fields.find("ho"), "=3");
+    EXPECT_EQ(fields.find("h"), std::nullopt);
+    fields.add("hop", "4");
+    EXPECT_EQ(fields.find("hop"), "4");
+    fields.remove("hop");
+    EXPECT_EQ(fields.text(), ",a=1,ho==3,=");
+    fields.remove("hop");
+    EXPECT_EQ(fields.text(), ",a=1,ho==3,=");
+}
+
 } // namespace
 } // namespace marblewood
