Count what is being written to clients and nodes, and parse nothing for full output

Cause: Session::write() took the output out of the queue that the budget counts, and kept it, written or not, until the loop came round; answers that wait behind an earlier one were counted at the next read alone; all messages of a read were handled whatever the client had left unread; a read's buffer, a node's command and its receive buffer kept their capacity as long as the connection or attempt.

--- a/src/net/nvme/front.cpp
+++ b/src/net/nvme/front.cpp
@@ -96,7 +96,10 @@
 
     void parse_received() override {
         try {
-            while (auto pdu = take(input_)) {
+            while (!is_output_full()) {
+                const auto pdu = take(input_);
+                if (!pdu)
+                    break;
                 if (!started_)
                     handle_initialize(*pdu);
                 else if (pdu->type == Type::Command)
--- a/src/net/resp/front.cpp
+++ b/src/net/resp/front.cpp
@@ -83,7 +83,10 @@
     void parse_received() override {
         std::string_view bytes = input_;
         try {
-            while (auto value = reading_finished_ ? std::nullopt : reader_.take(bytes)) {
+            while (!reading_finished_ && !is_output_full()) {
+                auto value = reader_.take(bytes);
+                if (!value)
+                    break;
                 handle_command(std::move(*value), arrival_before(bytes.size()));
                 message_started_at_ = last_read_at_; // the bytes after it arrived no later
             }
@@ -95,7 +98,9 @@
         }
     }
     bool has_partial_message() const override { return !input_.empty() || !reader_.is_between_messages(); }
-    std::size_t buffered_bytes() const override { return partial_message_bytes() + ready_bytes_; }
+    std::size_t buffered_bytes() const override {
+        return partial_message_bytes() + ready_bytes_ + slots_.size() * sizeof(Slot);
+    }
     std::size_t partial_message_bytes() const override { return input_.size() + reader_.incomplete_bytes(); }
     Micros idle_timeout() const override { return kIdleTimeout; }
     void reject_input(const char *why) override {
@@ -190,6 +195,7 @@
             open_.erase(slot.name);
         if (!streaming_)
             flush();
+        update_reservation();
     }
 
     // Sends the answers that are ready, in the order of the commands, up to the first streamed one.
@@ -218,10 +224,15 @@
     asio::awaitable<void> stream_value([[maybe_unused]] std::shared_ptr<Session> self,
                                        std::shared_ptr<core::Stream> stream) {
         for (;;) {
-            std::string piece = co_await stream->take();
-            if (is_disconnected() || piece.empty())
+            bool ended = false;
+            { // frees this copy of the piece before the client has read it
+                const std::string piece = co_await stream->take();
+                ended = is_disconnected() || piece.empty();
+                if (!ended)
+                    send(piece, 0);
+            }
+            if (ended)
                 break;
-            send(piece, 0);
             co_await wait_flushed();
         }
         if (is_disconnected())
--- a/src/net/resp/node_port.cpp
+++ b/src/net/resp/node_port.cpp
@@ -83,6 +83,8 @@
             response.unusable = true;
         }
         connection.received.erase(0, connection.received.size() - bytes.size());
+        if (connection.received.empty())
+            std::string().swap(connection.received); // frees the capacity, too
         if (const auto length = reader.long_first_length(); length && !attempt.stream && attempt.begin_stream)
             attempt.begin_stream(*length);
         if (attempt.stream) {
@@ -221,6 +223,15 @@
     co_return error ? nullptr : connection;
 }
 
+// Writes the attempt's command. Its copy of the request is freed before the response is awaited.
+asio::awaitable<bool> NodePort::write_command(NodeConnection &connection, const core::Attempt &attempt) {
+    const std::string command = encode_command(attempt);
+    const core::MemoryBudget::Reservation reservation(memory_, command.size());
+    boost::system::error_code error;
+    const std::size_t written = co_await write_all(connection.socket, command, error);
+    co_return written == command.size();
+}
+
 asio::awaitable<core::AttemptResult> NodePort::run(std::shared_ptr<core::Attempt> attempt) {
     core::AttemptResult result;
     const auto entry = addresses_.find(attempt->node);
@@ -244,10 +255,7 @@
     // From here on the connection carries this attempt's request, so that stopping the attempt has to close
     // it.
     attempt->on_stop = [connection = connection.get()] { connection->close(); };
-    const std::string command = encode_command(*attempt);
-    boost::system::error_code error;
-    const std::size_t written = co_await write_all(connection->socket, command, error);
-    const bool fully_written = written == command.size();
+    const bool fully_written = co_await write_command(*connection, *attempt);
     if (fully_written)
         attempt->on_written();
     Response response;
--- a/src/net/resp/node_port.hpp
+++ b/src/net/resp/node_port.hpp
@@ -30,6 +30,7 @@
     asio::awaitable<bool> wait_until_reusable(NodeConnection &connection);
     asio::awaitable<std::shared_ptr<NodeConnection>> connect(tcp::endpoint to, core::Attempt &attempt);
     void give_back(NodeId node, const tcp::endpoint &to, std::shared_ptr<NodeConnection> connection);
+    asio::awaitable<bool> write_command(NodeConnection &connection, const core::Attempt &attempt);
     std::string encode_command(const core::Attempt &attempt) const;
 
     asio::any_io_executor executor_;
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -8,7 +8,12 @@
 namespace marblewood::net {
 namespace {
 
-constexpr std::size_t kMaxOpenRequests = 256;  // of one connection
+constexpr std::size_t kMaxOpenRequests = 256;                    // of one connection
+constexpr std::size_t kMaxUnsentBytes = std::size_t{256} * 1024; // of answers that a client has not read
+constexpr std::size_t kMaxUnsentBytesWhenShort = std::size_t{16} * 1024; // when memory is short
+constexpr std::size_t kReadBytes = std::size_t{16} * 1024;               // of one connection at a time
+constexpr std::size_t kMaxSpareInputBytes = 1024;                        // allocated for input and not used
+constexpr std::size_t kReadBytesWhenShort = std::size_t{4} * 1024;
 constexpr std::size_t kAlwaysKeptBytes = 4096; // of a partial message, even when memory is short
 constexpr Micros kMessageTimeout = 2'500'000;  // from first to last byte; well-behaved clients take up to 2 s
 constexpr Micros kFirstRequestTimeout = 2'000'000; // from the accept
@@ -21,7 +26,7 @@
 constexpr int kDiscardReadsPerPause = 8; // also the limit after the sending side is shut down
 constexpr Micros kDiscardPause = 10'000; // so that a flooding client cannot take all processor time
 constexpr std::size_t kMaxReadAheadBytes =
-    std::size_t{64} * 1024; // of a connection at its request limit, so that its end is noticed
+    std::size_t{16} * 1024; // of a connection at its limit, so that its end is noticed
 constexpr Micros kUnbounded = INT64_MAX;
 constexpr Micros kHangUpCheckInterval = 50'000; // for a connection with more than kMaxReadAheadBytes unparsed
 
@@ -46,7 +51,7 @@
     while (!reading_finished_) {
         if (client_.use().closing && deadlines_.clock.now() >= client_.closing.deadline)
             handle_close_deadline();
-        if (unparsed_input_ && !at_request_limit()) {
+        if (unparsed_input_ && !at_limit()) {
             handle_held_input();
             continue;
         }
@@ -76,9 +81,9 @@
             handle_disconnect();
             break;
         }
-        unparsed_input_ = at_request_limit();
+        unparsed_input_ = at_limit();
         if (unparsed_input_)
-            memory_reservation_.resize(buffered_bytes() + output_.size());
+            update_reservation();
         else
             handle_received(starts_message);
         if (pause_reading_) {
@@ -107,7 +112,7 @@
 // handles what has arrived, at most kMaxReadsPerTurn reads per call, and shuts the connection down once
 // nothing is left to read. Returns true if the connection is finished.
 bool Session::end_between_requests() {
-    for (int n = 0; n < kMaxReadsPerTurn && !at_request_limit(); ++n) {
+    for (int n = 0; n < kMaxReadsPerTurn && !at_limit() && !unparsed_input_; ++n) {
         if (shut_down_if_quiet())
             return true;
         const bool starts_message = !has_partial_message();
@@ -132,7 +137,7 @@
     const ConnectionUse &use = client_.use();
     if (reading_finished_ || disconnected_ || !use.closing || use.open_requests > 0)
         return false;
-    if (parsing_ || unparsed_input_ || write_unfinished_ || !output_.empty() || !may_end())
+    if (parsing_ || unparsed_input_ || unsent_bytes() > 0 || !may_end())
         return false;
     if (deadlines_.clock.now() < wait_for_input_until())
         return false;
@@ -190,9 +195,18 @@
     wake();
 }
 
-bool Session::at_request_limit() const {
+bool Session::at_limit() const {
     const std::size_t open = client_.use().open_requests;
-    return open >= kMaxOpenRequests && open - requests_awaiting_input() >= kMaxOpenRequests;
+    return is_output_full() ||
+           (open >= kMaxOpenRequests && open - requests_awaiting_input() >= kMaxOpenRequests);
+}
+
+bool Session::is_output_full() const {
+    return unsent_bytes() >= (memory_.is_exhausted() ? kMaxUnsentBytesWhenShort : kMaxUnsentBytes);
+}
+
+void Session::update_reservation() {
+    memory_reservation_.resize(buffered_bytes() + unsent_bytes());
 }
 
 // Records that the client has disconnected, also while it waits for answers, and abandons its open requests.
@@ -237,7 +251,8 @@
 // Appends the bytes that have arrived to `input_`.
 boost::system::error_code Session::read_input() {
     const std::size_t before = input_.size();
-    const boost::system::error_code error = read_available(client_.socket, input_);
+    const boost::system::error_code error =
+        read_available(client_.socket, input_, memory_.is_exhausted() ? kReadBytesWhenShort : kReadBytes);
     last_read_at_ = deadlines_.clock.now();
     client_.bytes_received += input_.size() - before;
     arrivals_.add(input_.size() - before, reading_suspended_at_.value_or(last_read_at_));
@@ -264,15 +279,16 @@
     parsing_ = true;
     parse_received(); // may send answers before all of the input is parsed
     parsing_ = false;
+    unparsed_input_ = is_output_full() && !input_.empty() && !reading_finished_;
     arrivals_.keep(input_.size());
-    if (input_.empty())
-        std::string().swap(input_); // frees its memory, which clear() would keep
+    if (input_.capacity() > kMaxSpareInputBytes + input_.size())
+        std::string(input_).swap(input_); // frees the memory that the parsed messages took
     // Bounds the memory that many connections with a partial message each take together.
-    if (has_partial_message() && !reading_finished_ && memory_.is_exhausted() &&
+    if (has_partial_message() && !unparsed_input_ && !reading_finished_ && memory_.is_exhausted() &&
         partial_message_bytes() > kAlwaysKeptBytes)
         stop_reading(CloseReason::Incomplete, "no room for it");
     client_.set_partial(has_partial_message() && !reading_finished_);
-    memory_reservation_.resize(buffered_bytes() + output_.size());
+    update_reservation();
 }
 
 // Sets the timeout for what the client has to do next: complete a message, send its first request, or send
@@ -317,14 +333,14 @@
         elapsed = true;
         wake();
     });
-    while (!elapsed && !(until_below_limit && !at_request_limit()))
+    while (!elapsed && !(until_below_limit && !at_limit()))
         co_await wake_signal_.take();
 }
 
 void Session::send(std::string_view bytes, std::size_t answers) {
     output_ += bytes;
     output_answers_ += answers;
-    memory_reservation_.resize(buffered_bytes() + output_.size());
+    update_reservation();
     if (writing_ || disconnected_)
         return;
     writing_ = client_.writing = true;
@@ -333,17 +349,18 @@
 
 asio::awaitable<void> Session::write(std::shared_ptr<Session> self) {
     while (!self->disconnected_ && !self->output_.empty()) {
-        const std::string out = std::exchange(self->output_, {});
+        std::string out = std::exchange(self->output_, {});
         const std::size_t answers = std::exchange(self->output_answers_, 0);
         boost::system::error_code error;
         const auto timeout = self->deadlines_.in(
             kWriteTimeout, [&client = self->client_] { client.close(CloseReason::NotReading); });
-        self->write_unfinished_ = true;
+        self->bytes_being_written_ = out.size();
         co_await write_without_yield(self->client_.socket, out, error);
-        self->write_unfinished_ = false;
+        std::string().swap(out);
+        self->bytes_being_written_ = 0;
         self->client_.complete_requests(answers);
         self->client_.received(self->deadlines_.clock.now());
-        self->memory_reservation_.resize(self->buffered_bytes() + self->output_.size());
+        self->update_reservation();
         // The closed socket fails the read in run() or finish(), which then handles the disconnect.
         if (error)
             self->client_.close(CloseReason::ClientDisconnected);
@@ -379,7 +396,7 @@
     if (!client_.use().partial)
         client_.dropped_before_shutdown += input_.size(); // read and never parsed
     std::string().swap(input_);
-    memory_reservation_.resize(buffered_bytes() + output_.size());
+    update_reservation();
     for (int n = 1; !disconnected_ && !send_shut_down_ && (writing_ || client_.use().open_requests > 0);
          ++n) {
         boost::system::error_code error = co_await wait_readable();
--- a/src/net/session.hpp
+++ b/src/net/session.hpp
@@ -23,7 +23,7 @@
     asio::awaitable<void> run();
 
 protected:
-    /// Removes all complete messages from `input_` and handles them.
+    /// Removes complete messages from `input_` and handles them, until is_output_full().
     virtual void parse_received() = 0;
     /// The client has disconnected; its open requests cannot be answered any more.
     virtual void on_disconnect() = 0;
@@ -57,8 +57,14 @@
     Micros arrival_before(std::size_t unparsed) const { return arrivals_.before(unparsed); }
     /// Queues bytes for the client. Once they are written, `answers` open requests count as completed.
     void send(std::string_view bytes, std::size_t answers);
+    /// Whether the client does not read its answers. parse_received() checks it before each message, and
+    /// leaves the rest in `input_` while it holds.
+    bool is_output_full() const;
+    /// Reserves what the connection holds now. To be called after buffered_bytes() has changed, except within
+    /// parse_received().
+    void update_reservation();
     bool is_disconnected() const { return disconnected_; }
-    /// Whether input that has arrived is not parsed, because the connection is at its request limit. What the
+    /// Whether input that has arrived is not parsed, because the connection is at its limit. What the
     /// client is waited for may be in it.
     bool holds_input_back() const { return unparsed_input_; }
     /// Waits until all queued bytes are written or the client has disconnected.
@@ -78,7 +84,6 @@
     boost::system::error_code read_input();
     void handle_received(bool starts_message);
     void handle_held_input();
-    bool at_request_limit() const; // has kMaxOpenRequests open requests that do not wait for input
     bool hand_over();
     void arm_client_timeout();
     bool end_between_requests();
@@ -91,7 +96,11 @@
     bool client_hung_up() const; // also if unread bytes precede the end of the stream
     // Returns operation_aborted if interrupt_read() was called.
     asio::awaitable<boost::system::error_code> wait_readable();
-    // Waits for `duration`, or with `until_below_limit` at most until at_request_limit() is false.
+    // Whether nothing more is parsed: the output is full, or the connection has kMaxOpenRequests open
+    // requests that do not wait for input.
+    bool at_limit() const;
+    std::size_t unsent_bytes() const { return output_.size() + bytes_being_written_; }
+    // Waits for `duration`, or with `until_below_limit` at most until at_limit() is false.
     asio::awaitable<void> pause(Micros duration, bool until_below_limit = false);
     // Ends wait_readable() and nothing else.
     void interrupt_read() { read_interrupted_.emit(asio::cancellation_type::all); }
@@ -109,10 +118,11 @@
     std::string output_;
     std::size_t output_answers_ = 0;
     bool writing_ = false, disconnected_ = false;
-    bool write_unfinished_ = false; // write() has taken bytes out of output_ and not written all of them yet
-    bool parsing_ = false;          // parse_received() is running
-    // input_ holds bytes read ahead while at the request limit. The client is not timed meanwhile: it may
-    // have sent all that is expected of it.
+    std::size_t bytes_being_written_ =
+        0;                 // taken out of output_ by write(), which has not written all of them
+    bool parsing_ = false; // parse_received() is running
+    // input_ holds bytes that are not parsed yet, as the connection was at its limit. The client is not timed
+    // meanwhile: it may have sent all that is expected of it.
     bool unparsed_input_ = false;
     InputArrivals arrivals_; // of the bytes in input_
     // Since when the socket is not read, until all that arrived meanwhile is read. That time stands for the
