Give connections that send much their turns, one at a time, those with the least use first

Cause: a turn of the event loop handled up to 64 KiB of each connection that had sent something, so that its length grew with their number: 1.2 s for 700. A new client waited for several of them, and each turn brought as many requests at once as all of them had sent.

Evidence: 700 clients send PING and do not read: another client had no answer in 15 s, and the broker took 53 MB under memory_mb 32. 300 clients that read answers of 60 kB slowly: 34 MB.

Change: input of more than 2 KiB, or of a connection that has taken more than a millisecond of late, waits for its turn; the loop serves all else between two turns. Half of the budget is kept for requests: beyond it, connections read and hold little.

--- a/src/app/client_servers.cpp
+++ b/src/app/client_servers.cpp
@@ -8,14 +8,16 @@
                              const core::FrontEndServices &services, const net::nvme::Mapping &nvme_mapping,
                              Acceptor resp_listener, std::optional<Acceptor> nvme_listener)
     : services_(services), nvme_mapping_(nvme_mapping),
-      resp_(io, services.deadlines, sockets, metrics_, std::move(resp_listener),
-            [this](net::Client &client) { return net::resp::serve(client, services_, open_ids_); }) {
+      input_turns_(io.get_executor(), services.deadlines.clock),
+      resp_(io, services.deadlines, sockets, metrics_, std::move(resp_listener), [this](net::Client &client) {
+          return net::resp::serve(client, services_, input_turns_, open_ids_);
+      }) {
     if (!nvme_listener)
         return;
-    nvme_.emplace(io, services.deadlines, sockets, metrics_, std::move(*nvme_listener),
-                  [this](net::Client &client) {
-                      return net::nvme::serve(client, services_, nvme_mapping_, nvme_controllers_);
-                  });
+    nvme_.emplace(
+        io, services.deadlines, sockets, metrics_, std::move(*nvme_listener), [this](net::Client &client) {
+            return net::nvme::serve(client, services_, input_turns_, nvme_mapping_, nvme_controllers_);
+        });
 }
 
 std::size_t ClientServers::open_connections() const {
--- a/src/app/client_servers.hpp
+++ b/src/app/client_servers.hpp
@@ -54,6 +54,7 @@
     const core::FrontEndServices &services_;
     const net::nvme::Mapping &nvme_mapping_;
     net::ClientFigures metrics_;
+    net::InputTurns input_turns_;
     net::resp::OpenRequestIds open_ids_;
     net::Clients resp_;
     net::nvme::Controllers nvme_controllers_;
--- a/src/core/memory_budget.hpp
+++ b/src/core/memory_budget.hpp
@@ -15,6 +15,9 @@
     MemoryBudget &operator=(const MemoryBudget &) = delete;
 
     bool is_exhausted() const { return reserved_bytes_ >= limit(); }
+    /// Whether half of the limit is reserved: what connections hold unread or unsent is kept small from then
+    /// on, so that the other half is left for requests.
+    bool is_short() const { return reserved_bytes_ >= limit() / 2; }
     std::size_t reserved() const { return reserved_bytes_; }
     /// The limit of this process, in bytes.
     std::size_t limit() const { return shared_ ? limit_bytes_ / 2 : limit_bytes_; }
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -190,7 +190,7 @@
 
 bool Clients::evict_one() {
     EvictionOrder::Entry *const entry = order_.next(deadlines_.clock.now(), [](EvictionOrder::Entry &e) {
-        return static_cast<Client &>(e).has_unread_bytes();
+        return static_cast<Client &>(e).has_unhandled_input();
     });
     if (!entry)
         return false;
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -100,6 +100,7 @@
     Closing closing;
     std::uint64_t requests_while_closing = 0; // requests received since it began to close
     bool writing = false;                     // a write to the client is in progress
+    bool input_waits = false;                 // its session waits for its turn to handle input
     /// Bytes received and discarded after the session stopped parsing: before the sending side was shut down,
     /// and after. The former may hold a request that gets no answer; the latter were sent before the client
     /// saw the end of the stream.
@@ -124,6 +125,8 @@
         return error ? 0 : bytes;
     }
     bool has_unread_bytes() { return unread_bytes() > 0; }
+    /// Whether the client has sent what the broker has not handled yet.
+    bool has_unhandled_input() { return input_waits || has_unread_bytes(); }
     /// Begins to close the connection; the session shuts it down once all open requests are answered.
     void begin_closing(CloseReason why, Micros now) {
         begin_closing_by(why, now, now + Closing::kCloseTimeout, false);
--- /dev/null
+++ b/src/net/input_turns.cpp
@@ -0,0 +1,64 @@
+#include "net/input_turns.hpp"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace marblewood::net {
+namespace {
+
+constexpr std::size_t kLittleInputBytes = 2048; // some requests without a body
+constexpr Micros kLittleUse = 1'000;
+constexpr Micros kUseFadesBy = 10; // after this many times its length, use is forgotten
+
+} // namespace
+
+Micros InputTurns::Account::use_at(Micros now) const {
+    return std::max<Micros>(0, use_ - (now - used_at_) / kUseFadesBy);
+}
+
+bool InputTurns::Account::needs_turn(std::size_t input_bytes) {
+    return input_bytes > kLittleInputBytes || use_at(turns_.clock_.now()) > kLittleUse;
+}
+
+asio::awaitable<void> InputTurns::Account::take_turn() {
+    if (turns_.taken_) {
+        place_ = ++turns_.last_place_;
+        waits_with_use_ = use_at(turns_.clock_.now());
+        turns_.waiting_.emplace(Key{waits_with_use_, place_}, this);
+        has_turn_ = co_await granted_.take();
+        if (!has_turn_)
+            co_return;
+    }
+    turns_.taken_ = has_turn_ = true;
+    co_await asio::post(turns_.executor_, asio::use_awaitable); // lets what is ready go first
+}
+
+void InputTurns::Account::end_turn() {
+    if (!std::exchange(has_turn_, false))
+        return;
+    if (turns_.waiting_.empty()) {
+        turns_.taken_ = false;
+        return;
+    }
+    Account &next = *turns_.waiting_.begin()->second;
+    turns_.waiting_.erase(turns_.waiting_.begin());
+    next.place_ = 0;
+    next.granted_.put(true);
+}
+
+void InputTurns::Account::skip() {
+    if (place_ == 0)
+        return;
+    turns_.waiting_.erase(Key{waits_with_use_, place_});
+    place_ = 0;
+    granted_.put(false);
+}
+
+void InputTurns::Account::charge(Micros started_at) {
+    const Micros now = turns_.clock_.now();
+    use_ = use_at(now) + (now - started_at);
+    used_at_ = now;
+}
+
+} // namespace marblewood::net
--- /dev/null
+++ b/src/net/input_turns.hpp
@@ -0,0 +1,71 @@
+/// \file
+/// Divides the event loop's time among the client connections that send much.
+#pragma once
+
+#include "core/clock.hpp"
+#include "core/mailbox.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <utility>
+
+namespace marblewood::net {
+
+namespace asio = boost::asio;
+
+/// A connection takes a turn before its input is handled, unless it sends little. Turns are given one at a
+/// time, and the loop serves everything else that is ready between two of them, so that the wait of a client
+/// that sends little does not depend on how many others flood the broker. Of the connections that wait, the
+/// one whose input has taken the least time comes first. Used only on the event loop's thread.
+class InputTurns {
+public:
+    InputTurns(asio::any_io_executor executor, const core::Clock &clock)
+        : executor_(std::move(executor)), clock_(clock) {}
+
+    /// One connection's use of the loop. Its destructor ends a turn.
+    class Account {
+    public:
+        explicit Account(InputTurns &turns) : turns_(turns), granted_(turns.executor_) {}
+        Account(const Account &) = delete;
+        Account &operator=(const Account &) = delete;
+        ~Account() { end_turn(); }
+
+        /// Whether the connection has to take a turn before `input_bytes` of its input are handled.
+        bool needs_turn(std::size_t input_bytes);
+        /// Waits for a turn, which ends with end_turn(). Returns early, with no turn, after skip().
+        asio::awaitable<void> take_turn();
+        void end_turn();
+        /// Ends a wait for a turn, as the connection is being closed and its input may not wait.
+        void skip();
+        /// Charges the connection for the time that its input has taken since `started_at`.
+        void charge(Micros started_at);
+
+    private:
+        friend class InputTurns;
+        // Recent use, which fades with time.
+        Micros use_at(Micros now) const;
+
+        InputTurns &turns_;
+        core::Mailbox<bool> granted_; // true: it is the connection's turn
+        Micros use_ = 0;
+        Micros used_at_ = 0;
+        std::uint64_t place_ = 0; // among the waiting; 0: it does not wait
+        Micros waits_with_use_ = 0;
+        bool has_turn_ = false;
+    };
+
+    std::size_t waiting() const { return waiting_.size(); }
+
+private:
+    using Key = std::pair<Micros, std::uint64_t>; // use, then the order of arrival
+
+    asio::any_io_executor executor_;
+    const core::Clock &clock_;
+    std::map<Key, Account *> waiting_;
+    std::uint64_t last_place_ = 0;
+    bool taken_ = false; // a connection has its turn
+};
+
+} // namespace marblewood::net
--- a/src/net/nvme/front.cpp
+++ b/src/net/nvme/front.cpp
@@ -46,9 +46,9 @@
 /// The session of one queue, admin or I/O, of an NVMe host.
 class FrontSession : public Session {
 public:
-    FrontSession(Client &client, core::FrontEndServices services, const Mapping &mapping,
+    FrontSession(Client &client, core::FrontEndServices services, InputTurns &turns, const Mapping &mapping,
                  Controllers &controllers)
-        : Session(client, services.deadlines, services.memory), services_(std::move(services)),
+        : Session(client, services.deadlines, services.memory, turns), services_(std::move(services)),
           mapping_(mapping), controllers_(controllers) {}
     ~FrontSession() override { leave(); }
 
@@ -545,9 +545,10 @@
     return at == it->second.end() ? nullptr : at->second;
 }
 
-asio::awaitable<void> serve(Client &client, core::FrontEndServices services, const Mapping &mapping,
-                            Controllers &controllers) {
-    const auto session = std::make_shared<FrontSession>(client, std::move(services), mapping, controllers);
+asio::awaitable<void> serve(Client &client, core::FrontEndServices services, InputTurns &turns,
+                            const Mapping &mapping, Controllers &controllers) {
+    const auto session =
+        std::make_shared<FrontSession>(client, std::move(services), turns, mapping, controllers);
     co_await session->run();
 }
 
--- a/src/net/nvme/front.hpp
+++ b/src/net/nvme/front.hpp
@@ -5,6 +5,7 @@
 
 #include "core/request_dispatcher.hpp"
 #include "net/clients.hpp"
+#include "net/input_turns.hpp"
 #include "net/nvme/mapping.hpp"
 #include "net/nvme/pdu.hpp"
 
@@ -35,7 +36,7 @@
 inline constexpr std::array<std::uint16_t, 3> kRetryDelays{1, 2, 5};
 
 /// Serves one queue of a host until its connection has ended.
-asio::awaitable<void> serve(Client &client, core::FrontEndServices services, const Mapping &mapping,
-                            Controllers &controllers);
+asio::awaitable<void> serve(Client &client, core::FrontEndServices services, InputTurns &turns,
+                            const Mapping &mapping, Controllers &controllers);
 
 } // namespace marblewood::net::nvme
--- a/src/net/resp/front.cpp
+++ b/src/net/resp/front.cpp
@@ -66,8 +66,9 @@
 /// A RESP2 session. Answer callbacks may outlive the connection, so they hold a weak reference to it.
 class RespSession : public Session {
 public:
-    RespSession(Client &client, core::FrontEndServices services, OpenRequestIds &open)
-        : Session(client, services.deadlines, services.memory), services_(std::move(services)), open_(open) {}
+    RespSession(Client &client, core::FrontEndServices services, InputTurns &turns, OpenRequestIds &open)
+        : Session(client, services.deadlines, services.memory, turns), services_(std::move(services)),
+          open_(open) {}
 
 private:
     // One command, in the order of the answers.
@@ -277,8 +278,9 @@
 
 } // namespace
 
-asio::awaitable<void> serve(Client &client, core::FrontEndServices services, OpenRequestIds &open) {
-    const auto session = std::make_shared<RespSession>(client, std::move(services), open);
+asio::awaitable<void> serve(Client &client, core::FrontEndServices services, InputTurns &turns,
+                            OpenRequestIds &open) {
+    const auto session = std::make_shared<RespSession>(client, std::move(services), turns, open);
     co_await session->run();
 }
 
--- a/src/net/resp/front.hpp
+++ b/src/net/resp/front.hpp
@@ -5,6 +5,7 @@
 
 #include "core/request_dispatcher.hpp"
 #include "net/clients.hpp"
+#include "net/input_turns.hpp"
 #include "net/resp/parser.hpp"
 
 #include <unordered_set>
@@ -15,7 +16,8 @@
 using OpenRequestIds = std::unordered_set<std::string>;
 
 /// Serves a client until its connection has ended.
-asio::awaitable<void> serve(Client &client, core::FrontEndServices services, OpenRequestIds &open);
+asio::awaitable<void> serve(Client &client, core::FrontEndServices services, InputTurns &turns,
+                            OpenRequestIds &open);
 
 /// Parses an OBJ.GET or OBJ.PUT command. Throws Malformed with the reason if it is invalid.
 core::Request read_request(Value &&command, const Settings &settings);
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -10,10 +10,10 @@
 
 constexpr std::size_t kMaxOpenRequests = 256;                    // of one connection
 constexpr std::size_t kMaxUnsentBytes = std::size_t{256} * 1024; // of answers that a client has not read
-constexpr std::size_t kMaxUnsentBytesWhenShort = std::size_t{16} * 1024; // when memory is short
-constexpr std::size_t kReadBytes = std::size_t{16} * 1024;               // of one connection at a time
-constexpr std::size_t kMaxSpareInputBytes = 1024;                        // allocated for input and not used
-constexpr std::size_t kReadBytesWhenShort = std::size_t{4} * 1024;
+constexpr std::size_t kMaxUnsentBytesWhenShort = std::size_t{2} * 1024; // when memory is short
+constexpr std::size_t kReadBytes = std::size_t{16} * 1024;              // of one connection at a time
+constexpr std::size_t kMaxSpareInputBytes = 1024;                       // allocated for input and not used
+constexpr std::size_t kReadBytesWhenShort = std::size_t{2} * 1024;
 constexpr std::size_t kAlwaysKeptBytes = 4096; // of a partial message, even when memory is short
 constexpr Micros kMessageTimeout = 2'500'000;  // from first to last byte; well-behaved clients take up to 2 s
 constexpr Micros kFirstRequestTimeout = 2'000'000; // from the accept
@@ -22,7 +22,7 @@
 constexpr Micros kLingerTimeout = 200'000; // for a client to close after the sending side was shut down
 constexpr std::size_t kMaxTransferredBytes =
     std::size_t{48} * 1024;              // of a partial message handed over to another process
-constexpr int kMaxReadsPerTurn = 8;      // of a closing connection, before the event loop serves others
+constexpr int kMaxReadsPerTurn = 2;      // of a closing connection, before the event loop serves others
 constexpr int kDiscardReadsPerPause = 8; // also the limit after the sending side is shut down
 constexpr Micros kDiscardPause = 10'000; // so that a flooding client cannot take all processor time
 constexpr std::size_t kMaxReadAheadBytes =
@@ -35,6 +35,8 @@
 asio::awaitable<void> Session::run() {
     client_.notify = [this] {
         arm_closing_timers();
+        if (client_.use().closing)
+            turn_.skip();
         if (reading_finished_)
             wake();
         else if (client_.use().open_requests == 0)
@@ -52,7 +54,7 @@
         if (client_.use().closing && deadlines_.clock.now() >= client_.closing.deadline)
             handle_close_deadline();
         if (unparsed_input_ && !at_limit()) {
-            handle_held_input();
+            co_await handle_in_turn(true);
             continue;
         }
         boost::system::error_code error;
@@ -61,7 +63,7 @@
         if (client_.use().closing && end_between_requests())
             break;
         arm_client_timeout();
-        if (unparsed_input_ && (input_.size() >= kMaxReadAheadBytes || memory_.is_exhausted())) {
+        if (unparsed_input_ && (input_.size() >= kMaxReadAheadBytes || memory_.is_short())) {
             if (!reading_suspended_at_)
                 reading_suspended_at_ = last_read_at_;
             co_await pause(kHangUpCheckInterval, true);
@@ -85,7 +87,7 @@
         if (unparsed_input_)
             update_reservation();
         else
-            handle_received(starts_message);
+            co_await handle_in_turn(starts_message);
         if (pause_reading_) {
             pause_reading_ = false;
             co_await pause(kInvalidInputPause);
@@ -202,7 +204,7 @@
 }
 
 bool Session::is_output_full() const {
-    return unsent_bytes() >= (memory_.is_exhausted() ? kMaxUnsentBytesWhenShort : kMaxUnsentBytes);
+    return unsent_bytes() >= (memory_.is_short() ? kMaxUnsentBytesWhenShort : kMaxUnsentBytes);
 }
 
 void Session::update_reservation() {
@@ -252,7 +254,7 @@
 boost::system::error_code Session::read_input() {
     const std::size_t before = input_.size();
     const boost::system::error_code error =
-        read_available(client_.socket, input_, memory_.is_exhausted() ? kReadBytesWhenShort : kReadBytes);
+        read_available(client_.socket, input_, memory_.is_short() ? kReadBytesWhenShort : kReadBytes);
     last_read_at_ = deadlines_.clock.now();
     client_.bytes_received += input_.size() - before;
     arrivals_.add(input_.size() - before, reading_suspended_at_.value_or(last_read_at_));
@@ -261,12 +263,29 @@
     return error;
 }
 
-// Handles the input that was read ahead while the connection was at its request limit. What is left of it
-// afterwards is part of a message, whose client is timed from the last read: until then the client may have
-// been sending, and in between the broker did not wait for it.
-void Session::handle_held_input() {
+// What is left of input that was held back is part of a message, whose client is timed from the last read:
+// until then the client may have been sending, and in between the broker did not wait for it.
+asio::awaitable<void> Session::handle_in_turn(bool starts_message) {
+    if (!client_.use().closing && turn_.needs_turn(input_.size())) {
+        const Micros waiting_since = deadlines_.clock.now();
+        unparsed_input_ = true;
+        client_timeout_.reset();
+        update_reservation();
+        client_.input_waits = true;
+        co_await turn_.take_turn();
+        client_.input_waits = false;
+        message_started_at_ += deadlines_.clock.now() - waiting_since;
+        if (client_hung_up())
+            handle_disconnect();
+    }
     unparsed_input_ = false;
-    handle_received(true);
+    const Micros started_at = deadlines_.clock.now();
+    if (disconnected_)
+        reading_finished_ = true;
+    else
+        handle_received(starts_message);
+    turn_.charge(started_at);
+    turn_.end_turn();
 }
 
 void Session::handle_received(bool starts_message) {
--- a/src/net/session.hpp
+++ b/src/net/session.hpp
@@ -7,6 +7,7 @@
 #include "core/memory_budget.hpp"
 #include "net/clients.hpp"
 #include "net/input_arrivals.hpp"
+#include "net/input_turns.hpp"
 
 #include <boost/asio/cancellation_signal.hpp>
 
@@ -15,9 +16,10 @@
 /// Serves one client connection. All its coroutines and timers run on the executor of the client's socket.
 class Session : public std::enable_shared_from_this<Session> {
 public:
-    Session(Client &client, core::Deadlines &deadlines, core::MemoryBudget &memory)
+    Session(Client &client, core::Deadlines &deadlines, core::MemoryBudget &memory, InputTurns &turns)
         : client_(client), deadlines_(deadlines), wake_signal_(client.socket.get_executor()),
-          flushed_signal_(client.socket.get_executor()), memory_reservation_(memory), memory_(memory) {}
+          flushed_signal_(client.socket.get_executor()), turn_(turns), memory_reservation_(memory),
+          memory_(memory) {}
     virtual ~Session() = default;
     /// Serves the client; returns once the connection has ended.
     asio::awaitable<void> run();
@@ -83,7 +85,8 @@
 private:
     boost::system::error_code read_input();
     void handle_received(bool starts_message);
-    void handle_held_input();
+    // Handles the input once it is the connection's turn, unless the client has left meanwhile.
+    asio::awaitable<void> handle_in_turn(bool starts_message);
     bool hand_over();
     void arm_client_timeout();
     bool end_between_requests();
@@ -132,6 +135,7 @@
     bool received_refused_ = false; // has received bytes that are refused (Client::refuses)
     bool send_shut_down_ = false;   // the sending side is shut down: no more answers can be sent
     asio::cancellation_signal read_interrupted_;
+    InputTurns::Account turn_;
     core::MemoryBudget::Reservation memory_reservation_;
     core::MemoryBudget &memory_;
     core::Deadlines::Entry client_timeout_, close_timer_, input_wait_timer_, flush_timer_;
