Remove a request's timer when the request ends

Cause: the entry of a request in the timer queue stayed until it was due, 0.3 of the time that the client states after the arrival, however early the request ended. With a stated time of days each refused request left some 80 bytes for as long; each attempt and retry added one.

Change: a request has one entry at a time, which goes with it.

--- a/src/policy/deadline_agenda.hpp
+++ b/src/policy/deadline_agenda.hpp
@@ -12,8 +12,8 @@
 namespace marblewood::policy {
 
 /// Holds the entries by due time, and the time for which the caller's timer is set. The cost of a timer event
-/// depends on the number of entries that are due, not on the number of requests or nodes. An entry is never
-/// removed before it is due; the code that handles it checks whether it still applies.
+/// depends on the number of entries that are due, not on the number of requests or nodes. The code that
+/// handles an entry checks whether it still applies.
 class DeadlineAgenda {
 public:
     /// Entries due at the same time are ordered by kind, in this order, and then by the id of their subject.
@@ -34,6 +34,9 @@
 
     void add(Micros at, Kind kind, std::uint64_t subject) { entries_.insert({at, kind, subject}); }
 
+    /// Removes an entry; has no effect if there is none.
+    void remove(Micros at, Kind kind, std::uint64_t subject) { entries_.erase({at, kind, subject}); }
+
     /// Removes and returns the first entry that is due; empty if no entry is due.
     std::optional<Entry> pop_due(Micros now) {
         if (entries_.empty() || entries_.begin()->at > now)
@@ -58,6 +61,8 @@
         return armed_for_ > now ? armed_for_ - now : 0;
     }
 
+    std::size_t size() const { return entries_.size(); }
+
 private:
     static constexpr Micros kUnarmed = INT64_MAX;
 
--- a/src/policy/request.hpp
+++ b/src/policy/request.hpp
@@ -40,6 +40,7 @@
     Micros objective_deadline = 0; ///< an answer until then counts with the full priority weight
     Micros client_deadline = 0;
     Micros give_up_at = 0;   ///< the request is given up then, unless an attempt is in flight
+    Micros end_check_at = 0; ///< when the agenda has the request checked for its end; 0: never
     Micros not_before = 0;   ///< earliest time of the next attempt, after a failed one
     double quota_factor = 1; ///< factor on the priority weight, from the quota that the request is charged to
     bool open = true;        ///< the request has no final answer yet
--- a/src/policy/scheduler_requests.cpp
+++ b/src/policy/scheduler_requests.cpp
@@ -206,7 +206,19 @@
 
 void Scheduler::State::schedule_end(Request &request) {
     request.give_up_at = deadlines_.give_up_at(request);
-    agenda_.add(request.give_up_at, AgendaKind::RequestEnd, static_cast<std::uint64_t>(request.id));
+    schedule_end_check(request, request.give_up_at);
+}
+
+void Scheduler::State::schedule_end_check(Request &request, Micros at) {
+    cancel_end_check(request);
+    request.end_check_at = at;
+    agenda_.add(at, AgendaKind::RequestEnd, static_cast<std::uint64_t>(request.id));
+}
+
+void Scheduler::State::cancel_end_check(Request &request) {
+    if (request.end_check_at != 0)
+        agenda_.remove(request.end_check_at, AgendaKind::RequestEnd, static_cast<std::uint64_t>(request.id));
+    request.end_check_at = 0;
 }
 
 void Scheduler::State::on_deadline(Request &request) {
@@ -216,7 +228,7 @@
     if (!request.any_in_flight() || now_ >= last)
         give_up(request);
     else
-        agenda_.add(last, AgendaKind::RequestEnd, static_cast<std::uint64_t>(request.id));
+        schedule_end_check(request, last);
 }
 
 void Scheduler::State::shed_least_valuable() {
@@ -259,9 +271,10 @@
     const auto it = requests_.find(id);
     if (it == requests_.end())
         return;
-    const Request &request = it->second;
+    Request &request = it->second;
     if (request.open || request.any_in_flight())
         return;
+    cancel_end_check(request);
     quotas_.release(request.arrival.volume);
     if (request.is_ordered())
         ordered_keys_.remove(*request.arrival.key, id);
--- a/src/policy/scheduler_state.hpp
+++ b/src/policy/scheduler_state.hpp
@@ -84,6 +84,8 @@
     Request *find_request(RequestId id);
     policy::Attempt *find_in_flight(Request &request, int attempt) const;
     void schedule_end(Request &request);
+    void schedule_end_check(Request &request, Micros at);
+    void cancel_end_check(Request &request);
     void schedule_in_flight_check(Node &node, Micros at);
     void schedule_recheck(ShardId shard);
     ShardId shard_for_new_object();
--- a/tests/policy/deadline_agenda_test.cpp
+++ b/tests/policy/deadline_agenda_test.cpp
@@ -33,5 +33,16 @@
     EXPECT_EQ(agenda.arm(75), 0); // overdue, so the timer is due at once
 }
 
+TEST(DeadlineAgenda, HoldsNothingOfARequestThatHasEnded) {
+    constexpr Micros kFarAway = 1'000'000'000'000;
+    DeadlineAgenda agenda;
+    agenda.add(kFarAway, Kind::RequestEnd, 1);
+    agenda.add(kFarAway, Kind::RequestEnd, 2);
+    agenda.remove(kFarAway, Kind::RequestEnd, 1);
+    agenda.remove(kFarAway, Kind::RequestEnd, 3);
+    EXPECT_EQ(agenda.size(), 1u);
+    EXPECT_EQ(agenda.pop_due(kFarAway)->subject, 2u);
+}
+
 } // namespace
 } // namespace marblewood::policy
