Bound the state that is kept by names which clients choose

Change: of accounts, records of unserved requests and placements some 128 for each megabyte of memory_mb are kept, those used last; accounts for which nothing was sent go first, those with open requests or loans stay. A new account of a rate limit begins empty, so that one dropped allows no more than before. Queues of shards without nodes and idle ordered keys go with their last request. An account's lists take memory only when they are used.

--- a/include/marblewood/scheduler.hpp
+++ b/include/marblewood/scheduler.hpp
@@ -45,6 +45,9 @@
         std::size_t keys = 0;
         std::size_t volumes = 0;
         std::size_t nodes = 0;
+        std::size_t shard_queues = 0;
+        std::size_t unserved = 0;  ///< requests remembered to recognise their retries
+        std::size_t scheduled = 0; ///< entries of the timer queue
     };
     EntryCounts entry_counts() const;
 
--- a/include/marblewood/settings.hpp
+++ b/include/marblewood/settings.hpp
@@ -57,6 +57,9 @@
     Micros period = 1000;
     /// Queued requests beyond this number are shed, lowest priority first; 0: no bound.
     std::size_t max_queued_requests = 0;
+    /// Of each kind of state that is kept by a name which clients choose (volume, piece of data), about this
+    /// many entries are kept, those used last; 0: no bound.
+    std::size_t max_entries_by_name = 0;
 
     // Features of the deployment.
     bool poll_endpoint_list = false; ///< the caller has to poll the endpoint list; a Scheduler ignores it
--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -31,6 +31,8 @@
 /// descriptors, and during a hot restart two processes queue requests.
 constexpr std::size_t kSocketsPerQueuedRequest = 8;
 constexpr std::size_t kMinQueuedRequests = 4;
+/// For each megabyte of the configured memory, and of each kind; entries of all kinds take some 0.5 kB.
+constexpr std::size_t kEntriesByNamePerMegabyte = 128;
 /// The difference between the seeds of two dispatchers: 2^64 divided by the golden ratio, which spreads them.
 constexpr std::uint64_t kSeedIncrement = 0x9e3779b97f4a7c15;
 
@@ -144,6 +146,8 @@
     settings.lends = operator_config_.lends;
     settings.max_queued_requests = std::max(
         kMinQueuedRequests, static_cast<std::size_t>(socket_limit_ / count) / kSocketsPerQueuedRequest);
+    settings.max_entries_by_name =
+        config_.memory_mb * kEntriesByNamePerMegabyte / static_cast<std::size_t>(count);
     return settings;
 }
 
--- a/src/overload/quota_account.hpp
+++ b/src/overload/quota_account.hpp
@@ -5,8 +5,8 @@
 #include "marblewood/types.hpp"
 
 #include <cstdint>
-#include <deque>
 #include <map>
+#include <vector>
 
 namespace marblewood::overload {
 
@@ -42,10 +42,10 @@
     bool frozen = false;    ///< a successor process has taken over the balance: this process does not
                             ///< refill it and lends no units to other hosts
 
-    std::deque<Loan> lent;                       ///< in the order in which they expire
-    std::deque<Loan> borrowed;                   ///< in the order in which they expire
-    std::deque<PendingRequest> pending_requests; ///< oldest first
-    std::map<int, Peer> peers;                   ///< by host index
+    std::vector<Loan> lent;                       ///< in the order in which they expire
+    std::vector<Loan> borrowed;                   ///< in the order in which they expire
+    std::vector<PendingRequest> pending_requests; ///< oldest first
+    std::map<int, Peer> peers;                    ///< by host index
 
     double demand = 0; ///< units/s that clients request from this host, averaged
     Micros demand_at = 0;
--- a/src/overload/quota_lending.cpp
+++ b/src/overload/quota_lending.cpp
@@ -23,7 +23,7 @@
 constexpr Micros kRegistrationInterval = 8'000'000;
 constexpr std::size_t kMaxPendingRequests = 16;
 
-double outstanding(const std::deque<QuotaAccount::Loan> &loans, Micros now) {
+double outstanding(const std::vector<QuotaAccount::Loan> &loans, Micros now) {
     const auto add = [now](double units, const QuotaAccount::Loan &loan) {
         return units + (now < loan.expires_at ? loan.units : 0);
     };
@@ -169,7 +169,7 @@
     account.last_requested_peer = *lender;
     account.last_request_at = now;
     if (account.pending_requests.size() >= kMaxPendingRequests)
-        account.pending_requests.pop_front();
+        account.pending_requests.erase(account.pending_requests.begin());
     QuotaMessage request;
     request.kind = QuotaMessage::Kind::Request;
     request.volume = volume;
--- a/src/policy/client_retries.cpp
+++ b/src/policy/client_retries.cpp
@@ -1,12 +1,17 @@
 #include "policy/client_retries.hpp"
 
+#include "policy/newest_entries.hpp"
+
 #include <algorithm>
 
 namespace marblewood::policy {
 
 void ClientRetries::record_unserved(const RequestArrived &request, Micros objective_deadline) {
-    if (request.key)
-        unserved_[retry_key(request)] = objective_deadline;
+    if (!request.key)
+        return;
+    unserved_[retry_key(request)] = objective_deadline;
+    const auto deadline = [](Micros recorded) { return recorded; };
+    keep_newest(unserved_, max_records_, deadline, [](Micros) { return true; });
 }
 
 Micros ClientRetries::objective_deadline(const RequestArrived &request, const ClassSettings &request_class,
--- a/src/policy/client_retries.hpp
+++ b/src/policy/client_retries.hpp
@@ -16,7 +16,8 @@
 /// left alone does not show a retry, because some clients send first attempts with little time.
 class ClientRetries {
 public:
-    explicit ClientRetries(const Settings &settings) : period_(settings.period) {}
+    explicit ClientRetries(const Settings &settings)
+        : period_(settings.period), max_records_(settings.max_entries_by_name) {}
 
     /// Records a request that has ended without being served.
     void record_unserved(const RequestArrived &request, Micros objective_deadline);
@@ -28,6 +29,8 @@
     /// Drops records that are too old for a client to retry the request.
     void forget_old(Micros now);
 
+    std::size_t size() const { return unserved_.size(); }
+
 private:
     // The attributes by which a retry is matched with the request that it repeats.
     struct RetryKey {
@@ -46,6 +49,7 @@
     static constexpr Micros kRetentionAfterObjective = 10'000'000;
 
     Micros period_;
+    std::size_t max_records_;
     std::map<RetryKey, Micros> unserved_; // objective deadline of each
 };
 
--- a/src/policy/object_placement.hpp
+++ b/src/policy/object_placement.hpp
@@ -2,7 +2,8 @@
 /// Remembers on which shards this host has placed new objects.
 #pragma once
 
-#include "marblewood/types.hpp"
+#include "marblewood/settings.hpp"
+#include "policy/newest_entries.hpp"
 
 #include <map>
 #include <optional>
@@ -13,7 +14,12 @@
 /// it is retried at the shard where this host has recently placed the object.
 class ObjectPlacement {
 public:
-    void record(DataKey key, ShardId shard, Micros now) { placed_[key] = {shard, now}; }
+    explicit ObjectPlacement(const Settings &settings) : max_placements_(settings.max_entries_by_name) {}
+
+    void record(DataKey key, ShardId shard, Micros now) {
+        placed_[key] = {shard, now};
+        keep_newest(placed_, max_placements_, &Placement::at_of, [](const Placement &) { return true; });
+    }
 
     std::optional<ShardId> find(DataKey key) const {
         const auto it = placed_.find(key);
@@ -28,9 +34,11 @@
     struct Placement {
         ShardId shard{};
         Micros at = 0;
+        static Micros at_of(const Placement &placement) { return placement.at; }
     };
     static constexpr Micros kRetention = 60'000'000;
 
+    std::size_t max_placements_;
     std::map<DataKey, Placement> placed_;
 };
 
--- a/src/policy/ordered_keys.hpp
+++ b/src/policy/ordered_keys.hpp
@@ -15,7 +15,12 @@
 class OrderedKeys {
 public:
     void add(DataKey key, RequestId request) { keys_[key].requests.push_back(request); }
-    void remove(DataKey key, RequestId request) { std::erase(keys_[key].requests, request); }
+    void remove(DataKey key, RequestId request) {
+        KeyState &state = keys_.at(key);
+        std::erase(state.requests, request);
+        if (state.requests.empty() && state.paused_until == kLongAgo)
+            keys_.erase(key);
+    }
 
     /// Lets no request of the key start before `until`.
     void pause(DataKey key, Micros until) { keys_[key].paused_until = until; }
--- a/src/policy/quota_ledger.cpp
+++ b/src/policy/quota_ledger.cpp
@@ -1,6 +1,9 @@
 #include "policy/quota_ledger.hpp"
 
+#include "policy/newest_entries.hpp"
+
 #include <algorithm>
+#include <utility>
 
 namespace marblewood::policy {
 namespace {
@@ -34,6 +37,8 @@
     std::optional<HandoverState::VolumeQuota> inherited;
     if (auto node = inherited_quotas_.extract(request.volume))
         inherited = node.mapped();
+    if (is_new)
+        forget_surplus();
     if (is_new || inherited)
         open_account(volume, plan, host_part, is_new, inherited, now);
     refill(volume, plan, host_part, now);
@@ -43,6 +48,17 @@
     return volume;
 }
 
+// Accounts begin with an empty rate limit, so that an account that is dropped and opened anew allows no more
+// than before.
+void QuotaLedger::forget_surplus() {
+    const auto rank = [](const Volume &volume) { return std::pair(volume.served_any, volume.updated_at); };
+    const auto is_unused = [](const Volume &volume) {
+        return volume.requests == 0 && volume.updated_at != 0 && volume.rate_limit.lent.empty() &&
+               volume.rate_limit.borrowed.empty();
+    };
+    keep_newest(volumes_, settings_.max_entries_by_name, rank, is_unused);
+}
+
 void QuotaLedger::open_account(Volume &volume, const PlanSettings &plan, double host_part, bool is_new,
                                const std::optional<HandoverState::VolumeQuota> &inherited, Micros now) {
     volume.updated_at = now;
@@ -94,6 +110,7 @@
     if (!request.charged && request.has_rate_limit())
         loans_.spend(update(request.arrival, now).rate_limit, request.arrival.units, now);
     request.charged = true;
+    volumes_.at(request.arrival.volume).served_any = true;
 }
 
 void QuotaLedger::record_outcome(const Request &request, const AttemptEnded &outcome, Micros now) {
--- a/src/policy/quota_ledger.hpp
+++ b/src/policy/quota_ledger.hpp
@@ -103,11 +103,13 @@
         int requests = 0;        // held by this host
         double reserve_left = 0; // units
         double share_left = 0;   // units
+        bool served_any = false; // an attempt for the volume was made
         Micros updated_at = 0;
         overload::QuotaAccount rate_limit;
     };
 
     Volume &update(const RequestArrived &request, Micros now);
+    void forget_surplus();
     void open_account(Volume &volume, const PlanSettings &plan, double host_part, bool is_new,
                       const std::optional<HandoverState::VolumeQuota> &inherited, Micros now);
     void refill(Volume &volume, const PlanSettings &plan, double host_part, Micros now) const;
--- a/src/policy/request_queue.hpp
+++ b/src/policy/request_queue.hpp
@@ -33,6 +33,9 @@
     /// The number of queued requests of all shards.
     std::size_t size() const { return size_; }
 
+    /// The number of shards that have a queue.
+    std::size_t shards() const { return shards_.size(); }
+
     const std::vector<Request *> &waiting(ShardId shard) const {
         static const std::vector<Request *> none;
         const auto it = shards_.find(shard);
@@ -49,6 +52,13 @@
         return true;
     }
 
+    /// Drops the queue of a shard that has no nodes, unless requests wait in it.
+    void forget_if_empty(ShardId shard) {
+        const auto it = shards_.find(shard);
+        if (it != shards_.end() && it->second.waiting.empty())
+            shards_.erase(it);
+    }
+
     /// Drops the queues of shards that have no requests and for which `has_nodes(shard)` is false.
     template <typename HasNodes> void forget_unused(const HasNodes &has_nodes) {
         std::erase_if(shards_, [&](const auto &entry) {
--- a/src/policy/scheduler.cpp
+++ b/src/policy/scheduler.cpp
@@ -22,9 +22,9 @@
     : settings_(validated(settings)), jitter_(settings_.seed), slow_start_(settings_),
       node_monitor_(settings_, requests_, slow_start_, jitter_, actions_), health_checks_(settings_),
       quotas_(settings_, lifetime_), priority_(settings_), admission_(settings_, priority_, quotas_),
-      retry_policy_(settings_), retry_budget_(settings_), client_retries_(settings_), deadlines_(settings_),
-      selector_(retry_policy_, retry_budget_, ordered_keys_, priority_, admission_, slow_start_, nodes_,
-                lifetime_),
+      retry_policy_(settings_), retry_budget_(settings_), client_retries_(settings_), placement_(settings_),
+      deadlines_(settings_), selector_(retry_policy_, retry_budget_, ordered_keys_, priority_, admission_,
+                                       slow_start_, nodes_, lifetime_),
       shedder_(settings_, nodes_, requests_, queue_, priority_, quotas_, slow_start_, lifetime_) {}
 
 void Scheduler::State::handle(Micros now, const Event &event, std::vector<Action> &actions) {
@@ -38,6 +38,8 @@
     for (const ShardId shard : changed_shards_) {
         dispatch(shard);
         schedule_recheck(shard);
+        if (nodes_.serving(shard).empty())
+            queue_.forget_if_empty(shard);
     }
     changed_shards_.clear();
     if (quotas_.in_shortage())
@@ -167,7 +169,13 @@
 }
 
 Scheduler::EntryCounts Scheduler::State::entry_counts() const {
-    EntryCounts counts{requests_.size(), 0, ordered_keys_.size(), quotas_.size(), nodes_.all().size()};
+    EntryCounts counts{.requests = requests_.size(),
+                       .keys = ordered_keys_.size(),
+                       .volumes = quotas_.size(),
+                       .nodes = nodes_.all().size(),
+                       .shard_queues = queue_.shards(),
+                       .unserved = client_retries_.size(),
+                       .scheduled = agenda_.size()};
     for (const auto &[id, request] : requests_)
         counts.attempts_in_flight +=
             static_cast<std::size_t>(std::ranges::count_if(request.attempts, &policy::Attempt::in_flight));
