Do not run a request's id again after its client has left, or at the other process

Cause: an id was taken while its request awaited its answer. When the client left, it was free at once, although the node may still run the request. Each process of an upgrade knew its own ids alone.

The way back, a first at the new process and a second at the old one, is tested as well.

The successor is handed the ids, and each process tells the other of each request that it takes; older versions ignore both. Two copies that arrive within the time of that message are not told apart.

--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -281,7 +281,8 @@
     auto resp_listener = open_listener(io_, platform_listener(), predecessor_.take_socket("clients"),
                                        address<tcp::endpoint>(config_.listen, "listen"));
     clients_.emplace(io_, sockets_, front_end_services_, nvme_mapping_, std::move(resp_listener),
-                     std::move(nvme_listener));
+                     std::move(nvme_listener), config_.memory_mb * kEntriesByNamePerMegabyte);
+    predecessor_.restore(clients_->request_ids());
 }
 
 void Broker::start_admin() {
--- a/src/app/client_servers.cpp
+++ b/src/app/client_servers.cpp
@@ -6,11 +6,13 @@
 
 ClientServers::ClientServers(boost::asio::io_context &io, net::SocketBudget &sockets,
                              const core::FrontEndServices &services, const net::nvme::Mapping &nvme_mapping,
-                             Acceptor resp_listener, std::optional<Acceptor> nvme_listener)
+                             Acceptor resp_listener, std::optional<Acceptor> nvme_listener,
+                             std::size_t max_request_ids)
     : services_(services), nvme_mapping_(nvme_mapping),
       input_turns_(io.get_executor(), services.deadlines.clock),
+      request_ids_(services.deadlines.clock, max_request_ids),
       resp_(io, services.deadlines, sockets, metrics_, std::move(resp_listener), [this](net::Client &client) {
-          return net::resp::serve(client, services_, input_turns_, open_ids_);
+          return net::resp::serve(client, services_, input_turns_, request_ids_);
       }) {
     if (!nvme_listener)
         return;
--- a/src/app/client_servers.hpp
+++ b/src/app/client_servers.hpp
@@ -28,12 +28,14 @@
 public:
     using Acceptor = boost::asio::ip::tcp::acceptor;
 
-    /// The references must outlive this object.
+    /// The references must outlive this object. Of the ids of requests whose clients
+    /// have left, `max_request_ids` are kept.
     ClientServers(boost::asio::io_context &io, net::SocketBudget &sockets,
                   const core::FrontEndServices &services, const net::nvme::Mapping &nvme_mapping,
-                  Acceptor resp_listener, std::optional<Acceptor> nvme_listener);
+                  Acceptor resp_listener, std::optional<Acceptor> nvme_listener, std::size_t max_request_ids);
 
     net::Clients &resp() { return resp_; }
+    net::resp::RequestIds &request_ids() { return request_ids_; }
     /// Null if NVMe/TCP is not configured.
     net::Clients *nvme() { return nvme_ ? &*nvme_ : nullptr; }
 
@@ -55,7 +57,7 @@
     const net::nvme::Mapping &nvme_mapping_;
     net::ClientFigures metrics_;
     net::InputTurns input_turns_;
-    net::resp::OpenRequestIds open_ids_;
+    net::resp::RequestIds request_ids_;
     net::Clients resp_;
     net::nvme::Controllers nvme_controllers_;
     std::optional<net::Clients> nvme_;
--- a/src/app/predecessor.cpp
+++ b/src/app/predecessor.cpp
@@ -46,6 +46,14 @@
     }
 }
 
+void Predecessor::restore(net::resp::RequestIds &ids) const {
+    if (!is_present())
+        return;
+    for (const Json::Value &id : std::as_const(takeover_->parent.state)["request_ids"])
+        if (id.isString())
+            ids.keep(id.asString());
+}
+
 int Predecessor::client_count() const {
     return static_cast<int>(config::integer_or(takeover_->parent.state, "clients", 0));
 }
--- a/src/app/predecessor.hpp
+++ b/src/app/predecessor.hpp
@@ -34,6 +34,8 @@
     /// Restores the predecessor's endpoint list, cordons, quotas and quiesce state. If any of it is
     /// malformed, the channel is closed: nothing else is taken over, and the predecessor continues to serve.
     void restore(net::EndpointRegistry &endpoints, QuiesceState &quiesce, const core::Clock &clock);
+    /// Keeps the ids of the predecessor's requests.
+    void restore(net::resp::RequestIds &ids) const;
     /// The number of the predecessor's client connections.
     int client_count() const;
     /// Takes the channel over which the predecessor sends its client connections.
--- a/src/app/process_handover.cpp
+++ b/src/app/process_handover.cpp
@@ -20,14 +20,19 @@
     hooks.adopt_client = [this](net::HandedOverClient client) {
         parts_.clients.resp().adopt(std::move(client));
     };
-    hooks.parent_exited = [this] { share_limits(false, 0); };
+    hooks.parent_exited = [this] {
+        share_limits(false, 0);
+        share_request_ids(hot_restart_->handed_over());
+    };
     hooks.set_cordoned = actions_.cordon;
     hooks.set_quiesced = actions_.quiesce;
+    hooks.keep_request_id = [this](const std::string &id) { parts_.clients.request_ids().keep(id); };
     return hooks;
 }
 
 void ProcessHandover::take_over(Predecessor &predecessor) {
     share_limits(true, predecessor.client_count());
+    share_request_ids(true);
     hot_restart_->follow_parent(predecessor.take_channel());
     core::log("handover_from_predecessor_started");
 }
@@ -60,6 +65,7 @@
         add_socket("peers", parts_.peers->descriptor());
     parts_.endpoints.drain_for_successor(true);
     share_limits(true, 0);
+    share_request_ids(true);
     return released;
 }
 
@@ -72,6 +78,9 @@
     state["quiesced_us"] = static_cast<Json::Int64>(quiesced_since ? now - *quiesced_since : 0);
     state["clients"] = parts_.sockets.clients();
     state["fleet"] = parts_.endpoints.handover_state();
+    state["request_ids"] = Json::arrayValue;
+    for (const std::string &id : parts_.clients.request_ids().all())
+        state["request_ids"].append(id);
     return state;
 }
 
@@ -85,11 +94,21 @@
     parts_.clients.resp().hand_over(nullptr);
     parts_.endpoints.drain_for_successor(false);
     share_limits(false, 0);
+    share_request_ids(false);
     parts_.clients.resume_accepting();
     if (parts_.peers)
         parts_.peers->start_receiving();
 }
 
+/// Tells the other process of each request that this one takes, so that none runs at both.
+void ProcessHandover::share_request_ids(bool shared) {
+    parts_.clients.request_ids().on_opened = nullptr;
+    if (shared)
+        parts_.clients.request_ids().on_opened = [this](const std::string &id) {
+            hot_restart_->send_request_id(id);
+        };
+}
+
 /// Divides the limits on sockets and memory between two processes while both serve.
 void ProcessHandover::share_limits(bool shared, int clients_elsewhere) {
     parts_.sockets.share(shared, clients_elsewhere);
--- a/src/app/process_handover.hpp
+++ b/src/app/process_handover.hpp
@@ -61,6 +61,7 @@
     void hand_over_clients();
     void resume();
     void share_limits(bool shared, int clients_elsewhere);
+    void share_request_ids(bool shared);
 
     Parts parts_;
     OperatorActions actions_;
--- a/src/hot_restart/hot_restart.cpp
+++ b/src/hot_restart/hot_restart.cpp
@@ -131,6 +131,8 @@
         return hooks_.set_quiesced(true);
     case MessageType::Resume:
         return hooks_.set_quiesced(false);
+    case MessageType::RequestId:
+        return hooks_.keep_request_id(id);
     default:
         return; // unknown message types are ignored
     }
@@ -146,6 +148,12 @@
         parent_->send(encode(quiesced ? MessageType::Quiesce : MessageType::Resume));
 }
 
+void HotRestart::send_request_id(const std::string &id) {
+    for (const auto &process : {successor_, parent_})
+        if (process)
+            process->send(encode(MessageType::RequestId, id));
+}
+
 void HotRestart::send_client(net::HandedOverClient client) {
     if (successor_)
         successor_->send(encode_client(std::move(client)));
@@ -157,9 +165,12 @@
 }
 
 asio::awaitable<void> HotRestart::receive_clients(std::shared_ptr<PacketChannel> parent) {
-    while (auto packet = co_await parent->receive())
-        if (auto client = decode_client(*packet))
+    while (auto packet = co_await parent->receive()) {
+        if (packet->bytes.starts_with(static_cast<char>(MessageType::RequestId)))
+            hooks_.keep_request_id(packet->bytes.substr(1));
+        else if (auto client = decode_client(*packet))
             hooks_.adopt_client(std::move(*client));
+    }
     core::log("hot_restart_parent_exited");
     parent_ = nullptr;
     hooks_.parent_exited();
--- a/src/hot_restart/hot_restart.hpp
+++ b/src/hot_restart/hot_restart.hpp
@@ -36,6 +36,7 @@
     /// Operator commands that the successor has received and forwarded.
     std::function<void(const std::string &id, bool cordoned)> set_cordoned;
     std::function<void(bool quiesced)> set_quiesced;
+    std::function<void(const std::string &id)> keep_request_id; ///< of a request that the other process has
 };
 
 /// Both sides of a hot restart: hands over to a successor, and takes over the clients of a parent process.
@@ -51,6 +52,8 @@
     /// Forwards an operator command to the parent process, if it is still running.
     void forward_cordon(const std::string &id, bool cordoned);
     void forward_quiesce(bool quiesced);
+    /// Tells the other processes, successor and parent, the id of a request that this one has taken.
+    void send_request_id(const std::string &id);
 
     bool handed_over() const { return state_ == State::HandedOver; }
     /// Whether nothing is queued for sending to the successor.
--- a/src/hot_restart/messages.hpp
+++ b/src/hot_restart/messages.hpp
@@ -21,7 +21,8 @@
     Cordon = 'D',    ///< from the successor: an operator has cordoned a node
     Uncordon = 'U',  ///< from the successor: an operator has uncordoned a node
     Quiesce = 'Q',   ///< from the successor: an operator has quiesced the broker
-    Resume = 'R'     ///< from the successor: an operator has ended the quiesce
+    Resume = 'R',    ///< from the successor: an operator has ended the quiesce
+    RequestId = 'I'  ///< from either: the id of a request that it has taken
 };
 
 /// Thrown for a malformed message; the text describes the error.
--- a/src/net/resp/front.cpp
+++ b/src/net/resp/front.cpp
@@ -66,9 +66,9 @@
 /// A RESP2 session. Answer callbacks may outlive the connection, so they hold a weak reference to it.
 class RespSession : public Session {
 public:
-    RespSession(Client &client, core::FrontEndServices services, InputTurns &turns, OpenRequestIds &open)
+    RespSession(Client &client, core::FrontEndServices services, InputTurns &turns, RequestIds &ids)
         : Session(client, services.deadlines, services.memory, turns), services_(std::move(services)),
-          open_(open) {}
+          ids_(ids) {}
 
 private:
     // One command, in the order of the answers.
@@ -149,10 +149,8 @@
     }
 
     void submit_request(core::Request &&read) {
-        // Nodes would take a second open request with the same id for a retry of the first, and their answers
-        // could not be told apart.
-        if (!open_.insert(read.id).second)
-            throw Malformed("the id of an open request");
+        if (!ids_.open(read.id))
+            throw Malformed("the id of another request");
         read.refuse_immediately = client_.refuses(deadlines_.clock.now());
         client_.mark_requested();
         if (client_.use().closing)
@@ -193,7 +191,7 @@
         slot.stream = std::move(stream);
         ready_bytes_ += slot.bytes.size();
         if (slot.request_handler)
-            open_.erase(slot.name);
+            ids_.release(slot.name);
         if (!streaming_)
             flush();
         update_reservation();
@@ -247,12 +245,13 @@
     }
 
     void on_disconnect() override {
-        for (const Slot &slot : slots_)
-            if (slot.request_handler && (!slot.ready || slot.stream)) {
-                if (!slot.ready)
-                    open_.erase(slot.name);
+        for (const Slot &slot : slots_) {
+            if (!slot.request_handler)
+                continue;
+            ids_.keep(slot.name);
+            if (!slot.ready || slot.stream)
                 slot.request_handler->client_disconnected(slot.id);
-            }
+        }
     }
 
     void answer_now() override {
@@ -267,7 +266,7 @@
     bool is_streaming() const override { return streaming_; }
 
     core::FrontEndServices services_;
-    OpenRequestIds &open_;
+    RequestIds &ids_;
     Reader reader_;
     int invalid_commands_ = 0;    // since the last valid request
     std::size_t ready_bytes_ = 0; // in answers that wait for earlier ones
@@ -279,8 +278,8 @@
 } // namespace
 
 asio::awaitable<void> serve(Client &client, core::FrontEndServices services, InputTurns &turns,
-                            OpenRequestIds &open) {
-    const auto session = std::make_shared<RespSession>(client, std::move(services), turns, open);
+                            RequestIds &ids) {
+    const auto session = std::make_shared<RespSession>(client, std::move(services), turns, ids);
     co_await session->run();
 }
 
--- a/src/net/resp/front.hpp
+++ b/src/net/resp/front.hpp
@@ -7,17 +7,13 @@
 #include "net/clients.hpp"
 #include "net/input_turns.hpp"
 #include "net/resp/parser.hpp"
-
-#include <unordered_set>
+#include "net/resp/request_ids.hpp"
 
 namespace marblewood::net::resp {
 
-/// The ids of the open requests of all clients.
-using OpenRequestIds = std::unordered_set<std::string>;
-
 /// Serves a client until its connection has ended.
 asio::awaitable<void> serve(Client &client, core::FrontEndServices services, InputTurns &turns,
-                            OpenRequestIds &open);
+                            RequestIds &ids);
 
 /// Parses an OBJ.GET or OBJ.PUT command. Throws Malformed with the reason if it is invalid.
 core::Request read_request(Value &&command, const Settings &settings);
--- a/tests/departed_client_test.cpp
+++ b/tests/departed_client_test.cpp
@@ -127,6 +127,27 @@
     assert(writes.runs_of(id) == 1);
 }
 
+// The same, when the first has come to the new process, and the second to the old one, on a connection that
+// this process keeps as another request is open on it.
+void an_id_does_not_run_again_at_the_old_process() {
+    const SlowWrites writes;
+    const Program program(writes.discovery, "", kSettingsWithPlainWrites);
+    const std::string id = fresh_id(), open_id = fresh_id();
+    Socket old_connection = program.client();
+    old_connection.send(write_with_id(open_id));
+    writes.await_run(open_id);
+    const Program successor(program);
+    Socket first = successor.client();
+    first.send(write_with_id(id));
+    writes.await_run(id);
+    old_connection.send(write_with_id(id));
+    assert(old_connection.value()->text == "OK");
+    const auto answer = old_connection.value();
+    assert(answer && answer->kind == resp::Value::Kind::Error);
+    assert(first.value()->text == "OK");
+    assert(writes.runs_of(id) == 1);
+}
+
 struct Scenario {
     const char *name;
     void (*run)();
@@ -135,6 +156,7 @@
     {"unread", unread_requests_are_not_forwarded},
     {"same_id", an_id_does_not_run_again_after_its_client_has_left},
     {"same_id_upgrade", an_id_does_not_run_again_at_the_other_process},
+    {"same_id_upgrade_back", an_id_does_not_run_again_at_the_old_process},
 };
 
 } // namespace
