--- a/tests/slow_node_test.cpp
+++ b/tests/slow_node_test.cpp
@@ -50,6 +50,24 @@
     assert(answer && answer->text == value);
 }
 
+// The same, while the broker ends its client's connection, which has sent its next request.
+void a_long_answer_written_slowly_is_served_through_a_quiesce() {
+    const std::string value(300'000, 'v');
+    const Server node = node_that_writes_slowly(RespNode::served(value), 4, 2s);
+    const Discovery discovery(member("s-1", node.port, 0));
+    const Program program(discovery);
+    Socket client = program.client();
+    client.send(get(kPiece));
+    std::this_thread::sleep_for(500ms);
+    assert(program.call("POST", "quiesce").first == 200);
+    std::this_thread::sleep_for(1500ms);
+    client.send("*1\r\n$4\r\nPING\r\n" + get(kPiece));
+    const auto answer = client.value();
+    assert(answer && answer->text == value);
+    assert(client.value()->text == "ERR draining");
+    assert(client.value()->text.starts_with("BUSY"));
+}
+
 // Guards against an answer that comes seconds after its time, as the node is slow to read the request.
 void a_request_read_slowly_is_answered_in_time() {
     constexpr int kWaitMs = 1000, kWrites = 60, kReceiveBufferBytes = 4096;
@@ -82,6 +100,7 @@
 constexpr Scenario kScenarios[] = {
     {"slow_answer", an_answer_written_slowly_is_served},
     {"slow_long_answer", a_long_answer_written_slowly_is_served},
+    {"slow_long_answer_quiesce", a_long_answer_written_slowly_is_served_through_a_quiesce},
     {"slow_reader", a_request_read_slowly_is_answered_in_time},
 };
 
