--- a/src/hot_restart/hot_restart.cpp
+++ b/src/hot_restart/hot_restart.cpp
@@ -12,6 +12,7 @@
 
 /// Time limit for a connected process to send its request for the state.
 constexpr Micros kRequestTimeout = 500'000;
+constexpr std::size_t kMaxQueuedRequestIds = 256;
 /// Time limit for each packet of the state. A parent that is short of CPU time answers late, and a successor
 /// that stopped waiting would have to exit, because the parent still holds the listening addresses. Waiting
 /// does no harm, as the parent serves meanwhile.
@@ -150,7 +151,7 @@
 
 void HotRestart::send_request_id(const std::string &id) {
     for (const auto &process : {successor_, parent_})
-        if (process)
+        if (process && process->unsent().size() < kMaxQueuedRequestIds)
             process->send(encode(MessageType::RequestId, id));
 }
 
--- a/src/hot_restart/hot_restart.hpp
+++ b/src/hot_restart/hot_restart.hpp
@@ -52,7 +52,8 @@
     /// Forwards an operator command to the parent process, if it is still running.
     void forward_cordon(const std::string &id, bool cordoned);
     void forward_quiesce(bool quiesced);
-    /// Tells the other processes, successor and parent, the id of a request that this one has taken.
+    /// Tells the other processes, successor and parent, the id of a request that this one has taken. An id
+    /// is left out while kMaxQueuedRequestIds packets wait, as in a flood of requests.
     void send_request_id(const std::string &id);
 
     bool handed_over() const { return state_ == State::HandedOver; }
