Of connections that have used the loop alike, handle the one with the least input first

Cause: a write of 4 KiB waits for a turn, and all new connections have used nothing, so that it came after 500 floods in their order of arrival.

Reading is suspended in a function of its own, as run() had grown too long.

--- a/src/net/input_turns.cpp
+++ b/src/net/input_turns.cpp
@@ -7,7 +7,8 @@
 namespace marblewood::net {
 namespace {
 
-constexpr std::size_t kLittleInputBytes = 2048; // some requests without a body
+constexpr std::size_t kLittleInputBytes = 2048;  // some requests without a body
+constexpr std::size_t kBytesPerMicrosecond = 16; // of input that is handled
 constexpr Micros kLittleUse = 1'000;
 constexpr Micros kUseFadesBy = 10; // after this many times its length, use is forgotten
 
@@ -21,10 +22,11 @@
     return input_bytes > kLittleInputBytes || use_at(turns_.clock_.now()) > kLittleUse;
 }
 
-asio::awaitable<void> InputTurns::Account::take_turn() {
+asio::awaitable<void> InputTurns::Account::take_turn(std::size_t input_bytes) {
     if (turns_.taken_) {
         place_ = ++turns_.last_place_;
-        waits_with_use_ = use_at(turns_.clock_.now());
+        waits_with_use_ =
+            use_at(turns_.clock_.now()) + static_cast<Micros>(input_bytes / kBytesPerMicrosecond);
         turns_.waiting_.emplace(Key{waits_with_use_, place_}, this);
         has_turn_ = co_await granted_.take();
         if (!has_turn_)
--- a/src/net/input_turns.hpp
+++ b/src/net/input_turns.hpp
@@ -18,7 +18,8 @@
 /// A connection takes a turn before its input is handled, unless it sends little. Turns are given one at a
 /// time, and the loop serves everything else that is ready between two of them, so that the wait of a client
 /// that sends little does not depend on how many others flood the broker. Of the connections that wait, the
-/// one whose input has taken the least time comes first. Used only on the event loop's thread.
+/// one whose input has taken the least time, and is likely to take the least now, comes first. Used only on
+/// the event loop's thread.
 class InputTurns {
 public:
     InputTurns(asio::any_io_executor executor, const core::Clock &clock)
@@ -34,8 +35,9 @@
 
         /// Whether the connection has to take a turn before `input_bytes` of its input are handled.
         bool needs_turn(std::size_t input_bytes);
-        /// Waits for a turn, which ends with end_turn(). Returns early, with no turn, after skip().
-        asio::awaitable<void> take_turn();
+        /// Waits for a turn to handle `input_bytes`, which ends with end_turn(). Returns early, with no turn,
+        /// after skip().
+        asio::awaitable<void> take_turn(std::size_t input_bytes);
         void end_turn();
         /// Ends a wait for a turn, as the connection is being closed and its input may not wait.
         void skip();
@@ -51,8 +53,8 @@
         core::Mailbox<bool> granted_; // true: it is the connection's turn
         Micros use_ = 0;
         Micros used_at_ = 0;
-        std::uint64_t place_ = 0; // among the waiting; 0: it does not wait
-        Micros waits_with_use_ = 0;
+        std::uint64_t place_ = 0;   // among the waiting; 0: it does not wait
+        Micros waits_with_use_ = 0; // with what its input may take
         bool has_turn_ = false;
     };
 
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -63,14 +63,10 @@
             break;
         arm_client_timeout();
         if (unparsed_input_ && (input_.size() >= kMaxReadAheadBytes || memory_.is_short())) {
-            if (!reading_suspended_at_)
-                reading_suspended_at_ = last_read_at_;
-            co_await pause(kHangUpCheckInterval, true);
-            last_read_at_ = deadlines_.clock.now();
-            if (!client_hung_up())
-                continue;
-            handle_disconnect();
-            break;
+            co_await suspend_reading();
+            if (disconnected_)
+                break;
+            continue;
         }
         const bool starts_message = !has_partial_message();
         error = co_await wait_readable();
@@ -262,6 +258,16 @@
     return error;
 }
 
+// Reads nothing for a while, as input is held back. Notices if the client leaves meanwhile.
+asio::awaitable<void> Session::suspend_reading() {
+    if (!reading_suspended_at_)
+        reading_suspended_at_ = last_read_at_;
+    co_await pause(kHangUpCheckInterval, true);
+    last_read_at_ = deadlines_.clock.now();
+    if (client_hung_up())
+        handle_disconnect();
+}
+
 // What is left of input that was held back is part of a message, whose client is timed from the last read:
 // until then the client may have been sending, and in between the broker did not wait for it.
 asio::awaitable<void> Session::handle_in_turn(bool starts_message) {
@@ -272,7 +278,7 @@
         update_reservation();
         client_.input_waits = true;
         watch_for_hang_up();
-        co_await turn_.take_turn();
+        co_await turn_.take_turn(input_.size());
         hang_up_timer_.reset();
         client_.input_waits = false;
         message_started_at_ += deadlines_.clock.now() - waiting_since;
--- a/src/net/session.hpp
+++ b/src/net/session.hpp
@@ -88,6 +88,7 @@
     // Handles the input once it is the connection's turn, unless the client has left meanwhile.
     asio::awaitable<void> handle_in_turn(bool starts_message);
     void watch_for_hang_up();
+    asio::awaitable<void> suspend_reading();
     bool hand_over();
     void arm_client_timeout();
     bool end_between_requests();
--- a/tests/input_turns_test.cpp
+++ b/tests/input_turns_test.cpp
@@ -17,11 +17,11 @@
     std::vector<int> order;
 
     // Takes a turn, and ends it at once unless it is held.
-    void take(InputTurns::Account &account, int name, bool hold = false) {
+    void take(InputTurns::Account &account, int name, bool hold = false, std::size_t input_bytes = 0) {
         asio::co_spawn(
             io,
-            [this, &account, name, hold]() -> asio::awaitable<void> {
-                co_await account.take_turn();
+            [this, &account, name, hold, input_bytes]() -> asio::awaitable<void> {
+                co_await account.take_turn(input_bytes);
                 order.push_back(name);
                 if (!hold)
                     account.end_turn();
@@ -53,6 +53,16 @@
     EXPECT_EQ(order, (std::vector<int>{1, 3, 2}));
 }
 
+TEST_F(InputTurnsTest, OfTheSameUseTheLeastInputFirst) {
+    InputTurns::Account first(turns), large(turns), small(turns);
+    take(first, 1, true);
+    take(large, 2, false, 16'000);
+    take(small, 3, false, 4'000);
+    first.end_turn();
+    io.poll();
+    EXPECT_EQ(order, (std::vector<int>{1, 3, 2}));
+}
+
 TEST_F(InputTurnsTest, AConnectionThatIsClosedDoesNotWait) {
     InputTurns::Account first(turns), closing(turns), next(turns);
     take(first, 1, true);
