Accept up to 64 waiting connections in a turn of the loop, all without Nagle's algorithm

Cause: each turn of the loop accepted one. Those accepted at the end kept Nagle's algorithm, which holds small answers back (by reading).

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -15,7 +15,8 @@
 constexpr Micros kQuiesceGrace = 1'000'000; // between the quiesce call and the closing of connections
 constexpr Micros kBacklogTimeout = 100'000; // for accepting the backlog at the end of a drain
 constexpr Micros kBacklogCheckInterval = 1'000;
-constexpr int kMaxAcceptsPerTurn = 4096; // more than the backlog holds
+constexpr int kMaxAcceptsPerTurn = 64;
+constexpr int kMaxAcceptsAtEnd = 4096; // more than the backlog holds
 constexpr Micros kReportInterval = 1'000'000;
 constexpr Micros kSlowClose = 500'000; // a connection that takes longer to close is logged
 
@@ -128,12 +129,14 @@
             co_await retry_timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
             continue;
         }
-        socket.set_option(tcp::no_delay(true), error);
         admit(std::move(socket), HandedOverClient());
+        accept_waiting(kMaxAcceptsPerTurn, false);
     }
 }
 
 void Clients::admit(tcp::socket socket, HandedOverClient inherited) {
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
     const Micros now = last_change_at_ = deadlines_.clock.now();
     const std::uint64_t number = ++figures_.accepted;
     const auto client = clients_.emplace(clients_.end(), std::move(socket), order_, now, number);
@@ -371,11 +374,19 @@
 }
 
 // Accepts all connections in the backlog in one turn of the event loop, as a client may already have written
-// a request to one of them, and as others may arrive in the meantime. Stops when there is no room, unless
-// `last` is set. Returns whether the backlog is empty.
+// a request to one of them, and as others may arrive in the meantime. Returns whether the backlog is empty.
 bool Clients::accept_backlog(bool last) {
-    for (int n = 0; n < kMaxAcceptsPerTurn; ++n) {
-        if (budget_.clients_full() && !evict_one() && !last)
+    const std::uint64_t before = figures_.accepted;
+    const bool emptied = accept_waiting(kMaxAcceptsAtEnd, last);
+    accepted_at_end_ += figures_.accepted - before;
+    return emptied;
+}
+
+// Accepts up to `most` connections that wait in the backlog. Stops when there is no room, unless
+// `even_if_full` is set. Returns whether the backlog is empty.
+bool Clients::accept_waiting(int most, bool even_if_full) {
+    for (int n = 0; n < most; ++n) {
+        if (budget_.clients_full() && !evict_one() && !even_if_full)
             return false;
         tcp::socket socket(io_);
         boost::system::error_code error;
@@ -386,7 +397,6 @@
             evict_one();
         if (error)
             return false; // the connection was aborted, or the error is transient
-        ++accepted_at_end_;
         admit(std::move(socket), HandedOverClient());
     }
     return false;
--- a/tests/flood_test.cpp
+++ b/tests/flood_test.cpp
@@ -1,6 +1,7 @@
 // Clients that send small or invalid requests at full speed: other clients get their answers in time.
 // Usage: flood_test SCENARIO
 #include "crowd.hpp"
+#include "scenarios.hpp"
 
 using namespace test;
 using Clock = std::chrono::steady_clock;
@@ -110,27 +111,25 @@
     check({.connections = 700, .next = [&] { return pings; }, .receive_buffer_bytes = 4096});
 }
 
-struct Scenario {
-    const char *name;
-    void (*run)();
-};
+// Hundreds of clients that come anew as soon as their connection has ended.
+void crowd_that_reconnects() {
+    check({.connections = 500,
+           .next = [] { return std::string(50'000, '?'); },
+           .read_bytes_per_turn = 4096,
+           .reconnects = true});
+}
+
 constexpr Scenario kScenarios[] = {
     {"pings", pings},
     {"invalid", invalid_commands},
     {"new_volumes", reads_of_new_volumes},
     {"new_shards", reads_of_new_shards},
     {"crowd", crowd_of_pings},
+    {"crowd_reconnects", crowd_that_reconnects},
 };
 
 } // namespace
 
 int main(int argc, char **argv) {
-    const std::string wanted = argc > 1 ? argv[1] : "";
-    for (const Scenario &scenario : kScenarios)
-        if (scenario.name == wanted) {
-            scenario.run();
-            return 0;
-        }
-    fmt::print(stderr, "usage: flood_test SCENARIO\n");
-    return 2;
+    return run_scenario(kScenarios, argc, argv);
 }
