--- a/tests/backpressure_test.cpp
+++ b/tests/backpressure_test.cpp
@@ -2,6 +2,7 @@
 // must neither be lost nor be taken for a client that has stopped in the middle of a message.
 // Usage: backpressure_test SCENARIO
 #include "helper.hpp"
+#include "scenarios.hpp"
 
 using namespace test;
 using Clock = std::chrono::steady_clock;
@@ -238,10 +239,6 @@
         assert(program.exit_code() == 0 && Clock::now() - called < 3700ms);
 }
 
-struct Scenario {
-    const char *name;
-    void (*run)();
-};
 constexpr Scenario kScenarios[] = {
     {"behind_slow", requests_behind_a_slow_one_are_answered},
     {"stopped", a_client_that_stops_behind_them_gets_its_error},
@@ -258,12 +255,5 @@
 } // namespace
 
 int main(int argc, char **argv) {
-    const std::string wanted = argc > 1 ? argv[1] : "";
-    for (const Scenario &scenario : kScenarios)
-        if (scenario.name == wanted) {
-            scenario.run();
-            return 0;
-        }
-    fmt::print(stderr, "usage: backpressure_test SCENARIO\n");
-    return 2;
+    return run_scenario(kScenarios, argc, argv);
 }
--- a/tests/departed_client_test.cpp
+++ b/tests/departed_client_test.cpp
@@ -2,6 +2,7 @@
 // same id.
 // Usage: departed_client_test SCENARIO
 #include "crowd.hpp"
+#include "scenarios.hpp"
 
 #include <algorithm>
 
@@ -148,10 +149,6 @@
     assert(writes.runs_of(id) == 1);
 }
 
-struct Scenario {
-    const char *name;
-    void (*run)();
-};
 constexpr Scenario kScenarios[] = {
     {"unread", unread_requests_are_not_forwarded},
     {"same_id", an_id_does_not_run_again_after_its_client_has_left},
@@ -162,12 +159,5 @@
 } // namespace
 
 int main(int argc, char **argv) {
-    const std::string wanted = argc > 1 ? argv[1] : "";
-    for (const Scenario &scenario : kScenarios)
-        if (scenario.name == wanted) {
-            scenario.run();
-            return 0;
-        }
-    fmt::print(stderr, "usage: departed_client_test SCENARIO\n");
-    return 2;
+    return run_scenario(kScenarios, argc, argv);
 }
--- a/tests/memory_limit_test.cpp
+++ b/tests/memory_limit_test.cpp
@@ -2,6 +2,7 @@
 // limits.memory_mb, over which the platform kills the process.
 // Usage: memory_limit_test SCENARIO
 #include "crowd.hpp"
+#include "scenarios.hpp"
 
 #include "net/nvme/pdu.hpp"
 
@@ -225,10 +226,6 @@
                   3s);
 }
 
-struct Scenario {
-    const char *name;
-    void (*run)();
-};
 constexpr Scenario kScenarios[] = {
     {"invalid_input", invalid_input_at_once},
     {"invalid_commands", invalid_commands_at_once},
@@ -248,12 +245,5 @@
 } // namespace
 
 int main(int argc, char **argv) {
-    const std::string wanted = argc > 1 ? argv[1] : "";
-    for (const Scenario &scenario : kScenarios)
-        if (scenario.name == wanted) {
-            scenario.run();
-            return 0;
-        }
-    fmt::print(stderr, "usage: memory_limit_test SCENARIO\n");
-    return 2;
+    return run_scenario(kScenarios, argc, argv);
 }
--- a/tests/shutdown_soak.cpp
+++ b/tests/shutdown_soak.cpp
@@ -6,6 +6,7 @@
 /// failed ones last.
 #include "faults/draw.hpp"
 #include "faults/request_loop.hpp"
+#include "scenarios.hpp"
 
 #include <algorithm>
 
@@ -191,16 +192,5 @@
 } // namespace
 
 int main(int argc, char **argv) {
-    if (argc != 3) {
-        fmt::print(stderr, "usage: shutdown_soak FIRST-SEED SEEDS\n");
-        return 2;
-    }
-    const auto first = static_cast<unsigned>(std::atoi(argv[1]));
-    const auto count = static_cast<unsigned>(std::atoi(argv[2]));
-    std::string failed_seeds;
-    for (unsigned seed = first; seed < first + count; ++seed)
-        if (!run_shutdown(seed))
-            failed_seeds += fmt::format(" {}", seed);
-    fmt::print("{} seeds; failed:{}\n", count, failed_seeds.empty() ? " none" : failed_seeds);
-    return failed_seeds.empty() ? 0 : 1;
+    return run_seeds(run_shutdown, argc, argv);
 }
--- a/tests/slow_node_test.cpp
+++ b/tests/slow_node_test.cpp
@@ -1,6 +1,7 @@
 // Nodes that take seconds to write an answer or to read a request.
 // Usage: slow_node_test SCENARIO
 #include "helper.hpp"
+#include "scenarios.hpp"
 
 using namespace test;
 using Clock = std::chrono::steady_clock;
@@ -93,10 +94,6 @@
     assert(took < kWaitMs * 1ms + kLateness);
 }
 
-struct Scenario {
-    const char *name;
-    void (*run)();
-};
 constexpr Scenario kScenarios[] = {
     {"slow_answer", an_answer_written_slowly_is_served},
     {"slow_long_answer", a_long_answer_written_slowly_is_served},
@@ -107,12 +104,5 @@
 } // namespace
 
 int main(int argc, char **argv) {
-    const std::string wanted = argc > 1 ? argv[1] : "";
-    for (const Scenario &scenario : kScenarios)
-        if (scenario.name == wanted) {
-            scenario.run();
-            return 0;
-        }
-    fmt::print(stderr, "usage: slow_node_test SCENARIO\n");
-    return 2;
+    return run_scenario(kScenarios, argc, argv);
 }
