Order turns by arrival, put back for use and for the size of the input

Cause: the connection with the least input went first, however long others had waited, and when memory is short a flood's reads of exactly 2 KiB took no turn at all.

Change: arrival counts, put back by 25 us for each byte and 20 times the recent use, 0.4 s at most; input over 1 KiB takes a turn.

--- a/src/net/input_turns.cpp
+++ b/src/net/input_turns.cpp
@@ -7,8 +7,9 @@
 namespace marblewood::net {
 namespace {
 
-constexpr std::size_t kLittleInputBytes = 2048;  // some requests without a body
-constexpr std::size_t kBytesPerMicrosecond = 16; // of input that is handled
+constexpr std::size_t kLittleInputBytes = 1024; // a few requests without a body
+constexpr Micros kSetbackPerByte = 25;          // of input
+constexpr Micros kSetbackPerUse = 20;
 constexpr Micros kLittleUse = 1'000;
 constexpr Micros kUseFadesBy = 10; // after this many times its length, use is forgotten
 
@@ -25,9 +26,11 @@
 asio::awaitable<void> InputTurns::Account::take_turn(std::size_t input_bytes) {
     if (turns_.taken_) {
         place_ = ++turns_.last_place_;
-        waits_with_use_ =
-            use_at(turns_.clock_.now()) + static_cast<Micros>(input_bytes / kBytesPerMicrosecond);
-        turns_.waiting_.emplace(Key{waits_with_use_, place_}, this);
+        const Micros now = turns_.clock_.now();
+        const Micros setback =
+            use_at(now) * kSetbackPerUse + static_cast<Micros>(input_bytes) * kSetbackPerByte;
+        rank_ = now + std::min(setback, kMaxSetback);
+        turns_.waiting_.emplace(Key{rank_, place_}, this);
         has_turn_ = co_await granted_.take();
         if (!has_turn_)
             co_return;
@@ -52,7 +55,7 @@
 void InputTurns::Account::skip() {
     if (place_ == 0)
         return;
-    turns_.waiting_.erase(Key{waits_with_use_, place_});
+    turns_.waiting_.erase(Key{rank_, place_});
     place_ = 0;
     granted_.put(false);
 }
--- a/src/net/input_turns.hpp
+++ b/src/net/input_turns.hpp
@@ -17,11 +17,13 @@
 
 /// A connection takes a turn before its input is handled, unless it sends little. Turns are given one at a
 /// time, and the loop serves everything else that is ready between two of them, so that the wait of a client
-/// that sends little does not depend on how many others flood the broker. Of the connections that wait, the
-/// one whose input has taken the least time, and is likely to take the least now, comes first. Used only on
-/// the event loop's thread.
+/// that sends little does not depend on how many others flood the broker. Connections come in the order of
+/// their arrival, each put back by up to kMaxSetback for what its input has taken of late and is likely to
+/// take now. Used only on the event loop's thread.
 class InputTurns {
 public:
+    static constexpr Micros kMaxSetback = 400'000;
+
     InputTurns(asio::any_io_executor executor, const core::Clock &clock)
         : executor_(std::move(executor)), clock_(clock) {}
 
@@ -53,15 +55,15 @@
         core::Mailbox<bool> granted_; // true: it is the connection's turn
         Micros use_ = 0;
         Micros used_at_ = 0;
-        std::uint64_t place_ = 0;   // among the waiting; 0: it does not wait
-        Micros waits_with_use_ = 0; // with what its input may take
+        std::uint64_t place_ = 0; // among the waiting; 0: it does not wait
+        Micros rank_ = 0;         // while it waits: arrival and setback
         bool has_turn_ = false;
     };
 
     std::size_t waiting() const { return waiting_.size(); }
 
 private:
-    using Key = std::pair<Micros, std::uint64_t>; // use, then the order of arrival
+    using Key = std::pair<Micros, std::uint64_t>; // rank, then the order of arrival
 
     asio::any_io_executor executor_;
     const core::Clock &clock_;
