--- a/review/common-2/harness.hpp
+++ b/review/common-2/harness.hpp
@@ -186,6 +186,23 @@
     return process;
 }
 
+/// A write of `piece` with an idempotency key of its own, for a client that waits `wait_ms`.
+inline std::string put(const std::string &piece, const std::string &key, const std::string &body, int wait_ms,
+                       const std::string &volume = "00000003b4d60021") {
+    return test::resp::command(
+        {"OBJ.PUT", piece, test::fresh_id(),
+         fmt::format("c=new-write,t=standard,d={},k={},volume={},units=2,shard=0,hosts=1", wait_ms, key,
+                     volume),
+         body});
+}
+
+/// A read of `piece`, for a client that waits 1.5 s.
+inline std::string get(const std::string &piece, const std::string &volume) {
+    return test::resp::command(
+        {"OBJ.GET", piece, test::fresh_id(),
+         fmt::format("c=read,t=standard,d=1500,volume={},units=2,shard=0,hosts=1", volume)});
+}
+
 /// What a client got for a request.
 struct Reply {
     enum class Kind { Served, Refused, Failed, Closed } kind = Kind::Closed;
--- a/review/common-2/nvme_target.hpp
+++ b/review/common-2/nvme_target.hpp
@@ -13,9 +13,10 @@
 inline const std::string kSubsystem = "nqn.2026-12.net.hanbit:store";
 
 /// The operator's file of a broker whose node s-1 speaks NVMe over TCP.
-inline std::string nvme_operator(std::uint32_t block_bytes) {
-    return fmt::format(R"({{"nvme":{{"block_bytes":{},"nodes":{{"s-1":{{"subsystem":"{}","nsid":1}}}}}}}})",
-                       block_bytes, kSubsystem);
+inline std::string nvme_operator(std::uint32_t block_bytes, int planners = 1) {
+    return fmt::format(
+        R"({{"planners":{},"nvme":{{"block_bytes":{},"nodes":{{"s-1":{{"subsystem":"{}","nsid":1}}}}}}}})",
+        planners, block_bytes, kSubsystem);
 }
 
 class NvmeTarget {
@@ -27,8 +28,8 @@
     std::function<std::string(bool write, std::uint64_t block, std::string answer)> on_answer;
     /// The same for the answer to the Connect command of an I/O queue.
     std::function<std::string(std::string answer)> on_connected;
-    /// Called once the R2T of a write is sent; the connection is not read meanwhile.
-    std::function<void()> on_write_awaited;
+    /// Called before the R2T of a write is sent.
+    std::function<void(std::uint64_t block)> before_data_is_requested;
     /// Called when a write is run.
     std::function<void(std::uint64_t block, const std::string &data)> on_write_run;
 
@@ -113,9 +114,9 @@
                       std::map<std::uint16_t, std::pair<std::uint64_t, std::string>> &writes,
                       const nvme::Command &command) {
         writes[command.cid()] = {command.dword<std::uint64_t>(10), ""};
+        if (before_data_is_requested)
+            before_data_is_requested(command.dword<std::uint64_t>(10));
         socket.send(nvme::r2t(command.cid(), command.cid(), 0, static_cast<std::uint32_t>(extended())));
-        if (on_write_awaited)
-            on_write_awaited();
     }
 
     // A write is run once its last byte has come.
