--- a/review/common-2/harness.hpp
+++ b/review/common-2/harness.hpp
@@ -163,16 +163,21 @@
     std::string operators; ///< the operator's file; empty: none
 };
 
-/// Starts a broker with the deploy file's command and waits until it is ready.
-inline Process start_broker(const std::string &root, const Folder &folder, const BrokerSetup &setup) {
-    const std::string own = folder.make(setup.name);
-    const std::string config = folder.write(
+/// Writes the broker's configuration file, and returns its path.
+inline std::string write_configuration(const Folder &folder, const BrokerSetup &setup) {
+    return folder.write(
         setup.name + "/config.json",
         fmt::format(
             R"({{"name":"{}","listen":"127.0.0.1:{}","control":"127.0.0.1:{}","discovery":"127.0.0.1:{}",)"
             R"("seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":128,"sockets":512}},)"
             R"("known":{},"settings":{}}})",
             setup.name, setup.port, setup.control, setup.discovery, setup.known, setup.settings));
+}
+
+/// Starts a broker with the deploy file's command and waits until it is ready.
+inline Process start_broker(const std::string &root, const Folder &folder, const BrokerSetup &setup) {
+    folder.make(setup.name);
+    const std::string config = write_configuration(folder, setup);
     Process::Environment environment{{"BALANCER_NAME", setup.name},
                                      {"BALANCER_LISTEN", fmt::format("127.0.0.1:{}", setup.port)},
                                      {"BALANCER_CONTROL", fmt::format("127.0.0.1:{}", setup.control)},
