--- a/review/common-2/harness.hpp
+++ b/review/common-2/harness.hpp
@@ -174,23 +174,34 @@
             setup.name, setup.port, setup.control, setup.discovery, setup.known, setup.settings));
 }
 
-/// Starts a broker with the deploy file's command and waits until it is ready.
-inline Process start_broker(const std::string &root, const Folder &folder, const BrokerSetup &setup) {
-    folder.make(setup.name);
-    const std::string config = write_configuration(folder, setup);
+/// Starts a process of a broker with the deploy file's command. Its files are those that start_broker()
+/// wrote.
+inline Process start_process(const std::string &root, const Folder &folder, const BrokerSetup &setup) {
     Process::Environment environment{{"BALANCER_NAME", setup.name},
                                      {"BALANCER_LISTEN", fmt::format("127.0.0.1:{}", setup.port)},
                                      {"BALANCER_CONTROL", fmt::format("127.0.0.1:{}", setup.control)},
                                      {"BALANCER_DISCOVERY", fmt::format("127.0.0.1:{}", setup.discovery)},
-                                     {"BALANCER_CONFIG", config},
+                                     {"BALANCER_CONFIG", folder.path(setup.name + "/config.json")},
                                      {"TMPDIR", folder.make(setup.name + "/tmp")}};
     if (!setup.operators.empty())
         environment["MARBLEWOOD_OPERATOR"] = folder.write(setup.name + "/operator.json", setup.operators);
-    Process process(root, "exec build/marblewood", environment, folder.path(setup.name + "/log"));
+    return Process(root, "exec build/marblewood", environment, folder.path(setup.name + "/log"));
+}
+
+/// Starts a broker and waits until it is ready.
+inline Process start_broker(const std::string &root, const Folder &folder, const BrokerSetup &setup) {
+    folder.make(setup.name);
+    write_configuration(folder, setup);
+    Process process = start_process(root, folder, setup);
     await_ready(setup.port, process);
     return process;
 }
 
+/// Starts a further process of a running broker, which replaces it. `setup.control` is its own.
+inline Process start_successor(const std::string &root, const Folder &folder, const BrokerSetup &setup) {
+    return start_process(root, folder, setup);
+}
+
 /// A write of `piece` with an idempotency key of its own, for a client that waits `wait_ms`.
 inline std::string put(const std::string &piece, const std::string &key, const std::string &body, int wait_ms,
                        const std::string &volume = "00000003b4d60021") {
