--- a/review/10/case.cpp
+++ b/review/common-2/case-10.cpp
@@ -1,7 +1,7 @@
 /// \file
 /// A broker of a cell is replaced while it serves: a new process is started beside it. Every request that is
 /// written to a connection must get its answer.
-#include "../common-2/harness.hpp"
+#include "harness.hpp"
 
 using namespace review;
 
--- a/review/6/case.cpp
+++ b/review/common-2/case-6.cpp
@@ -1,7 +1,7 @@
 /// \file
 /// Some good answers of an NVMe/TCP node to reads are followed by a second copy. Clients must be served the
 /// values that were written, or get an error or a refusal.
-#include "../common-2/nvme_target.hpp"
+#include "nvme_target.hpp"
 
 using namespace review;
 
--- a/review/7/case.cpp
+++ b/review/common-2/case-7.cpp
@@ -1,8 +1,8 @@
 /// \file
 /// An NVMe/TCP node stands still while the data of writes is half sent, and their clients' time runs out. A
 /// write that the broker has refused must not run, as its client tries again.
-#include "../common-2/nvme_target.hpp"
-#include "../common-2/relay.hpp"
+#include "nvme_target.hpp"
+#include "relay.hpp"
 
 using namespace review;
 
--- a/review/8/case.cpp
+++ b/review/common-2/case-8.cpp
@@ -1,7 +1,7 @@
 /// \file
 /// Some answers of RESP2 nodes announce a length that does not fit their value. Clients must be served the
 /// value that the node made, or get an error or a refusal.
-#include "../common-2/harness.hpp"
+#include "harness.hpp"
 
 using namespace review;
 
--- a/review/9/case.cpp
+++ b/review/common-2/case-9.cpp
@@ -1,7 +1,7 @@
 /// \file
 /// Clients read long values slowly and send their next command meanwhile. Each client must get the whole of
 /// the value.
-#include "../common-2/harness.hpp"
+#include "harness.hpp"
 
 using namespace review;
 
