--- a/review/common-2/case-7.cpp
+++ b/review/common-2/case-7.cpp
@@ -9,12 +9,12 @@
 namespace {
 
 constexpr std::uint32_t kBlockBytes = 8192;
-constexpr int kPlanners = 8;
+constexpr int kPlanners = 4;
 constexpr int kWrites = 2 * kPlanners;
-constexpr int kMostRounds = 200;
-constexpr double kMostSeconds = 95;
+constexpr int kMostRounds = 60;
+constexpr double kMostSeconds = 60;
 constexpr int kEnoughFound = 1;
-constexpr int kClientWaitMs = 130;
+constexpr int kClientWaitMs = 40;
 constexpr int kSecondWaitMs = 2500;
 constexpr auto kStandStill = 225ms; // at most the longest of the site's, see claim.txt
 constexpr auto kSettle = 250ms;
