--- a/review/common-2/case-8.cpp
+++ b/review/common-2/case-8.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-constexpr int kReads = 160;
-constexpr int kSpoiltOneIn = 4;
+constexpr int kReads = 400;
+constexpr int kSpoiltOneIn = 10;
 constexpr int kMostExtraBytes = 16;
 
 /// A node's answer whose bulk string is announced as `extra_bytes` longer than it is.
