--- a/review/common-2/case-9.cpp
+++ b/review/common-2/case-9.cpp
@@ -57,6 +57,10 @@
             std::this_thread::sleep_for(kBetweenReads);
     }
     const bool whole = received >= wanted;
+    if (whole && !sent_next && client.send(test::get(fmt::format("{:016x}", 0x200 + number)))) {
+        const Reply next = read_reply(client);
+        record.line("client {}: sends its next command after the value: {}", number, name(next.kind));
+    }
     (whole ? totals.whole : totals.cut) += 1;
     record.line("client {}: {}; {} of {} bytes of its value{}", number, end, std::min(received, wanted),
                 wanted, whole ? "" : ", THE REST IS LOST");
