Serve a node's value only if what follows it confirms its length

Cause: receive() took a value for whole once its announced bytes and a line end had come. Where the rest of the answer did not parse, or did not come within 5 ms, it served the value alone. But only the rest shows that the length is right: a wrong one falls on another line end. The same held for values over 64 KiB, whose end was passed on before the rest had come, and for a broker's answer with bytes behind it.

Change: a value counts once the three elements of the answer are there, or the next at least begins where it must, whatever is wrong with it. That is enough, as a wrong length hides or moves an element. The rest may be 300 ms late.

Tests: resp_test served an answer that breaks off within its figures ("$9\r\nused" and no more). That was wrong: a report that is still coming, behind a length that swallowed the figures, looks the same. The form moved to the answers that must not be served, with their bound of 1 s. All else there stays.

--- a/src/net/resp/node_port.cpp
+++ b/src/net/resp/node_port.cpp
@@ -15,10 +15,13 @@
 
 // How long a node may send nothing within a response before the connection is closed.
 constexpr Micros kSilenceTimeout = 100'000;
-// The same once the response's value is complete.
-constexpr Micros kSilenceTimeoutAfterValue = 5'000;
+// The same once the response's value is complete: longer than nodes stand still, as the value is served only
+// if the rest comes.
+constexpr Micros kSilenceTimeoutAfterValue = 300'000;
 // The time from a connection's last response until it is used again.
 constexpr Micros kReuseDelay = 10'000;
+// The value, the figures on its use and the load report.
+constexpr std::size_t kNodeResponseElements = 3;
 // As kSilenceTimeout, within a long value, whose node or network path may be slow.
 constexpr Micros kStreamSilenceTimeout = 5'000'000;
 
@@ -57,30 +60,60 @@
     bool unusable = false; // the connection must not be used again
 };
 
-// Reads one response. A complete value is valid whatever follows it: the request has run, and the remaining
-// array elements cannot change that, so they are awaited only briefly. A response that stops half-way is
-// given up after a timeout, too. A long value is put into the attempt's stream as it arrives, no faster than
-// the stream is read.
+// Whether what could be parsed of a response confirms the announced length of its value, although the rest is
+// malformed. A wrong length hides the start of an element that follows the value, or moves it. So the length
+// is right if the next element starts where it has to, whatever is wrong with that element.
+bool confirms_value(const Reader &reader, const Malformed &error) {
+    return reader.first_element() && !dynamic_cast<const Misplaced *>(&error);
+}
+
+// Whether the length of a well-formed response's value can be trusted. A node's value has two elements behind
+// it, and may have excess bytes behind these. A broker sends the value alone, and nothing behind it.
+bool is_trusted(const Value &response, bool excess, NodePort::Peers peers) {
+    if (peers == NodePort::Peers::Brokers)
+        return !excess;
+    return response.kind != Value::Kind::Array || response.elements.size() == kNodeResponseElements;
+}
+
+// The response with its value alone, as its other elements cannot be read.
+Value without_figures(const Reader &reader) {
+    Value response{Value::Kind::Array, false, {}, {}};
+    response.elements.push_back({Value::Kind::Bulk, false, *reader.first_element(), {}});
+    response.elements.resize(kNodeResponseElements, {Value::Kind::Bulk, true, {}, {}});
+    return response;
+}
+
+Micros silence_timeout(const Reader &reader, const core::Attempt &attempt) {
+    if (attempt.stream)
+        return kStreamSilenceTimeout;
+    return reader.first_element() ? kSilenceTimeoutAfterValue : kSilenceTimeout;
+}
+
+// Reads one response. The end of its value is known only from what follows it: if the announced length is
+// wrong, the value's "end" is a line end elsewhere. So a value counts only once the rest of the response is
+// parsed, or at least confirms the length. A response that stops half-way is given up after a timeout. A long
+// value is put into the attempt's stream as it arrives, no faster than the stream is read; the stream is
+// completed only if the value counts.
 asio::awaitable<Response> receive(NodeConnection &connection, core::Deadlines &deadlines,
-                                  core::MemoryBudget &memory, core::Attempt &attempt) {
+                                  core::MemoryBudget &memory, NodePort::Peers peers, core::Attempt &attempt) {
     Response response;
     Reader reader(kMaxNodeBulkBytes);
     core::MemoryBudget::Reservation reserved(memory);
     core::Deadlines::Entry timer;
     while (!response.value && !response.unusable) {
         if (!reader.is_between_messages() || !connection.received.empty())
-            timer = connection.close_if_silent(deadlines, reader.first_element() ? kSilenceTimeoutAfterValue
-                                                          : attempt.stream       ? kStreamSilenceTimeout
-                                                                                 : kSilenceTimeout);
+            timer = connection.close_if_silent(deadlines, silence_timeout(reader, attempt));
         response.unusable =
             bool(co_await read_more(connection.socket, connection.received,
                                     attempt.stream ? core::Stream::kBufferBytes : kReadChunkBytes));
         std::string_view bytes = connection.received;
         try {
             response.value = reader.take(bytes);
-        } catch (const Malformed &error) { // a malformed response is not interpreted
+        } catch (const Malformed &error) {
             core::log("malformed response from a node: {}", error.what());
             response.unusable = true;
+            if (confirms_value(reader, error))
+                response.value = without_figures(reader);
         }
         connection.received.erase(0, connection.received.size() - bytes.size());
         if (connection.received.empty())
@@ -93,19 +126,15 @@
                 response.value ? std::move(response.value->elements.front().text) : reader.take_first_part();
             if (!part.empty())
                 response.unusable |= !co_await attempt.stream->put(std::move(part));
-            if (response.value || reader.first_element())
-                attempt.stream->finish(true);
         }
         reserved.resize(connection.received.size() + (attempt.stream ? 0 : reader.incomplete_bytes()));
     }
-    if (!response.value)
-        if (const std::string *value = reader.first_element()) {
-            response.value = Value{Value::Kind::Array, false, {}, {}};
-            response.value->elements.push_back({Value::Kind::Bulk, false, *value, {}});
-        }
+    const bool excess = !connection.received.empty(); // bytes after the response belong to no request
+    response.unusable |= excess;
+    if (response.value && !is_trusted(*response.value, excess, peers))
+        response.value.reset();
     if (attempt.stream)
-        attempt.stream->finish(false);                 // has no effect if the stream has finished already
-    response.unusable |= !connection.received.empty(); // bytes after the response belong to no request
+        attempt.stream->finish(response.value.has_value());
     co_return response;
 }
 
@@ -260,7 +289,7 @@
         attempt->on_written();
     Response response;
     if (fully_written)
-        response = co_await receive(*connection, deadlines_, memory_, *attempt);
+        response = co_await receive(*connection, deadlines_, memory_, peers_, *attempt);
     attempt->on_stop = nullptr;
     if (!response.value) {
         connection->close();
@@ -313,7 +342,7 @@
     co_await write_all(connection->socket, request, error);
     Response response;
     if (!error)
-        response = co_await receive(*connection, deadlines_, memory_, probe_attempt);
+        response = co_await receive(*connection, deadlines_, memory_, peers_, probe_attempt);
     probe_attempt.on_stop = nullptr;
     if (!response.value) {
         connection->close();
--- a/src/net/resp/parser.cpp
+++ b/src/net/resp/parser.cpp
@@ -54,7 +54,7 @@
                 return std::nullopt;
             const char type = bytes.front();
             if (std::string_view("+-:$*").find(type) == std::string_view::npos)
-                throw Malformed("unexpected byte");
+                throw Misplaced("unexpected byte");
             std::string_view rest = bytes.substr(1);
             const auto head = take_line(rest);
             if (!head)
@@ -75,7 +75,7 @@
                 }
             } else if (type == '*') {
                 if (array_)
-                    throw Malformed("array within an array");
+                    throw Misplaced("array within an array");
                 const long size = parse_length(*head, kMaxArrayElements, "array");
                 value.kind = Value::Kind::Array;
                 value.null = size < 0;
--- a/src/net/resp/parser.hpp
+++ b/src/net/resp/parser.hpp
@@ -14,6 +14,11 @@
 struct Malformed : std::runtime_error {
     using std::runtime_error::runtime_error;
 };
+/// No message or element can begin where one has to. If it is an element of an array, the announced length of
+/// the element before it may be wrong.
+struct Misplaced : Malformed {
+    using Malformed::Malformed;
+};
 
 inline constexpr std::size_t kMaxClientBulkBytes = 64 * 1024;     ///< of a bulk string from a client
 inline constexpr std::size_t kMaxNodeBulkBytes = 4 * 1024 * 1024; ///< from a node, whose values can be long
--- /dev/null
+++ b/tests/node_port_test.cpp
@@ -0,0 +1,221 @@
+/// \file
+/// The node ports, run within this process against fake nodes and brokers.
+/// Usage: node_port_test SCENARIO
+#include "helper.hpp"
+#include "scenarios.hpp"
+
+#include "net/resp/node_port.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+using namespace test;
+namespace core = marblewood::core;
+namespace net = marblewood::net;
+namespace asio = boost::asio;
+using marblewood::Micros;
+using marblewood::NodeId;
+using marblewood::Status;
+
+namespace {
+
+constexpr Micros kAttemptTime = 5'000'000;
+constexpr int kDescriptors = 256;
+constexpr std::size_t kMemoryBytes = std::size_t{8} << 20;
+const NodeId kNode{1};
+
+/// What one attempt ended with.
+struct Result {
+    bool ended = false;
+    core::AttemptResult attempt;
+    std::string streamed; ///< what a client was sent of a long value
+    bool stream_complete = false;
+};
+
+/// The event loop, and all that a port needs of the broker.
+class Loop {
+public:
+    Loop() {
+        settings.classes.resize(1);
+        settings.classes[0].name = "read";
+        settings.plans.resize(1);
+        settings.plans[0].name = "standard";
+    }
+
+    std::shared_ptr<core::Attempt> attempt(bool write = false, std::string body = {}) {
+        auto request = std::make_shared<core::Request>();
+        request->id = "id";
+        request->data_key = "7f3a9c21e0b4d655";
+        request->arrival.write = write;
+        request->arrival.cls = 0;
+        request->arrival.plan = 0;
+        request->body = std::move(body);
+        auto attempt = std::make_shared<core::Attempt>();
+        attempt->request = std::move(request);
+        attempt->node = kNode;
+        attempt->started_at = clock.now();
+        attempt->expires_at = clock.now() + kAttemptTime;
+        attempt->may_write = [] { return true; };
+        attempt->on_written = [] {};
+        return attempt;
+    }
+
+    /// Runs an attempt to its end, and reads its value if it is streamed.
+    Result run(core::NodePort &port, const std::shared_ptr<core::Attempt> &attempt) {
+        Result result;
+        attempt->begin_stream = [&](std::size_t length) {
+            attempt->stream = std::make_shared<core::Stream>(io.get_executor(), memory, length);
+            asio::co_spawn(io, read(attempt->stream, result), asio::detached);
+        };
+        asio::co_spawn(io, port.run(attempt), [&](const std::exception_ptr &, core::AttemptResult ended) {
+            result.attempt = std::move(ended);
+            result.ended = true;
+        });
+        io.restart();
+        const auto expiry = deadlines.at(attempt->expires_at, [&] { attempt->stop(Status::Timeout); });
+        while (!result.ended)
+            io.run_one();
+        io.poll();
+        return result;
+    }
+
+    asio::io_context io;
+    core::Clock clock;
+    core::Deadlines deadlines{io, clock};
+    core::MemoryBudget memory{kMemoryBytes};
+    net::SocketBudget sockets{kDescriptors};
+    marblewood::Settings settings;
+
+private:
+    static asio::awaitable<void> read(std::shared_ptr<core::Stream> stream, Result &result) {
+        for (std::string piece = co_await stream->take(); !piece.empty(); piece = co_await stream->take())
+            result.streamed += piece;
+        result.stream_complete = stream->is_complete();
+    }
+};
+
+net::tcp::endpoint local_endpoint(int port) {
+    return {asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(port)};
+}
+
+using Peers = net::resp::NodePort::Peers;
+
+/// Runs one read at a node, or a broker, that sends `parts`, with a pause after each, and nothing more.
+Result read_from(const std::vector<std::string> &parts, Peers peers = Peers::Nodes) {
+    constexpr auto kPause = 150ms;
+    Server node([&](Socket &s) {
+        if (!s.value())
+            return;
+        for (const std::string &part : parts) {
+            s.send(part);
+            if (&part != &parts.back())
+                std::this_thread::sleep_for(kPause);
+        }
+        while (s.more())
+            ;
+    });
+    Loop loop;
+    net::resp::NodePort port(loop.io.get_executor(), loop.deadlines, loop.memory, loop.sockets, loop.settings,
+                             peers);
+    port.place(kNode, local_endpoint(node.port));
+    return loop.run(port, loop.attempt());
+}
+
+/// The rest of a node's response: figures and load report, each empty for null.
+std::string rest_of(const std::string &figures, const std::string &report) {
+    std::string rest;
+    for (const std::string &text : {figures, report})
+        if (text.empty())
+            rest += "$-1\r\n";
+        else
+            resp::put_bulk(rest, text);
+    return rest;
+}
+
+std::string response(const std::string &value, std::size_t announced_bytes, const std::string &rest) {
+    return fmt::format("*3\r\n${}\r\n{}\r\n{}", announced_bytes, value, rest);
+}
+
+const std::string kShortValue = "a value\r\n with a line end in it";
+const std::string kLongValue = std::string(100'000, 'v') + "\r\n" + std::string(100'000, 'w');
+
+// Guards against a value that is served with bytes of the protocol behind it, or cut off, as the node
+// announced a wrong length for it (review/8).
+void a_value_of_a_wrong_length_is_not_served() {
+    for (const std::string &rest :
+         {rest_of("", ""), rest_of("used=37", ""), rest_of("", "inflight=7,queue=2"),
+          rest_of("used=37,cost=4", "inflight=7,queue=2,util=0.61")})
+        for (const std::string &value : {kShortValue, kLongValue}) {
+            std::vector<std::size_t> lengths = {value.find('\r')}; // cut off at the line end
+            for (std::size_t end = rest.find('\r'); end != std::string::npos; end = rest.find('\r', end + 1))
+                lengths.push_back(value.size() + 2 + end); // too long, up to a line end in the rest
+            for (const std::size_t length : lengths) {
+                const Result result = read_from({response(value, length, rest)});
+                fmt::print(stderr, "{} bytes announced as {}: status {}, {} served, stream complete: {}\n",
+                           value.size(), length, static_cast<int>(result.attempt.status),
+                           result.attempt.value.size(), result.stream_complete);
+                assert(result.attempt.status != Status::Ok && result.attempt.value.empty());
+                assert(!result.stream_complete);
+            }
+        }
+}
+
+// Guards against an array that says that nothing follows the value, which leaves its length unconfirmed.
+void a_value_that_nothing_confirms_is_not_served() {
+    for (const std::string &value : {kShortValue, kLongValue})
+        for (const char *const head : {"*1\r\n", "*2\r\n", "*4\r\n"}) {
+            std::string bytes = head;
+            resp::put_bulk(bytes, value);
+            const Result result = read_from({bytes + rest_of("", "")});
+            assert(result.attempt.status != Status::Ok && !result.stream_complete);
+        }
+}
+
+// Guards against refusing good answers: figures that can't be read, more behind the answer than belongs to
+// it, and a node that pauses before the figures.
+void a_value_that_its_rest_confirms_is_served() {
+    const std::vector<std::string> rests = {
+        rest_of("used=37,cost=4", "inflight=7"),
+        rest_of("used=x", "?"),
+        ":7\r\n+what\r\n",
+        "$-9\r\n$-1\r\n",           // a length that can't be
+        "$4\r\nused=37\r\n$-1\r\n", // one that does not fit
+        "$x\r\nused=37\r\n$-1\r\n", // one that is no number
+        "$99999999\r\nused=37\r\n", // one beyond all measure
+        rest_of("", "") + "noise",
+        rest_of("", "") + "*3\r\n$1\r\nx\r\n$-1\r\n$-1\r\n",
+    };
+    for (const std::string &value : {kShortValue, kLongValue})
+        for (const std::string &rest : rests)
+            for (const bool pause : {false, true}) {
+                const std::string begin = response(value, value.size(), "");
+                const Result result = read_from(pause ? std::vector{begin, rest} : std::vector{begin + rest});
+                assert(result.attempt.status == Status::Ok);
+                const bool streamed = value.size() > resp::kMaxClientBulkBytes;
+                assert((streamed ? result.streamed : result.attempt.value) == value);
+                assert(result.stream_complete == streamed);
+            }
+}
+
+// Guards against serving a value with which another broker answered in the wrong length.
+void a_broker_s_value_of_a_wrong_length_is_not_served() {
+    const std::string right = fmt::format("${}\r\n{}\r\n", kShortValue.size(), kShortValue);
+    assert(read_from({right}, Peers::Brokers).attempt.value == kShortValue);
+    const std::string cut = fmt::format("${}\r\n{}\r\n", kShortValue.find('\r'), kShortValue);
+    assert(read_from({cut}, Peers::Brokers).attempt.status != Status::Ok);
+    const std::string long_one = fmt::format("${}\r\n{}\r\n", kShortValue.size() + 2, kShortValue);
+    assert(read_from({long_one}, Peers::Brokers).attempt.status != Status::Ok);
+}
+
+constexpr Scenario kScenarios[] = {
+    {"wrong_length", a_value_of_a_wrong_length_is_not_served},
+    {"unconfirmed", a_value_that_nothing_confirms_is_not_served},
+    {"confirmed", a_value_that_its_rest_confirms_is_served},
+    {"broker_wrong_length", a_broker_s_value_of_a_wrong_length_is_not_served},
+};
+
+} // namespace
+
+int main(int argc, char **argv) {
+    return run_scenario(kScenarios, argc, argv);
+}
--- a/tests/resp_test.cpp
+++ b/tests/resp_test.cpp
@@ -381,14 +381,16 @@
     assert(thief.value()->text == "mine");
 }
 
-// A malformed answer of a node is never sent to the client, nor waited on until the request's timeout; a
-// complete value is valid whatever follows it; and a connection with excess bytes is not reused.
+// A malformed answer of a node is never sent to the client, nor waited on until the request's timeout, even
+// if it breaks off within its figures, as then nothing shows that its value ended where it should; a value is
+// served although its figures can't be read; and a connection with excess bytes is not reused.
 void spoilt_answers_are_told_from_good_ones() {
     const std::string good = RespNode::served("right");
     for (const std::string &malformed :
          {std::string("*3\r\n$500\r\nshort"), std::string("*3\r\n$3000000000\r\nx"),
           std::string("*3\r\n$2\r\nwrong\r\n$-1\r\n$-1\r\n"), std::string("+OK\r\n"),
-          std::string("-BUSYBODY\r\n"), std::string(5000, '-'), std::string(":7\r\n")}) {
+          std::string("*3\r\n$5\r\nright\r\n$9\r\nused"), std::string("-BUSYBODY\r\n"),
+          std::string(5000, '-'), std::string(":7\r\n")}) {
         RespNode node([&](const auto &, int nth) { return nth == 9 ? malformed : good; });
         const Discovery discovery(member("s-1", node.server.port, 0));
         const Program program(discovery);
@@ -402,10 +404,9 @@
         assert(client.value()->text == "right" && node.server.accepted == 2);
         assert(std::chrono::steady_clock::now() - from < 1s);
     }
-    for (const std::string &excess :
-         {good + RespNode::served("a second copy"), good + "noise",
-          std::string("*3\r\n$5\r\nright\r\n$-9\r\n"), std::string("*3\r\n$5\r\nright\r\n$9\r\nused"),
-          std::string("*3\r\n$5\r\nright\r\n$6\r\nused=x\r\n$1\r\n?\r\n")}) {
+    for (const std::string &excess : {good + RespNode::served("a second copy"), good + "noise",
+                                      std::string("*3\r\n$5\r\nright\r\n$-9\r\n"),
+                                      std::string("*3\r\n$5\r\nright\r\n$6\r\nused=x\r\n$1\r\n?\r\n")}) {
         RespNode node([&](const auto &, int) { return excess; });
         const Discovery discovery(member("s-1", node.server.port, 0));
         const Program program(discovery);
