Pass on long values that are forwarded from another cell as they come

Cause: only a node's answer, an array, had its long value streamed. Another broker answers with a bulk string alone, whose length the parser offered only with its end, and the router of cells set no begin_stream. What was received was reserved, but a reservation always succeeds.

Change: the answer is given with the value's first bytes, and the rest goes through the bounded stream that nodes' values take. A value that has begun is not ended by its time; a client that leaves ends the attempt.

Values up to 64 KiB are still held whole: memory_limit_test pipelined_values and nvme_blocks hold what both fronts take of them to 32 MB.

--- a/src/net/cells/cell_router.hpp
+++ b/src/net/cells/cell_router.hpp
@@ -56,6 +56,7 @@
         core::RequestDispatcher *dispatcher = nullptr; ///< Set if served here.
         RequestId dispatched_id{};
         std::shared_ptr<core::Attempt> attempt; ///< Set if forwarded.
+        bool answered = false;                  ///< Whether its value, forwarded here, is being streamed.
         bool waiting = false;                   ///< Whether the request waits for a migration.
         core::Deadlines::Entry wait_timeout;
         std::unique_ptr<core::MemoryBudget::Reservation> reservation; ///< Set if forwarded or waiting.
@@ -93,6 +94,7 @@
                                   marblewood::cells::RoutingRequest routing);
     asio::awaitable<core::AttemptResult> attempt_at(Id id, std::string broker,
                                                     std::shared_ptr<const core::Request> request);
+    void on_stream_began(Id id, std::shared_ptr<core::Stream> stream);
     void on_forwarded(Id id, const std::string &broker, const core::Request &request,
                       core::AttemptResult result);
     void request_newer_map(const std::string &broker);
--- a/src/net/cells/cell_router_requests.cpp
+++ b/src/net/cells/cell_router_requests.cpp
@@ -231,14 +231,35 @@
         return pending_.contains(id) && deadlines_.clock.now() < expires;
     };
     attempt->on_written = [] {};
+    attempt->begin_stream = [this, id, running = attempt.get()](std::size_t length) {
+        running->stream = std::make_shared<core::Stream>(io_.get_executor(), memory_, length);
+        on_stream_began(id, running->stream);
+    };
     pending_.at(id).attempt = attempt;
-    const auto timeout = deadlines_.at(attempt->expires_at - kReplyTransitTime,
-                                       [&running = *attempt] { running.stop(Status::Timeout); });
+    const auto timeout = deadlines_.at(attempt->expires_at - kReplyTransitTime, [&running = *attempt] {
+        if (!running.stream)
+            running.stop(Status::Timeout);
+    });
     co_return co_await broker_port_.run(attempt);
 }
 
+/// Answers the client with a long value while it arrives. The entry in pending_ stays until the value has
+/// ended, because the client may disconnect before that.
+void CellRouter::on_stream_began(Id id, std::shared_ptr<core::Stream> stream) {
+    const auto found = pending_.find(id);
+    if (found == pending_.end())
+        return stream->abandon();
+    found->second.answered = true;
+    const CompletionCallback on_complete = found->second.on_complete; // may remove the entry
+    on_complete({.kind = core::Outcome::Kind::Served, .stream = std::move(stream)});
+}
+
 void CellRouter::on_forwarded(Id id, const std::string &broker, const core::Request &request,
                               core::AttemptResult result) {
+    if (const auto found = pending_.find(id); found != pending_.end() && found->second.answered) {
+        pending_.erase(found);
+        return;
+    }
     switch (result.status) {
     case Status::Ok:
         return finish(id, {core::Outcome::Kind::Served, std::move(result.value), 0, true});
@@ -277,8 +298,11 @@
         stop_waiting(pending);
     if (pending.dispatcher)
         pending.dispatcher->client_disconnected(pending.dispatched_id);
-    if (pending.attempt)
-        pending.attempt->stop(Status::Cancelled);
+    if (!pending.attempt)
+        return;
+    if (pending.attempt->stream)
+        pending.attempt->stream->abandon();
+    pending.attempt->stop(Status::Cancelled);
 }
 
 void CellRouter::answer_now(RequestId id) {
@@ -286,6 +310,8 @@
     if (found == pending_.end())
         return;
     PendingRequest &pending = found->second;
+    if (pending.answered)
+        return;
     if (pending.dispatcher)
         return pending.dispatcher->answer_now(pending.dispatched_id);
     if (pending.attempt)
--- a/src/net/resp/node_port.cpp
+++ b/src/net/resp/node_port.cpp
@@ -89,6 +89,21 @@
     return reader.first_element() ? kSilenceTimeoutAfterValue : kSilenceTimeout;
 }
 
+// The length of a response's value, if that is long and is being received. Only brokers send a value alone.
+std::optional<std::size_t> long_value_length(const Reader &reader, NodePort::Peers peers) {
+    if (peers == NodePort::Peers::Nodes && !reader.is_in_array())
+        return std::nullopt;
+    return reader.long_first_length();
+}
+
+// Removes and returns the value of a whole response, or what has arrived of it since the last call.
+std::string take_part(std::optional<Value> &response, Reader &reader) {
+    if (!response)
+        return reader.take_first_part();
+    const bool in_array = response->kind == Value::Kind::Array;
+    return std::move(in_array ? response->elements.front().text : response->text);
+}
+
 // Reads one response. The end of its value is known only from what follows it: if the announced length is
 // wrong, the value's "end" is a line end elsewhere. So a value counts only once the rest of the response is
 // parsed, or at least confirms the length. A response that stops half-way is given up after a timeout. A long
@@ -118,12 +133,12 @@
         connection.received.erase(0, connection.received.size() - bytes.size());
         if (connection.received.empty())
             std::string().swap(connection.received); // frees the capacity, too
-        if (const auto length = reader.long_first_length(); length && !attempt.stream && attempt.begin_stream)
+        if (const auto length = long_value_length(reader, peers);
+            length && !attempt.stream && attempt.begin_stream)
             attempt.begin_stream(*length);
         if (attempt.stream) {
             timer.reset();
-            std::string part =
-                response.value ? std::move(response.value->elements.front().text) : reader.take_first_part();
+            std::string part = take_part(response.value, reader);
             if (!part.empty())
                 response.unusable |= !co_await attempt.stream->put(std::move(part));
         }
--- a/src/net/resp/parser.cpp
+++ b/src/net/resp/parser.cpp
@@ -140,11 +140,11 @@
 }
 
 std::optional<std::size_t> Reader::long_first_length() const {
-    const bool in_first = bulk_ && array_ && array_->elements.empty();
+    const bool in_first = bulk_ && (!array_ || array_->elements.empty());
     return in_first && bulk_length_ > kMaxClientBulkBytes ? std::optional(bulk_length_) : std::nullopt;
 }
 std::string Reader::take_first_part() {
-    if (bulk_ && array_ && array_->elements.empty())
+    if (bulk_ && (!array_ || array_->elements.empty()))
         return std::exchange(bulk_->text, {});
     return array_ && !array_->elements.empty() ? std::exchange(array_->elements.front().text, {})
                                                : std::string();
--- a/src/net/resp/parser.hpp
+++ b/src/net/resp/parser.hpp
@@ -46,12 +46,14 @@
     bool is_between_messages() const { return !array_ && !bulk_; }
     /// The total length of the bulk strings of the incomplete message, as announced.
     std::size_t incomplete_bytes() const { return message_bytes_; }
-    /// The announced length of an array's first bulk string, if that string is being received and is longer
-    /// than kMaxClientBulkBytes; else empty. Once a length has been returned, the caller may remove the
-    /// string in parts with take_first_part() until the message is complete.
+    /// The announced length of the message's first bulk string, in an array or alone, if that string is being
+    /// received and is longer than kMaxClientBulkBytes; else empty. Once a length has been returned, the
+    /// caller may remove the string in parts with take_first_part() until the message is complete.
     std::optional<std::size_t> long_first_length() const;
-    /// Removes and returns the received bytes of an incomplete array's first bulk string.
+    /// Removes and returns the received bytes of the incomplete message's first bulk string.
     std::string take_first_part();
+    /// Whether the incomplete message is an array.
+    bool is_in_array() const { return array_.has_value(); }
     /// Encodes the kept part of the incomplete message again.
     std::string unfinished() const;
     /// The first element of an incomplete array, if that element is complete and a bulk string; else null.
--- a/tests/cells_net_test.cpp
+++ b/tests/cells_net_test.cpp
@@ -113,6 +113,24 @@
     std::optional<Program> broker_a, broker_b;
 };
 
+// The connections of `count` clients, which send a read each at once, and again if they are refused. Each has
+// then begun to receive the long value.
+std::list<Socket> begin_long_reads(const Program &broker, int count) {
+    constexpr std::size_t kFirstBytes = 1000;
+    std::list<Socket> clients;
+    for (int n = 0; n < count; ++n)
+        clients.emplace_back(broker.client()).send(get(kPiece));
+    for (Socket &client : clients)
+        while (client.in.size() < kFirstBytes) {
+            assert(client.more());
+            if (!client.in.starts_with("-BUSY"))
+                continue;
+            client.in.clear();
+            client.send(get(kPiece));
+        }
+    return clients;
+}
+
 RespNode::Script serving(const std::string &value) {
     return [value](const auto &, int) { return RespNode::served(value); };
 }
@@ -348,9 +366,46 @@
     std::filesystem::remove_all(folder);
 }
 
+// Guards against a broker that holds the long values which it forwards whole, and passes its memory limit
+// (review/10).
+void long_values_are_forwarded_as_they_come() {
+    constexpr int kClients = 30;
+    constexpr std::size_t kMostKilobytes = std::size_t{Limits{}.memory_mb} * 1024;
+    const std::string value(resp::kMaxNodeBulkBytes, 'v');
+    Installation installation(serving(value), serving("b"));
+    const std::size_t before = installation.broker_b->memory_kb();
+    std::list<Socket> clients = begin_long_reads(*installation.broker_b, kClients);
+    const std::size_t peak = installation.broker_b->peak_memory_kb();
+    fmt::print(stderr, "memory: {} kB, then at most {} kB\n", before, peak);
+    assert(peak < before + kMostKilobytes);
+    std::this_thread::sleep_for(1600ms); // beyond the time of the reads
+    for (Socket &client : clients)
+        assert(client.value()->text == value);
+    assert(request(*installation.broker_b, get(kPiece)) == value); // the connections are used again
+}
+
+// Guards against a forwarded value that is taken for whole although it breaks off, and against one that goes
+// on after its client has left.
+void a_forwarded_long_value_can_break_off() {
+    const std::string part = fmt::format("*3\r\n${}\r\n{}", 3'000'000, std::string(200'000, 'v'));
+    Installation installation([&](const auto &, int) { return part; }, serving("b"));
+    {
+        std::list<Socket> leaving = begin_long_reads(*installation.broker_b, 1);
+        assert(installation.broker_a->figures().at("current") == 1);
+    }
+    for (int n = 0; n < 200 && installation.broker_a->figures().at("current") > 0; ++n)
+        std::this_thread::sleep_for(10ms);
+    assert(installation.broker_a->figures().at("current") == 0);
+    std::list<Socket> clients = begin_long_reads(*installation.broker_b, 1);
+    clients.front().ended();
+    assert(clients.front().in.size() < 3'000'000);
+}
+
 } // namespace
 
 int main() {
+    long_values_are_forwarded_as_they_come();
+    a_forwarded_long_value_can_break_off();
     a_wrong_layout_names_the_field();
     a_migration_survives_a_restart_of_the_coordinator();
     requests_wait_for_a_migration();
--- a/tests/memory_limit_test.cpp
+++ b/tests/memory_limit_test.cpp
@@ -12,6 +12,8 @@
 
 const std::string kPiece = "7f3a9c21e0b4d655", kPing = "*1\r\n$4\r\nPING\r\n";
 constexpr Limits kLimits{.memory_mb = 32, .sockets = 1024};
+constexpr int kPipelinedRequests = 32;
+constexpr auto kUnreadTime = 4s;
 constexpr int kCrowd = 700; // connections, of the 728 that clients can have
 constexpr std::size_t kKilobytesPerMegabyte = 1024;
 
@@ -139,6 +141,17 @@
                    .receive_buffer_bytes = 4096},
                   5s);
 }
+// Guards against values that come in for requests which were taken while there was room, and are held whole.
+void answers_to_pipelined_requests() {
+    const Fixture fixture(std::string(60'000, 'v'));
+    const auto reads = [] {
+        std::string requests;
+        for (int n = 0; n < kPipelinedRequests; ++n)
+            requests += get(kPiece);
+        return requests;
+    };
+    fixture.check({.connections = 300, .next = reads, .receive_buffer_bytes = 4096}, kUnreadTime);
+}
 void values_passed_on_slowly() {
     const Fixture fixture(std::string(1'000'000, 'v'));
     fixture.check({.connections = 300,
@@ -191,11 +204,13 @@
     assert(peak < kLimits.memory_mb * kKilobytesPerMegabyte);
 }
 
-std::string nvme_connect(std::uint16_t cid) {
+std::string nvme_connect(std::uint16_t cid, std::uint32_t queue = 0, std::uint16_t controller = 0xffff) {
     nvme::Command command = nvme::Command::make(nvme::op::kFabrics, cid);
     nvme::set(command.bytes, 4, nvme::op::kConnect);
     command.describe_data(1024, true);
+    command.set_dword(10, queue << 16);
     std::string data(1024, '\0');
+    nvme::set(data, 16, controller);
     data.replace(256, kSubsystem.size(), kSubsystem);
     return command.capsule(data);
 }
@@ -213,6 +228,41 @@
                    .reconnects = true},
                   3s);
 }
+std::string nvme_read(std::uint16_t cid) {
+    nvme::Command command = nvme::Command::make(nvme::op::kRead, cid, 1);
+    command.describe_data(65'536, false);
+    command.set_dword(10, std::uint64_t{1});
+    return command.capsule();
+}
+std::uint16_t nvme_controller_of(Socket &admin) {
+    admin.send(nvme::ic_req() + nvme_connect(1));
+    for (;;) {
+        const auto pdu = nvme::take(admin.in);
+        if (pdu && pdu->type == nvme::Type::Response)
+            return static_cast<std::uint16_t>(nvme::Completion::read(*pdu).result);
+        if (!pdu)
+            assert(admin.more());
+    }
+}
+// The same as answers_to_pipelined_requests(), for hosts.
+void nvme_blocks_not_read() {
+    constexpr int kHosts = 100;
+    const Fixture fixture(std::string(60'000, 'v'));
+    std::string commands;
+    for (std::uint16_t cid = 2; cid < 2 + kPipelinedRequests; ++cid)
+        commands += nvme_read(cid);
+    std::list<Socket> sockets;
+    for (int n = 0; n < kHosts; ++n) {
+        Socket &admin = sockets.emplace_back(Socket::to(fixture.nvme_port));
+        const std::uint16_t controller = nvme_controller_of(admin);
+        Socket &queue = sockets.emplace_back(Socket::to(fixture.nvme_port));
+        queue.send(nvme::ic_req() + nvme_connect(1, 1, controller) + commands);
+    }
+    std::this_thread::sleep_for(kUnreadTime);
+    fmt::print(stderr, "sends: {}\n", fixture.program.figures().at("sends"));
+    fixture.expect_service();
+    fixture.expect_within_limit();
+}
 void nvme_replies_not_read() {
     const Fixture fixture;
     std::string commands;
@@ -234,6 +284,8 @@
     {"short_fields", heads_of_short_fields},
     {"unread_replies", replies_not_read},
     {"slow_readers", long_answers_read_slowly},
+    {"pipelined_values", answers_to_pipelined_requests},
+    {"nvme_blocks", nvme_blocks_not_read},
     {"slow_streams", values_passed_on_slowly},
     {"new_volumes", ever_new_volumes},
     {"new_volumes_crowd", ever_new_volumes_of_a_crowd},
