--- a/src/net/nvme/node_port.hpp
+++ b/src/net/nvme/node_port.hpp
@@ -18,10 +18,9 @@
 
 namespace marblewood::net::nvme {
 
-inline constexpr std::size_t kMetadataBytes = 8;
-
 class Association;
 
+/// Runs its attempts over one association for each node.
 class NodePort : public core::NodePort {
 public:
     NodePort(asio::any_io_executor executor, core::Deadlines &deadlines, SocketBudget &budget,
