Count a write given up while its last PDU is being written as one that may have run

Cause: abandoning a command removes the PDUs that wait, but the one being written goes out to its end. The write counted as one that may have run only once all of it was written, and one turn of the event loop late.

Change: the command's progress says when its last PDU was started; from then on a command given up may run. It is set without letting other handlers run in between. After a loss of the association only a complete one can have run.

--- a/src/net/nvme/association.cpp
+++ b/src/net/nvme/association.cpp
@@ -76,7 +76,7 @@
 void Association::abandon(const CommandPtr &command) {
     if (!io_ || !io_->has(command))
         return;
-    if (!command->write_started)
+    if (command->progress == WriteProgress::NotStarted)
         return io_->remove(command);
     io_->remove_unwritten(command);
     command->mailbox = nullptr;
@@ -154,14 +154,16 @@
                 command.mailbox->put(WriteDeclined{});
             continue;
         }
-        command.write_started = true;
+        const bool is_last = outgoing_pdu.completes_command;
+        command.advance(is_last ? WriteProgress::LastPduStarted : WriteProgress::Started);
         boost::system::error_code error;
-        const std::size_t written = co_await write_all(queue->socket, outgoing_pdu.bytes, error);
-        if (outgoing_pdu.completes_command && written == outgoing_pdu.bytes.size()) {
-            command.fully_written = true;
+        const std::size_t written = co_await write_without_yield(queue->socket, outgoing_pdu.bytes, error);
+        if (is_last && written == outgoing_pdu.bytes.size()) {
+            command.advance(WriteProgress::Complete);
             if (command.on_written)
                 command.on_written();
         }
+        co_await asio::post(queue->socket.get_executor(), asio::use_awaitable); // lets other connections run
         if (error) {
             if (queue == self->admin_ || queue == self->io_)
                 self->close_connections(error.message().c_str());
--- a/src/net/nvme/association.hpp
+++ b/src/net/nvme/association.hpp
@@ -7,6 +7,7 @@
 #include "net/nvme/pdu.hpp"
 #include "net/sockets.hpp"
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
@@ -35,6 +36,10 @@
 using Event = std::variant<AssociationReady, AssociationLost, Stopped, WriteDeclined, CommandCompleted>;
 using EventMailbox = core::Mailbox<Event>;
 
+/// How much of a command, and of a Write's data, has been handed to the system. A PDU whose writing has
+/// started goes out to its end, even if the command is abandoned, unless the association is closed before.
+enum class WriteProgress { NotStarted, Started, LastPduStarted, Complete };
+
 /// A command without a completion. It is shared by its queue and the attempt that waits for it, so that what
 /// is known of it outlives the queue. Its identifier is not used again before the completion.
 struct PendingCommand {
@@ -44,11 +49,17 @@
     EventMailbox *mailbox = nullptr;  ///< null: abandoned
     std::string body;                 ///< data of a Write
     std::string data_read;            ///< data received for a Read
-    std::function<void()> on_written; ///< called once `fully_written` is set
-    bool write_started = false;
-    bool fully_written = false;
+    std::function<void()> on_written; ///< called once all of it is written
+    WriteProgress progress = WriteProgress::NotStarted;
     core::Deadlines::Entry abort_timer; ///< runs once the command is abandoned
     Micros issued_at = 0;               ///< of an admin command
+
+    /// A node may ask for a Write's data in any order, and more than once.
+    void advance(WriteProgress reached) { progress = std::max(progress, reached); }
+    /// Whether the node can run it, or have run it, although it is abandoned.
+    bool can_run_if_abandoned() const { return progress >= WriteProgress::LastPduStarted; }
+    /// Whether the node can have run it, now that the association is closed.
+    bool can_have_run() const { return progress == WriteProgress::Complete; }
 };
 using CommandPtr = std::shared_ptr<PendingCommand>;
 
@@ -60,7 +71,7 @@
     struct OutgoingPdu {
         std::string bytes;
         CommandPtr command;
-        bool completes_command;          ///< the command is fully written once this PDU is written
+        bool completes_command;          ///< the command is complete with this PDU
         std::function<bool()> may_write; ///< called just before the PDU is written; false: it must not be
     };
 
--- a/src/net/nvme/node_port.cpp
+++ b/src/net/nvme/node_port.cpp
@@ -99,9 +99,11 @@
         read_completion(std::move(*completed), request.arrival.write, result);
     } else if (std::holds_alternative<WriteDeclined>(event)) {
         result.status = Status::Superseded;
-    } else {
-        result.status = attempt->status_when_interrupted(pending->fully_written);
+    } else if (std::holds_alternative<Stopped>(event)) {
+        result.status = attempt->status_when_interrupted(pending->can_run_if_abandoned());
         node->abandon(pending);
+    } else {
+        result.status = attempt->status_when_interrupted(pending->can_have_run());
     }
     node->forget(mailbox);
     co_return result;
--- a/tests/helper.hpp
+++ b/tests/helper.hpp
@@ -135,8 +135,16 @@
 class Server {
 public:
     using Handler = std::function<void(Socket &)>;
-    explicit Server(Handler handler, int listen_port = 0) : handler_(std::move(handler)) {
+    /// \param receive_buffer_bytes of each connection, whose segments are then those of an Ethernet, so that
+    /// a peer's writes soon have to wait; 0: the system's.
+    explicit Server(Handler handler, int listen_port = 0, int receive_buffer_bytes = 0)
+        : handler_(std::move(handler)) {
         fd_ = ::socket(AF_INET, SOCK_STREAM, 0);
+        if (receive_buffer_bytes > 0) {
+            constexpr int kSegmentBytes = 1400;
+            setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes, sizeof receive_buffer_bytes);
+            setsockopt(fd_, IPPROTO_TCP, TCP_MAXSEG, &kSegmentBytes, sizeof kSegmentBytes);
+        }
         const int on = 1;
         setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
         sockaddr_in address = local(listen_port);
@@ -149,10 +157,12 @@
             for (int fd; (fd = ::accept(fd_, nullptr, nullptr)) >= 0;) {
                 const std::lock_guard lock(mutex_);
                 ++accepted;
+                ++running_;
                 auto &socket = sockets_.emplace_back(fd);
                 threads_.emplace_back([this, &socket] {
                     handler_(socket);
                     socket.shut();
+                    --running_;
                 });
             }
         });
@@ -169,11 +179,14 @@
         for (auto &thread : threads_)
             thread.join();
     }
+    /// The number of connections whose handler has not returned.
+    int running_handlers() const { return running_; }
     int port = 0;
     std::atomic<int> accepted = 0;
 
 private:
     Handler handler_;
+    std::atomic<int> running_ = 0;
     int fd_;
     std::mutex mutex_;
     std::list<Socket> sockets_;
--- a/tests/node_port_test.cpp
+++ b/tests/node_port_test.cpp
@@ -25,6 +25,7 @@
 constexpr int kDescriptors = 256;
 constexpr std::size_t kMemoryBytes = std::size_t{8} << 20;
 const NodeId kNode{1};
+constexpr std::uint64_t kKey = 0x105;
 
 /// What one attempt ended with.
 struct Result {
@@ -44,10 +45,11 @@
         settings.plans[0].name = "standard";
     }
 
-    std::shared_ptr<core::Attempt> attempt(bool write = false, std::string body = {}) {
+    std::shared_ptr<core::Attempt> attempt(bool write = false, std::string body = {},
+                                           std::uint64_t key = kKey) {
         auto request = std::make_shared<core::Request>();
         request->id = "id";
-        request->data_key = "7f3a9c21e0b4d655";
+        request->data_key = fmt::format("{:016x}", key);
         request->arrival.write = write;
         request->arrival.cls = 0;
         request->arrival.plan = 0;
@@ -294,12 +296,94 @@
     interrupted_at_each_step(Interruption::Stopped);
 }
 
+// Guards against a write that is told as never run while its data is on its way to a node that stands still,
+// and that the node runs when it goes on (review/7).
+void an_nvme_write_is_stopped_while_its_data_is_written() {
+    constexpr int kRounds = 10;
+    constexpr int kWrites = 100; // more data than the buffers on the way hold
+    constexpr int kReceiveBufferBytes = 2048;
+    constexpr auto kStuck = 50ms;
+    constexpr auto kGoesOn = 100ms;
+    int never_run = 0;
+    for (int round = 0; round < kRounds; ++round) {
+        Target target([](bool, std::uint64_t, int) { return Behavior::Serve; }, kReceiveBufferBytes);
+        target.stands_still_after = kWrites;
+        std::vector<std::shared_ptr<core::Attempt>> attempts;
+        std::deque<Result> results(kWrites);
+        NvmeFixture fixture(target.server.port);
+        for (int n = 0; n < kWrites; ++n) {
+            attempts.push_back(
+                fixture.loop.attempt(true, std::string(kBlockBytes, 'w'), static_cast<std::uint64_t>(n)));
+            fixture.loop.start(fixture.port, attempts.back(), results[static_cast<std::size_t>(n)]);
+        }
+        while (!target.stands_still)
+            fixture.loop.io.run_one_for(1ms);
+        fixture.loop.io.run_for(kStuck);
+        for (const auto &attempt : attempts)
+            attempt->stop(Status::Timeout);
+        for (const Result &result : results)
+            fixture.loop.finish(result);
+        target.stands_still = false;
+        fixture.loop.io.restart();
+        fixture.loop.io.run_for(kGoesOn);
+        for (std::size_t n = 0; n < results.size(); ++n) {
+            const bool told_never_ran = is_never_ran(results[n].attempt.status);
+            never_run += told_never_ran ? 1 : 0;
+            assert(!told_never_ran || target.runs(n) == 0);
+        }
+    }
+    fmt::print(stderr, "never run: {} of {} writes\n", never_run, kRounds * kWrites);
+    assert(never_run > 0); // else the buffers have held all data, and no write was stopped half-way
+}
+
+/// Stops a write at a RESP2 node that stands still, which then goes on. Returns whether the node got it
+/// whole, and whether it was told as never run.
+std::pair<bool, bool> stop_resp_write(std::size_t body_bytes) {
+    constexpr int kReceiveBufferBytes = 2048;
+    constexpr auto kStuck = 50ms;
+    std::atomic<bool> stands_still = true;
+    std::atomic<bool> whole = false;
+    Server node(
+        [&](Socket &s) {
+            while (stands_still)
+                std::this_thread::sleep_for(1ms);
+            whole = s.value().has_value();
+        },
+        0, kReceiveBufferBytes);
+    Loop loop;
+    net::resp::NodePort port(loop.io.get_executor(), loop.deadlines, loop.memory, loop.sockets,
+                             loop.settings);
+    port.place(kNode, local_endpoint(node.port));
+    const auto attempt = loop.attempt(true, std::string(body_bytes, 'b'));
+    Result result;
+    loop.start(port, attempt, result);
+    loop.io.run_for(kStuck);
+    attempt->stop(Status::Timeout);
+    loop.finish(result);
+    stands_still = false;
+    while (node.running_handlers() > 0)
+        std::this_thread::sleep_for(1ms);
+    return {whole, is_never_ran(result.attempt.status)};
+}
+
+// The same at a RESP2 node, whose connection is closed with the attempt: what was not handed to the system by
+// then never arrives.
+void a_resp_write_is_stopped_while_it_is_written() {
+    constexpr std::size_t kMoreThanBuffers = resp::kMaxNodeBulkBytes;
+    const auto [long_whole, long_never_ran] = stop_resp_write(kMoreThanBuffers);
+    assert(!long_whole && long_never_ran);
+    const auto [short_whole, short_never_ran] = stop_resp_write(100);
+    assert(short_whole && !short_never_ran);
+}
+
 constexpr Scenario kScenarios[] = {
     {"wrong_length", a_value_of_a_wrong_length_is_not_served},
     {"unconfirmed", a_value_that_nothing_confirms_is_not_served},
     {"confirmed", a_value_that_its_rest_confirms_is_served},
     {"nvme_moved", an_nvme_node_moves_at_each_step},
     {"nvme_stopped", an_nvme_attempt_is_stopped_at_each_step},
+    {"nvme_data_in_flight", an_nvme_write_is_stopped_while_its_data_is_written},
+    {"resp_data_in_flight", a_resp_write_is_stopped_while_it_is_written},
     {"broker_wrong_length", a_broker_s_value_of_a_wrong_length_is_not_served},
 };
 
--- a/tests/nvme_target.hpp
+++ b/tests/nvme_target.hpp
@@ -30,11 +30,20 @@
 class Target {
 public:
     using Script = std::function<Behavior(bool write, std::uint64_t block, int nth)>;
-    explicit Target(Script script) : script_(std::move(script)), server([this](Socket &s) { serve(s); }) {}
+    explicit Target(Script script, int receive_buffer_bytes = 0)
+        : script_(std::move(script)), server([this](Socket &s) { serve(s); }, 0, receive_buffer_bytes) {}
+    ~Target() { stands_still = false; }
+    /// How many commands for the block have been executed.
+    int runs(std::uint64_t block) {
+        const std::lock_guard lock(mutex_);
+        return commands_by_block_[block];
+    }
     std::atomic<int> commands = 0, aborts = 0;
     std::atomic<int> writes_run = 0;
     std::atomic<int> abort_delay_ms = 0; // from an Abort command to its completion
     std::atomic<bool> ignore_keep_alives = false;
+    std::atomic<int> stands_still_after = 0; // so many requests for a write's data; 0: never
+    std::atomic<bool> stands_still = false;  // reads nothing
 
 private:
     void serve(Socket &s) {
@@ -77,6 +86,9 @@
             } else if (c.opcode() == op::kWrite) {
                 writes[c.cid()] = {c.dword<std::uint64_t>(10), ""};
                 s.send(nvme::r2t(c.cid(), c.cid(), 0, kExtendedBlockBytes));
+                stands_still = ++data_requests_ == stands_still_after;
+                while (stands_still)
+                    std::this_thread::sleep_for(1ms);
                 continue;
             } else if (c.opcode() == op::kRead) {
                 if (!complete_command(s, c.cid(), false, c.dword<std::uint64_t>(10), ""))
@@ -121,6 +133,7 @@
         return true;
     }
     Script script_;
+    std::atomic<int> data_requests_ = 0;
     std::mutex mutex_;
     std::map<std::uint64_t, int> commands_by_block_;
     std::map<std::uint64_t, std::string> blocks_;
