Notify attempts that wait for an NVMe association when connecting has ended

What would be seen: an attempt that comes just after the connections of an association were closed, while it was being made, waits until its time is up. A hot restart closes them so.

Cause: closing notifies those that wait at that moment; who comes before the connecting coroutine has ended was added to those that wait for it, and it ended without a word.

Evidence: node_port_test nvme_drained on the code before: the second attempt had not ended after 10 s.

Change: the end of connecting notifies all that wait by then.

Measured: nvme_drained, nvme_moved, nvme_stopped and nvme_data_in_flight pass.

--- a/src/net/nvme/association.cpp
+++ b/src/net/nvme/association.cpp
@@ -117,8 +117,7 @@
         core::log("nvme node {}:{}: {}", address.address().to_string(), address.port(), reason);
     ready_ = false;
     keep_alive_.reset();
-    std::vector<EventMailbox *> notified(waiting_mailboxes.begin(), waiting_mailboxes.end());
-    waiting_mailboxes.clear();
+    std::vector<EventMailbox *> notified;
     boost::system::error_code ignored;
     for (const auto &queue : {admin_, io_}) {
         if (!queue)
@@ -132,6 +131,7 @@
         }
     }
     admin_ = io_ = nullptr;
+    notify_waiting(AssociationLost{});
     for (EventMailbox *mailbox : notified)
         mailbox->put(AssociationLost{});
 }
@@ -295,15 +295,20 @@
     connecting_ = false;
     if (!connected || !admin_) {
         close_connections("not connected");
+        notify_waiting(AssociationLost{}); // those that came after the connections had been closed
         co_return;
     }
     ready_ = true;
     asio::co_spawn(executor_, receive_pdus(self, admin_), asio::detached);
     asio::co_spawn(executor_, receive_pdus(self, io_), asio::detached);
     keep_alive();
+    notify_waiting(AssociationReady{});
+}
+
+void Association::notify_waiting(const Event &event) {
     const std::set<EventMailbox *> notified = std::exchange(waiting_mailboxes, {});
     for (EventMailbox *mailbox : notified)
-        mailbox->put(AssociationReady{});
+        mailbox->put(event);
 }
 
 void Association::keep_alive() {
--- a/src/net/nvme/association.hpp
+++ b/src/net/nvme/association.hpp
@@ -156,6 +156,8 @@
 
     asio::awaitable<void> establish(std::shared_ptr<Association> self);
 
+    // Notifies the attempts and probes that wait for the association.
+    void notify_waiting(const Event &event);
     void keep_alive();
 
     // Whether the node has had kKeepAliveInterval for an admin command and has not completed it.
--- a/tests/node_port_test.cpp
+++ b/tests/node_port_test.cpp
@@ -226,7 +226,7 @@
 }
 
 /// What ends an attempt from outside.
-enum class Interruption { AddressChanged, Stopped };
+enum class Interruption { AddressChanged, Stopped, Drained };
 
 bool is_never_ran(Status status) {
     return status == Status::ConnectFailed || status == Status::Superseded || status == Status::Rejected;
@@ -247,8 +247,10 @@
     void interrupt(Interruption kind, core::Attempt &attempt) {
         if (kind == Interruption::AddressChanged)
             port.place(kNode, local_endpoint(free_port()), {kSubsystem, 1});
-        else
+        else if (kind == Interruption::Stopped)
             attempt.stop(Status::Timeout);
+        else
+            port.close_idle(kNode);
     }
     Loop loop;
     net::nvme::NodePort port;
@@ -296,6 +298,11 @@
     interrupted_at_each_step(Interruption::Stopped);
 }
 
+// Guards against attempts that wait for an association that is not being made any more.
+void an_nvme_node_drains_at_each_step() {
+    interrupted_at_each_step(Interruption::Drained);
+}
+
 // Guards against a write that is told as never run while its data is on its way to a node that stands still,
 // and that the node runs when it goes on (review/7).
 void an_nvme_write_is_stopped_while_its_data_is_written() {
@@ -382,6 +389,7 @@
     {"confirmed", a_value_that_its_rest_confirms_is_served},
     {"nvme_moved", an_nvme_node_moves_at_each_step},
     {"nvme_stopped", an_nvme_attempt_is_stopped_at_each_step},
+    {"nvme_drained", an_nvme_node_drains_at_each_step},
     {"nvme_data_in_flight", an_nvme_write_is_stopped_while_its_data_is_written},
     {"resp_data_in_flight", a_resp_write_is_stopped_while_it_is_written},
     {"broker_wrong_length", a_broker_s_value_of_a_wrong_length_is_not_served},
