Match the answers during an NVMe association's set-up with their commands

What would be seen: a node that sends a second copy behind an answer while its association is being made can't be used; the attempts that wait are told as not connected.

Cause: the commands of the set-up shared one identifier, and the next completion was taken for the present command's.

Change: each has an identifier of its own, and copies of earlier answers are passed over, also after the set-up.

--- a/src/net/nvme/association.cpp
+++ b/src/net/nvme/association.cpp
@@ -18,11 +18,27 @@
 constexpr Micros kSilenceTimeout = 100'000;
 // The data of one H2CData PDU. It is small, so that a cancelled write stops before all of its data is sent.
 constexpr std::size_t kDataPduBytes = std::size_t{16} * 1024;
-// From here on, identifiers are those of the commands that set a queue up.
-constexpr std::uint16_t kFirstSetupCommandId = 0xfff0;
+
+// The identifier of the command that a C2HData or Response PDU answers.
+std::uint16_t command_id(const Pdu &pdu) {
+    return pdu.type == Type::Response ? Completion::read(pdu).cid : get<std::uint16_t>(pdu.head, 8);
+}
+
+// Whether a PDU answers a command that set a queue up.
+bool answers_setup_command(const Pdu &pdu) {
+    const bool answer = pdu.type == Type::Response || pdu.type == Type::C2HData;
+    return answer && command_id(pdu) >= kFirstSetupCommandId;
+}
 
 } // namespace
 
+std::uint16_t Queue::next_setup_command_id() {
+    const std::uint16_t cid = next_setup_command_id_;
+    next_setup_command_id_ =
+        cid == kLastSetupCommandId ? kFirstSetupCommandId : static_cast<std::uint16_t>(cid + 1);
+    return cid;
+}
+
 CommandPtr Queue::add_command() {
     if (pending.size() >= kEntries - 1)
         return nullptr;
@@ -193,6 +209,8 @@
 
 asio::awaitable<std::optional<Completion>> Association::execute(QueuePtr queue, Command command,
                                                                 std::string body, std::string *read) {
+    const std::uint16_t cid = queue->next_setup_command_id();
+    set(command.bytes, 2, cid);
     const std::string bytes = command.capsule(body);
     boost::system::error_code error;
     co_await write_all(queue->socket, bytes, error);
@@ -200,6 +218,8 @@
         const std::optional<Pdu> pdu = co_await receive(queue);
         if (!pdu)
             break;
+        if (answers_setup_command(*pdu) && command_id(*pdu) != cid)
+            continue; // a second copy of an earlier answer
         if (pdu->type == Type::C2HData && read)
             *read += pdu->data;
         else if (pdu->type == Type::Response)
@@ -222,7 +242,7 @@
     if (!answer || answer->type != Type::ICResp)
         co_return std::nullopt;
     max_h2c_data_bytes_ = std::max<std::uint32_t>(get<std::uint32_t>(answer->head, 12), 4096);
-    Command command = Command::make(op::kFabrics, 0xfff0);
+    Command command = Command::make(op::kFabrics, 0);
     set(command.bytes, 4, op::kConnect);
     command.describe_data(1024, true);
     command.set_dword(10, static_cast<std::uint32_t>(number) << 16);
@@ -243,14 +263,14 @@
     const auto controller = co_await connect(admin, 0, 0xffff, until);
     if (!controller)
         co_return false;
-    Command enable = Command::make(op::kFabrics, 0xfff0);
+    Command enable = Command::make(op::kFabrics, 0);
     set(enable.bytes, 4, op::kPropertySet);
     enable.set_dword(11, property::kConfig);
     enable.set_dword(12, 0x00460001u); // queue entry sizes; enabled
     auto done = co_await execute(admin, enable, {}, nullptr);
     if (!done || !done->status.ok())
         co_return false;
-    Command get_status = Command::make(op::kFabrics, 0xfff0);
+    Command get_status = Command::make(op::kFabrics, 0);
     set(get_status.bytes, 4, op::kPropertyGet);
     get_status.set_dword(11, property::kStatus);
     do {
@@ -259,7 +279,7 @@
             co_return false;
     } while (!(done->result & 1));
     std::string page;
-    Command identify = Command::make(op::kIdentify, 0xfff0, mapping_.nsid);
+    Command identify = Command::make(op::kIdentify, 0, mapping_.nsid);
     identify.describe_data(4096, false);
     done = co_await execute(admin, identify, {}, &page);
     if (!done || !done->status.ok() || page.size() != 4096)
@@ -358,6 +378,8 @@
 
 void Association::handle_pdu(const QueuePtr &queue, const Pdu &pdu) {
     const auto malformed = [&](Fatal fatal, const char *what) { return Malformed(fatal, what, pdu.head); };
+    if (answers_setup_command(pdu))
+        return; // a second copy
     if (pdu.type == Type::Response)
         return handle_completion(queue, Completion::read(pdu));
     if (queue != io_ || (pdu.type != Type::C2HData && pdu.type != Type::R2T))
--- a/src/net/nvme/association.hpp
+++ b/src/net/nvme/association.hpp
@@ -63,6 +63,10 @@
 };
 using CommandPtr = std::shared_ptr<PendingCommand>;
 
+/// The identifiers of the commands that set a queue up. All others are below.
+inline constexpr std::uint16_t kFirstSetupCommandId = 0xfff0;
+inline constexpr std::uint16_t kLastSetupCommandId = 0xfffe;
+
 /// The connection of one queue.
 class Queue {
 public:
@@ -80,6 +84,9 @@
     /// Adds a command with an identifier that no other one has, not even an abandoned one. Null if the queue
     /// is full.
     CommandPtr add_command();
+    /// The identifier of the next command that sets the queue up, one after the other, so that an answer that
+    /// comes twice is not taken for the next one's.
+    std::uint16_t next_setup_command_id();
     /// Whether the command waits for its completion on this queue.
     bool has(const CommandPtr &command) const;
     /// Removes the command, and what of it is not being written yet.
@@ -96,6 +103,7 @@
 
 private:
     std::uint16_t last_command_id_ = 0;
+    std::uint16_t next_setup_command_id_ = kFirstSetupCommandId;
 };
 
 /// The two queues of one node, which are connected on demand.
--- a/tests/nvme_target.hpp
+++ b/tests/nvme_target.hpp
@@ -42,6 +42,7 @@
     std::atomic<int> writes_run = 0;
     std::atomic<int> abort_delay_ms = 0; // from an Abort command to its completion
     std::atomic<bool> ignore_keep_alives = false;
+    std::atomic<bool> answers_setup_twice = false;
     std::atomic<int> stands_still_after = 0; // so many requests for a write's data; 0: never
     std::atomic<bool> stands_still = false;  // reads nothing
 
@@ -62,6 +63,7 @@
                 continue;
             }
             const Command c{pdu->head.substr(8, 64)};
+            std::string answer;
             Completion done;
             done.cid = c.cid();
             if (c.opcode() == op::kFabrics) {
@@ -77,7 +79,7 @@
                 nvme::set<std::uint8_t>(page, 26, 0x10);
                 nvme::set<std::uint16_t>(page, 128, 8);
                 nvme::set<std::uint8_t>(page, 130, 12);
-                s.send(nvme::data(Type::C2HData, c.cid(), 0, 0, page, true));
+                answer += nvme::data(Type::C2HData, c.cid(), 0, 0, page, true);
             } else if (c.opcode() == op::kKeepAlive && ignore_keep_alives) {
                 continue;
             } else if (c.opcode() == op::kAbort) {
@@ -95,7 +97,9 @@
                     return;
                 continue;
             }
-            s.send(done.capsule());
+            answer += done.capsule();
+            const bool sets_up = c.opcode() == op::kFabrics || c.opcode() == op::kIdentify;
+            s.send(sets_up && answers_setup_twice ? answer + answer : answer);
         }
     }
     bool complete_command(Socket &s, std::uint16_t cid, bool write, std::uint64_t block,
--- a/tests/nvme_test.cpp
+++ b/tests/nvme_test.cpp
@@ -140,6 +140,22 @@
     }
 }
 
+// Guards against an answer that comes twice while the association is being made, and is taken for the answer
+// to the next command.
+void a_second_copy_during_the_set_up_changes_nothing() {
+    Target target(serve_all);
+    target.answers_setup_twice = true;
+    const Discovery discovery(member("s-1", target.server.port, 0));
+    const Program program(discovery, operator_settings(free_port(), true));
+    Socket client = program.client();
+    for (int n = 0; n < 3; ++n) {
+        client.send(put("0000000000000105", "value"));
+        assert(client.value()->text == "OK");
+        std::this_thread::sleep_for(50ms);
+    }
+    assert(target.server.accepted == 2); // one association
+}
+
 // Guards against closing an idle association because further hosts connect: hosts keep idle queues open.
 void idle_associations_stay() {
     RespNode node([](const auto &, int) { return RespNode::served("v"); });
@@ -608,6 +624,7 @@
     the_bytes_are_the_specifications();
     hosts_and_resp_clients_share_an_nvme_node();
     a_second_copy_behind_an_answer_changes_nothing();
+    a_second_copy_during_the_set_up_changes_nothing();
     idle_associations_stay();
     hosts_are_served_by_resp_nodes();
     long_values_are_not_cut_to_a_block();
