Reserve the memory of a block before a command moves it to or from an NVMe node

What callers see: nothing; the memory budget, by which requests are taken or refused, did not count the blocks on their way from and to NVMe nodes, up to 127 for each node.

Evidence: node_port_test nvme_reserved fails with the new reservation taken out.

Change: a command reserves its block, or its data twice (it stands in the PDUs, too), before it is written.

Measured: nvme_reserved, nvme_moved, nvme_stopped, nvme_drained, nvme_data_in_flight pass plain and under the sanitizers.

--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -60,7 +60,8 @@
       memory_((config_.memory_mb << 20) / kMemoryDivisor),
       nvme_mapping_(net::nvme::read_mapping(operator_config_.nvme, config_.settings)),
       resp_port_(io_.get_executor(), deadlines_, memory_, sockets_, config_.settings),
-      nvme_port_(io_.get_executor(), deadlines_, sockets_, config_.settings, nvme_mapping_.block_bytes),
+      nvme_port_(io_.get_executor(), deadlines_, memory_, sockets_, config_.settings,
+                 nvme_mapping_.block_bytes),
       ports_(resp_port_), random_(std::random_device{}()),
       admin_acceptor_(
           config_.control.empty()
--- a/src/lab/scale/hollow_broker.cpp
+++ b/src/lab/scale/hollow_broker.cpp
@@ -22,8 +22,8 @@
     : name_(fmt::format("n{}", position)), budget_(kSockets), memory_(kMemory),
       settings_(own_settings(config, position)), figures_(settings_.classes.size()),
       resp_port_(io.get_executor(), deadlines, memory_, budget_, settings_),
-      nvme_port_(io.get_executor(), deadlines, budget_, settings_, mapping_.block_bytes), ports_(resp_port_),
-      fleet_(nodes_, zones_, mapping_, resp_port_, nvme_port_, ports_, dispatchers_) {
+      nvme_port_(io.get_executor(), deadlines, memory_, budget_, settings_, mapping_.block_bytes),
+      ports_(resp_port_), fleet_(nodes_, zones_, mapping_, resp_port_, nvme_port_, ports_, dispatchers_) {
     core::DispatcherCallbacks around;
     around.send_peer_message = [this](std::optional<int> peer, const std::string &data) {
         if (peers_)
--- a/src/net/nvme/association.cpp
+++ b/src/net/nvme/association.cpp
@@ -45,7 +45,7 @@
     do
         last_command_id_ = static_cast<std::uint16_t>((last_command_id_ + 1) % kFirstSetupCommandId);
     while (pending.contains(last_command_id_));
-    const auto command = std::make_shared<PendingCommand>(last_command_id_);
+    const auto command = std::make_shared<PendingCommand>(last_command_id_, memory_);
     pending.emplace(command->cid, command);
     return command;
 }
@@ -81,6 +81,8 @@
         return nullptr;
     set(command.bytes, 2, pending->cid);
     pending->mailbox = &mailbox;
+    // A Read's block, or a Write's data, once more in the PDUs that wait to be written.
+    pending->reservation.resize(body.empty() ? block_bytes_ + kMetadataBytes : 2 * body.size());
     pending->body = std::move(body);
     pending->on_written = std::move(on_written);
     // A Write cannot run before its data is sent.
@@ -297,8 +299,8 @@
 }
 
 asio::awaitable<void> Association::establish(std::shared_ptr<Association> self) {
-    admin_ = std::make_shared<Queue>(executor_);
-    io_ = std::make_shared<Queue>(executor_);
+    admin_ = std::make_shared<Queue>(executor_, memory_);
+    io_ = std::make_shared<Queue>(executor_, memory_);
     admin_->lease = budget_.node();
     io_->lease = budget_.node();
     bool connected = false;
--- a/src/net/nvme/association.hpp
+++ b/src/net/nvme/association.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/mailbox.hpp"
+#include "core/memory_budget.hpp"
 #include "net/nvme/mapping.hpp"
 #include "net/nvme/pdu.hpp"
 #include "net/sockets.hpp"
@@ -43,13 +44,15 @@
 /// A command without a completion. It is shared by its queue and the attempt that waits for it, so that what
 /// is known of it outlives the queue. Its identifier is not used again before the completion.
 struct PendingCommand {
-    explicit PendingCommand(std::uint16_t identifier) : cid(identifier) {}
+    PendingCommand(std::uint16_t identifier, core::MemoryBudget &memory)
+        : cid(identifier), reservation(memory) {}
 
     const std::uint16_t cid;
-    EventMailbox *mailbox = nullptr;  ///< null: abandoned
-    std::string body;                 ///< data of a Write
-    std::string data_read;            ///< data received for a Read
-    std::function<void()> on_written; ///< called once all of it is written
+    EventMailbox *mailbox = nullptr;             ///< null: abandoned
+    std::string body;                            ///< data of a Write
+    std::string data_read;                       ///< data received for a Read
+    core::MemoryBudget::Reservation reservation; ///< of its data, before any of that arrives
+    std::function<void()> on_written;            ///< called once all of it is written
     WriteProgress progress = WriteProgress::NotStarted;
     core::Deadlines::Entry abort_timer; ///< runs once the command is abandoned
     Micros issued_at = 0;               ///< of an admin command
@@ -79,7 +82,8 @@
         std::function<bool()> may_write; ///< called just before the PDU is written; false: it must not be
     };
 
-    explicit Queue(const asio::any_io_executor &executor) : socket(executor) {}
+    Queue(const asio::any_io_executor &executor, core::MemoryBudget &memory)
+        : socket(executor), memory_(memory) {}
 
     /// Adds a command with an identifier that no other one has, not even an abandoned one. Null if the queue
     /// is full.
@@ -102,6 +106,7 @@
     bool writing = false;
 
 private:
+    core::MemoryBudget &memory_;
     std::uint16_t last_command_id_ = 0;
     std::uint16_t next_setup_command_id_ = kFirstSetupCommandId;
 };
@@ -109,11 +114,11 @@
 /// The two queues of one node, which are connected on demand.
 class Association : public std::enable_shared_from_this<Association> {
 public:
-    Association(asio::any_io_executor executor, core::Deadlines &deadlines, SocketBudget &budget,
-                const tcp::endpoint &at, NodeMapping mapping, std::uint32_t block_bytes,
+    Association(asio::any_io_executor executor, core::Deadlines &deadlines, core::MemoryBudget &memory,
+                SocketBudget &budget, const tcp::endpoint &at, NodeMapping mapping, std::uint32_t block_bytes,
                 Micros connect_timeout)
         : address(at), mapping_(std::move(mapping)), executor_(std::move(executor)), deadlines_(deadlines),
-          budget_(budget), block_bytes_(block_bytes), connect_timeout_(connect_timeout) {}
+          memory_(memory), budget_(budget), block_bytes_(block_bytes), connect_timeout_(connect_timeout) {}
 
     /// Puts AssociationReady into the mailbox once the association is established, or AssociationLost if that
     /// fails.
@@ -180,6 +185,7 @@
     NodeMapping mapping_;
     asio::any_io_executor executor_;
     core::Deadlines &deadlines_;
+    core::MemoryBudget &memory_;
     SocketBudget &budget_;
     std::uint32_t block_bytes_, max_h2c_data_bytes_ = 4096;
     Micros connect_timeout_;
--- a/src/net/nvme/node_port.cpp
+++ b/src/net/nvme/node_port.cpp
@@ -20,9 +20,9 @@
     return Status::Error;
 }
 
-NodePort::NodePort(asio::any_io_executor executor, core::Deadlines &deadlines, SocketBudget &budget,
-                   const Settings &settings, std::uint32_t block_bytes)
-    : executor_(std::move(executor)), deadlines_(deadlines), budget_(budget),
+NodePort::NodePort(asio::any_io_executor executor, core::Deadlines &deadlines, core::MemoryBudget &memory,
+                   SocketBudget &budget, const Settings &settings, std::uint32_t block_bytes)
+    : executor_(std::move(executor)), deadlines_(deadlines), memory_(memory), budget_(budget),
       connect_timeout_(settings.connect_timeout > 0 ? settings.connect_timeout : kDefaultConnectTimeout),
       block_bytes_(block_bytes) {}
 
@@ -32,8 +32,8 @@
         return;
     if (at)
         at->close_connections("address changed");
-    at = std::make_shared<Association>(executor_, deadlines_, budget_, address, mapping, block_bytes_,
-                                       connect_timeout_);
+    at = std::make_shared<Association>(executor_, deadlines_, memory_, budget_, address, mapping,
+                                       block_bytes_, connect_timeout_);
 }
 
 void NodePort::forget(NodeId node) {
--- a/src/net/nvme/node_port.hpp
+++ b/src/net/nvme/node_port.hpp
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "core/mailbox.hpp"
+#include "core/memory_budget.hpp"
 #include "core/node_port.hpp"
 #include "marblewood/settings.hpp"
 #include "net/nvme/mapping.hpp"
@@ -24,8 +25,8 @@
 /// Runs its attempts over one association for each node.
 class NodePort : public core::NodePort {
 public:
-    NodePort(asio::any_io_executor executor, core::Deadlines &deadlines, SocketBudget &budget,
-             const Settings &settings, std::uint32_t block_bytes);
+    NodePort(asio::any_io_executor executor, core::Deadlines &deadlines, core::MemoryBudget &memory,
+             SocketBudget &budget, const Settings &settings, std::uint32_t block_bytes);
     /// Sets or changes the address of a node.
     void place(NodeId node, const tcp::endpoint &address, const NodeMapping &mapping);
     /// Removes a node that is no longer in the endpoint list, and closes its connections. The node must have
@@ -41,6 +42,7 @@
 
     asio::any_io_executor executor_;
     core::Deadlines &deadlines_;
+    core::MemoryBudget &memory_;
     SocketBudget &budget_;
     Micros connect_timeout_;
     std::uint32_t block_bytes_;
--- a/tests/node_port_test.cpp
+++ b/tests/node_port_test.cpp
@@ -235,7 +235,8 @@
 /// A port to one NVMe node, and the loop that it runs on.
 struct NvmeFixture {
     explicit NvmeFixture(int node_port, std::uint32_t block_bytes = kBlockBytes)
-        : port(loop.io.get_executor(), loop.deadlines, loop.sockets, loop.settings, block_bytes) {
+        : port(loop.io.get_executor(), loop.deadlines, loop.memory, loop.sockets, loop.settings,
+               block_bytes) {
         port.place(kNode, local_endpoint(node_port), {kSubsystem, 1});
     }
     ~NvmeFixture() {
@@ -303,6 +304,26 @@
     interrupted_at_each_step(Interruption::Drained);
 }
 
+// Guards against blocks that are received, or wait to be written, without being counted in the memory budget.
+void an_nvme_command_s_data_is_reserved() {
+    Target target([](bool, std::uint64_t, int) { return Behavior::Silent; });
+    NvmeFixture fixture(target.server.port);
+    for (const bool write : {false, true}) {
+        const auto attempt = fixture.loop.attempt(write, write ? "value" : "");
+        Result result;
+        fixture.loop.start(fixture.port, attempt, result);
+        const int before = target.commands;
+        while (target.commands == before)
+            fixture.loop.io.run_one_for(1ms);
+        assert(fixture.loop.memory.reserved() >= kExtendedBlockBytes);
+        attempt->stop(Status::Timeout);
+        fixture.loop.finish(result);
+    }
+    fixture.port.forget(kNode);
+    fixture.loop.settle();
+    assert(fixture.loop.memory.reserved() == 0);
+}
+
 // Guards against a write that is told as never run while its data is on its way to a node that stands still,
 // and that the node runs when it goes on (review/7).
 void an_nvme_write_is_stopped_while_its_data_is_written() {
@@ -390,6 +411,7 @@
     {"nvme_moved", an_nvme_node_moves_at_each_step},
     {"nvme_stopped", an_nvme_attempt_is_stopped_at_each_step},
     {"nvme_drained", an_nvme_node_drains_at_each_step},
+    {"nvme_reserved", an_nvme_command_s_data_is_reserved},
     {"nvme_data_in_flight", an_nvme_write_is_stopped_while_its_data_is_written},
     {"resp_data_in_flight", a_resp_write_is_stopped_while_it_is_written},
     {"broker_wrong_length", a_broker_s_value_of_a_wrong_length_is_not_served},
