Wait for a write instead of a moment in node_port_test, and please the linter

resp_data_in_flight gave a short write 50 ms, which a busy machine can exceed; it waits until the write is done now, with the same check. Two locals of association.cpp can be moved from.

--- a/src/net/nvme/association.cpp
+++ b/src/net/nvme/association.cpp
@@ -45,7 +45,7 @@
     do
         last_command_id_ = static_cast<std::uint16_t>((last_command_id_ + 1) % kFirstSetupCommandId);
     while (pending.contains(last_command_id_));
-    const auto command = std::make_shared<PendingCommand>(last_command_id_, memory_);
+    auto command = std::make_shared<PendingCommand>(last_command_id_, memory_);
     pending.emplace(command->cid, command);
     return command;
 }
@@ -76,7 +76,7 @@
 
 CommandPtr Association::issue(EventMailbox &mailbox, Command command, std::string body,
                               std::function<bool()> may_write, std::function<void()> on_written) {
-    const CommandPtr pending = io_->add_command();
+    CommandPtr pending = io_->add_command();
     if (!pending)
         return nullptr;
     set(command.bytes, 2, pending->cid);
--- a/tests/node_port_test.cpp
+++ b/tests/node_port_test.cpp
@@ -120,7 +120,7 @@
 
 /// Runs one read at a node, or a broker, that sends `parts`, with a pause after each, and nothing more.
 Result read_from(const std::vector<std::string> &parts, Peers peers = Peers::Nodes) {
-    constexpr auto kPause = 150ms;
+    constexpr auto kPause = 50ms;
     Server node([&](Socket &s) {
         if (!s.value())
             return;
@@ -366,7 +366,7 @@
 
 /// Stops a write at a RESP2 node that stands still, which then goes on. Returns whether the node got it
 /// whole, and whether it was told as never run.
-std::pair<bool, bool> stop_resp_write(std::size_t body_bytes) {
+std::pair<bool, bool> stop_resp_write(std::size_t body_bytes, bool fills_buffers) {
     constexpr int kReceiveBufferBytes = 2048;
     constexpr auto kStuck = 50ms;
     std::atomic<bool> stands_still = true;
@@ -383,9 +383,13 @@
                              loop.settings);
     port.place(kNode, local_endpoint(node.port));
     const auto attempt = loop.attempt(true, std::string(body_bytes, 'b'));
+    bool written = false;
+    attempt->on_written = [&] { written = true; };
     Result result;
     loop.start(port, attempt, result);
-    loop.io.run_for(kStuck);
+    do
+        loop.io.run_for(kStuck);
+    while (!written && !fills_buffers);
     attempt->stop(Status::Timeout);
     loop.finish(result);
     stands_still = false;
@@ -398,9 +402,9 @@
 // then never arrives.
 void a_resp_write_is_stopped_while_it_is_written() {
     constexpr std::size_t kMoreThanBuffers = resp::kMaxNodeBulkBytes;
-    const auto [long_whole, long_never_ran] = stop_resp_write(kMoreThanBuffers);
+    const auto [long_whole, long_never_ran] = stop_resp_write(kMoreThanBuffers, true);
     assert(!long_whole && long_never_ran);
-    const auto [short_whole, short_never_ran] = stop_resp_write(100);
+    const auto [short_whole, short_never_ran] = stop_resp_write(100, false);
     assert(short_whole && !short_never_ran);
 }
 
