--- a/tests/nvme_target.hpp
+++ b/tests/nvme_target.hpp
@@ -62,6 +62,8 @@
                     complete_command(s, cid, true, block, data);
                 continue;
             }
+            if (pdu->type != Type::Command) // H2CTermReq: the connection is being ended
+                return;
             const Command c{pdu->head.substr(8, 64)};
             std::string answer;
             Completion done;
