Log and count connections closed before their client has acknowledged its answers

The line of a connection's end now names the written bytes that the client's side had not acknowledged (SIOCOUTQ, taken just before the close), the line is written whenever there are any, and the figure clients_closed_undelivered counts such connections.

--- a/src/admin/statistics.cpp
+++ b/src/admin/statistics.cpp
@@ -59,6 +59,7 @@
         out.counter(fmt::format("clients_closed_{}", net::kCloseReasonNames[reason]),
                     status.clients.closed[reason]);
     out.counter("clients_closed_unread", status.clients.closed_unread);
+    out.counter("clients_closed_undelivered", status.clients.closed_undelivered);
     out.gauge("clients_open", status.clients_open);
     out.gauge("clients_closing", status.clients_closing);
 }
--- a/src/net/client_figures.hpp
+++ b/src/net/client_figures.hpp
@@ -41,6 +41,8 @@
     std::uint64_t accepted = 0; ///< accepted from the listening sockets or inherited from a parent process
     std::array<std::uint64_t, kCloseReasonNames.size()> closed{};
     std::uint64_t closed_unread = 0; ///< closed by the broker with unparsed input from the client
+    /// Closed by the broker with written bytes that the client's side had not acknowledged.
+    std::uint64_t closed_undelivered = 0;
 
     std::uint64_t &of(CloseReason reason) { return closed[static_cast<std::size_t>(reason)]; }
 };
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -227,6 +227,8 @@
     ++figures_.of(*client->close_reason);
     if (client->dropped_before_shutdown > 0)
         ++figures_.closed_unread;
+    if (client->undelivered_at_close > 0)
+        ++figures_.closed_undelivered;
     log_ended(*client);
     clients_.erase(client);
     last_change_at_ = deadlines_.clock.now();
@@ -277,24 +279,27 @@
     return busiest;
 }
 
-// Logs the end of a connection if the broker had discarded unparsed input of it before shutting it down.
-// Otherwise logs it only if the broker was closing the connection, and either is quiesced or shutting down,
-// or took at least kSlowClose to close it. In all cases the number of lines is rate limited.
+// Logs the end of a connection if the broker had discarded unparsed input of it before shutting it down, or
+// closed it before the client's side had acknowledged all that was written. Otherwise logs it only if the
+// broker was closing the connection, and either is quiesced or shutting down, or took at least kSlowClose to
+// close it. In all cases the number of lines is rate limited.
 void Clients::log_ended(const Client &client) {
     const Micros now = deadlines_.clock.now();
     const Micros took = now - client.closing.started_at;
     const bool reportable =
         client.closing.started_at != 0 && (took >= kSlowClose || quiesced_since_ || on_drained_);
-    if (!reportable && client.dropped_before_shutdown == 0)
+    if (!reportable && client.dropped_before_shutdown == 0 && client.undelivered_at_close == 0)
         return;
     if (!ended_line_limiter_.allow(now))
         return;
     core::log("client {} ended after {} ms, {} ms after closing began ({}); requests received then: {}, "
-              "has sent a request: {}; bytes discarded before shutdown: {}, after: {}; suppressed lines: {}",
+              "has sent a request: {}; bytes discarded before shutdown: {}, after: {}; "
+              "bytes not acknowledged by the client: {}; suppressed lines: {}",
               client.id, (now - client.use().accepted) / 1000,
               client.closing.started_at == 0 ? 0 : took / 1000, name(*client.close_reason),
               client.requests_while_closing, client.use().has_requested, client.dropped_before_shutdown,
-              client.dropped_after_shutdown, ended_line_limiter_.take_suppressed());
+              client.dropped_after_shutdown, client.undelivered_at_close,
+              ended_line_limiter_.take_suppressed());
 }
 
 // Logs that the broker no longer waits for the rest of a client's message. Bytes that are unparsed or unread
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -105,6 +105,8 @@
     /// and after. The former may hold a request that gets no answer; the latter were sent before the client
     /// saw the end of the stream.
     std::size_t dropped_before_shutdown = 0, dropped_after_shutdown = 0;
+    /// Written bytes that the client's side had not acknowledged when the broker closed the socket.
+    std::size_t undelivered_at_close = 0;
     std::uint64_t bytes_received = 0; // since the last call of Clients::take_busiest()
     /// Set by Clients. The session calls it when it stops waiting for the rest of a message.
     std::function<void(const AbandonedMessage &)> on_message_abandoned;
@@ -153,6 +155,8 @@
     /// Closes the socket at once.
     void close(CloseReason why) {
         note_close_reason(why);
+        if (socket.is_open() && *close_reason != CloseReason::ClientDisconnected)
+            undelivered_at_close = unacknowledged_bytes(socket, use().lingering);
         boost::system::error_code ignored;
         socket.shutdown(tcp::socket::shutdown_both, ignored);
         socket.close(ignored);
--- a/src/net/sockets.hpp
+++ b/src/net/sockets.hpp
@@ -10,8 +10,10 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <linux/sockios.h>
 #include <string>
 #include <string_view>
+#include <sys/ioctl.h>
 
 namespace marblewood::net {
 
@@ -120,6 +122,21 @@
     return false;
 }
 
+/// Bytes written to the socket that the peer's system has not acknowledged. They are lost if the connection
+/// is reset. `send_shut_down`: the sending side is shut down, which counts as one more byte until it is
+/// acknowledged. 0 if the socket is closed.
+inline std::size_t unacknowledged_bytes(tcp::socket &socket, bool send_shut_down = false) {
+    int bytes = 0;
+    if (::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) != 0 || bytes <= 0)
+        return 0;
+    return static_cast<std::size_t>(bytes) - (send_shut_down ? 1 : 0);
+}
+/// Whether the system holds written bytes back, as the peer's receive buffer or the network takes no more.
+inline bool has_untransmitted_bytes(tcp::socket &socket) {
+    int bytes = 0;
+    return ::ioctl(socket.native_handle(), SIOCOUTQNSD, &bytes) == 0 && bytes > 0;
+}
+
 inline constexpr std::size_t kReadChunkBytes = 64 * 1024;
 
 /// Reads the bytes that have arrived, without waiting. They are valid until the next call: all connections
