Keep a connection until its client has taken the answers that the system holds

Cause: an answer counted as given when the system had taken its last byte, of which it holds up to 4 MB. The connection counted as idle 2 s after the last write, was shut down, and closed 0.2 s later; the client's next bytes then met a closed socket, and the reset that answers them drops what the system still holds. Every other end of a connection did the same.

Change: AnswerDelivery owns what a connection owes, up to the byte that the client's side acknowledges (SIOCOUTQ). Idle time, the shutdown of a closing connection, the close after it, eviction and the deadline of a closing connection follow from it. A client that takes nothing for 10 s is reset; after 0.5 s of that it may be ended for room, and such connections hold a quarter of the descriptors at most. Why it works: the socket is not closed while a reset could still take anything, and a client that never reads is bounded in time, descriptors and memory.

The model of eviction_test is extended by the two new states; what it checked before, it checks still.

--- /dev/null
+++ b/src/net/answer_delivery.cpp
@@ -0,0 +1,36 @@
+#include "net/answer_delivery.hpp"
+
+#include <utility>
+
+namespace marblewood::net {
+
+void AnswerDelivery::queue(std::string_view bytes, std::size_t answers, Micros now) {
+    if (is_delivered())
+        last_progress_ = now;
+    queued_.bytes += bytes;
+    queued_.answers += answers;
+}
+
+AnswerDelivery::Batch AnswerDelivery::begin_batch() {
+    Batch batch = std::exchange(queued_, {});
+    batch_bytes_ = batch.bytes.size();
+    return batch;
+}
+
+bool AnswerDelivery::on_held_by_system(std::size_t bytes, Micros now) {
+    const bool taken = bytes < held_by_system_;
+    // A connection that another process has handed over may hold bytes that were written there.
+    const bool inherited = bytes > 0 && is_delivered();
+    held_by_system_ = bytes;
+    if (taken || inherited)
+        last_progress_ = now;
+    return taken;
+}
+
+DeliveryState AnswerDelivery::state(Micros now) const {
+    if (is_delivered())
+        return DeliveryState::Delivered;
+    return is_stalled(now, kStallGrace) ? DeliveryState::Stalled : DeliveryState::InProgress;
+}
+
+} // namespace marblewood::net
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -155,6 +155,7 @@
         client->close_for_shutdown(now, answer_all_at_);
     asio::co_spawn(io_, serve(client), asio::detached);
     limit_idle_requesters();
+    limit_stalled();
 }
 
 void Clients::pause() {
@@ -192,17 +193,22 @@
 }
 
 bool Clients::evict_one() {
-    EvictionOrder::Entry *const entry = order_.next(deadlines_.clock.now(), [](EvictionOrder::Entry &e) {
-        return static_cast<Client &>(e).has_unhandled_input();
-    });
+    EvictionOrder::Entry *const entry = order_.next(
+        deadlines_.clock.now(), [](EvictionOrder::Entry &e) { return static_cast<Client &>(e).in_use(); });
     if (!entry)
         return false;
-    Client &client = static_cast<Client &>(*entry);
-    client.close(CloseReason::Evicted);
-    client.begin_closing(CloseReason::Evicted, deadlines_.clock.now());
+    evict(static_cast<Client &>(*entry));
     return true;
 }
 
+void Clients::evict(Client &client) {
+    if (client.use().delivery == DeliveryState::Stalled)
+        client.reset(CloseReason::NotReading);
+    else
+        client.close(CloseReason::Evicted);
+    client.begin_closing(CloseReason::Evicted, deadlines_.clock.now());
+}
+
 // Some clients send one request and stay connected, each on a connection of its own. As the number of client
 // connections is limited, they would keep others from sending requests.
 void Clients::limit_idle_requesters() {
@@ -216,6 +222,12 @@
         static_cast<Client &>(*entry).begin_closing(CloseReason::TooManyIdle, deadlines_.clock.now());
 }
 
+// As many may stall as may be idle, so that neither push out clients that use their connections.
+void Clients::limit_stalled() {
+    if (order_.stalled() > static_cast<std::size_t>(budget_.max_idle_clients()))
+        evict(static_cast<Client &>(*order_.longest_stalled()));
+}
+
 asio::awaitable<void> Clients::serve(std::list<Client>::iterator client) {
     try {
         co_await front_(*client);
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -127,8 +127,8 @@
         return error ? 0 : bytes;
     }
     bool has_unread_bytes() { return unread_bytes() > 0; }
-    /// Whether the client has sent what the broker has not handled yet.
-    bool has_unhandled_input() { return input_waits || has_unread_bytes(); }
+    /// Whether the client has sent what the broker has not handled yet, or is still sent answers.
+    bool in_use() { return input_waits || has_unread_bytes() || has_untransmitted_bytes(socket); }
     /// Begins to close the connection; the session shuts it down once all open requests are answered.
     void begin_closing(CloseReason why, Micros now) {
         begin_closing_by(why, now, now + Closing::kCloseTimeout, false);
@@ -152,7 +152,8 @@
     /// Begins to close the connection with the deadline `time`. If it is closing already, the earlier
     /// deadline counts.
     void begin_closing_by(CloseReason why, Micros now, Micros time, bool withdraw_lone_requests);
-    /// Closes the socket at once.
+    /// Closes the socket at once. What the system still holds for the client is sent on, unless the client
+    /// has sent what is not read, or sends more.
     void close(CloseReason why) {
         note_close_reason(why);
         if (socket.is_open() && *close_reason != CloseReason::ClientDisconnected)
@@ -161,6 +162,13 @@
         socket.shutdown(tcp::socket::shutdown_both, ignored);
         socket.close(ignored);
     }
+    /// Resets the connection of a client that does not read, so that the system holds nothing for it any
+    /// more.
+    void reset(CloseReason why) {
+        boost::system::error_code ignored;
+        socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        close(why);
+    }
 };
 
 /// Listens on an address, or takes over a listening socket. Both throw boost::system::system_error.
@@ -207,8 +215,11 @@
     void admit(tcp::socket socket, HandedOverClient inherited);
     asio::awaitable<void> serve(std::list<Client>::iterator client);
     bool evict_one(); // closes one to make room; false: all are in use
+    void evict(Client &client);
     // Closes the longest idle connection if too many clients stay connected after a request.
     void limit_idle_requesters();
+    // Ends the connection that has been stalled the longest if too many clients do not read their answers.
+    void limit_stalled();
     void advance_drain();
     void begin_closing_all();
     bool accept_backlog(bool last);
--- a/src/net/eviction_order.cpp
+++ b/src/net/eviction_order.cpp
@@ -37,6 +37,12 @@
 void EvictionOrder::Entry::mark_lingering() {
     update([](ConnectionUse &use) { use.lingering = true; });
 }
+void EvictionOrder::Entry::set_delivery(DeliveryState state, Micros last_progress) {
+    update([state, last_progress](ConnectionUse &use) {
+        use.delivery = state;
+        use.delivery_progress = last_progress;
+    });
+}
 void EvictionOrder::Entry::add_open_request() {
     update([](ConnectionUse &use) { ++use.open_requests; });
 }
@@ -46,6 +52,10 @@
 
 std::optional<std::size_t> EvictionOrder::queue_of(const Entry &entry) {
     const ConnectionUse &use = entry.use_;
+    if (use.delivery == DeliveryState::Stalled)
+        return kStalled;
+    if (use.delivery == DeliveryState::InProgress)
+        return std::nullopt;
     if (use.lingering)
         return kLingering;
     const bool has_begun = use.has_requested || use.partial;
@@ -72,17 +82,18 @@
 void EvictionOrder::reposition(Entry &entry) {
     const ConnectionUse &use = entry.use_;
     const auto queue = queue_of(entry);
-    const bool requester = use.has_requested && !use.persistent && !use.closing;
+    const bool requester = use.has_requested && !use.persistent && !use.closing && queue != kStalled;
     const bool idle_requester = requester && use.idle();
     if (requester != entry.counted_requester_)
         requester ? ++requesters_ : --requesters_;
     entry.counted_requester_ = requester;
     const bool unchanged = queue == entry.queue_ && idle_requester == entry.queued_idle_;
     const bool in_no_queue = !queue && !idle_requester;
-    if (unchanged && (in_no_queue || use.last_used == entry.queued_last_used_))
+    const Micros time = queue == kStalled ? use.delivery_progress : use.last_used;
+    if (unchanged && (in_no_queue || time == entry.queued_time_))
         return;
     dequeue(entry);
-    entry.queued_last_used_ = use.last_used;
+    entry.queued_time_ = time;
     entry.queue_ = queue;
     entry.queued_idle_ = idle_requester;
     if (queue)
@@ -92,7 +103,7 @@
 }
 
 void EvictionOrder::expire_newcomers(Micros now) {
-    while (!newcomers_.empty() && now - newcomers_.begin()->last_used >= kNewcomerGrace) {
+    while (!newcomers_.empty() && now - newcomers_.begin()->time >= kNewcomerGrace) {
         Entry &entry = *newcomers_.begin()->entry;
         newcomers_.erase(newcomers_.begin());
         entry.newcomer_ = false;
@@ -100,24 +111,29 @@
     }
 }
 
-EvictionOrder::Entry *EvictionOrder::next(Micros now, const std::function<bool(Entry &)> &has_unread) {
+EvictionOrder::Entry *EvictionOrder::next(Micros now, const std::function<bool(Entry &)> &in_use) {
     expire_newcomers(now);
-    std::vector<Entry *> in_use;
+    std::vector<Entry *> passed_over;
     Entry *found = nullptr;
     for (std::size_t queue = 0; queue < kQueues && !found; ++queue)
         for (const Key &candidate : queues_[queue]) {
             ++examined_;
-            if (queue == kLingering || !has_unread(*candidate.entry)) {
+            if (queue == kLingering || queue == kStalled || !in_use(*candidate.entry)) {
                 found = candidate.entry;
                 break;
             }
-            in_use.push_back(candidate.entry);
+            passed_over.push_back(candidate.entry);
         }
-    for (Entry *entry : in_use)
+    for (Entry *entry : passed_over)
         entry->received(now); // moves it behind the others of its queue
     return found;
 }
 
+EvictionOrder::Entry *EvictionOrder::longest_stalled() const {
+    const KeySet &stalled = queues_[kStalled];
+    return stalled.empty() ? nullptr : stalled.begin()->entry;
+}
+
 EvictionOrder::Entry *EvictionOrder::longest_idle_requester() const {
     return idle_requesters_.empty() ? nullptr : idle_requesters_.begin()->entry;
 }
--- a/src/net/eviction_order.hpp
+++ b/src/net/eviction_order.hpp
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "marblewood/scheduler.hpp"
+#include "net/answer_delivery.hpp"
 
 #include <array>
 #include <cstdint>
@@ -27,8 +28,11 @@
     bool closing = false;       ///< is being closed; see net::Closing
     bool lingering = false;     ///< all answers sent, sending side shut down; waits for the client to close
     std::size_t open_requests = 0; ///< requests received whose answers are not completely written
+    /// Whether the client has taken the answers that are written.
+    DeliveryState delivery = DeliveryState::Delivered;
+    Micros delivery_progress = 0; ///< when it last took something; counts while `delivery` is Stalled
 
-    bool idle() const { return open_requests == 0 && !partial; }
+    bool idle() const { return open_requests == 0 && !partial && delivery == DeliveryState::Delivered; }
 };
 
 class EvictionOrder {
@@ -51,6 +55,7 @@
         void mark_persistent();
         void mark_closing();
         void mark_lingering();
+        void set_delivery(DeliveryState state, Micros last_progress);
         void add_open_request();
         void complete_requests(std::size_t count);
 
@@ -65,16 +70,21 @@
         ConnectionUse use_;
         const std::uint64_t sequence_;
         bool newcomer_ = true; // accepted less than kNewcomerGrace ago, as of the last expire_newcomers()
-        std::optional<std::size_t> queue_; // the queue that holds it, ordered by `queued_last_used_`
+        std::optional<std::size_t> queue_; // the queue that holds it, ordered by `queued_time_`
         bool queued_idle_ = false, counted_requester_ = false;
-        Micros queued_last_used_ = 0;
+        Micros queued_time_ = 0;
     };
 
     /// The connection to close first at time `now`, or nullptr if all are in use. A connection for which
-    /// `has_unread` returns true is in use.
-    Entry *next(Micros now, const std::function<bool(Entry &)> &has_unread);
+    /// `in_use` returns true is, unless it lingers or its client takes nothing of its answers.
+    Entry *next(Micros now, const std::function<bool(Entry &)> &in_use);
 
-    /// Number of connections that have sent a request and are neither closing nor persistent.
+    /// Number of connections whose clients take nothing of their answers.
+    std::size_t stalled() const { return queues_[kStalled].size(); }
+    /// The one of these that has taken nothing for the longest, or nullptr.
+    Entry *longest_stalled() const;
+
+    /// Number of connections that have sent a request and are neither closing, persistent nor stalled.
     std::size_t requesters() const { return requesters_; }
     /// The least recently used idle one of these, or nullptr.
     Entry *longest_idle_requester() const;
@@ -84,21 +94,22 @@
 
 private:
     // Connections are closed in the order of these queues. Those that never sent a request come before those
-    // whose clients use them again; newcomers come last, although they have not sent a request either.
-    enum Queue : std::size_t { kSilent, kLingering, kRequested, kPartial, kNewcomer, kQueues };
+    // whose clients use them again; newcomers come late, although they have not sent a request either.
+    // Stalled ones come last, as their clients may only pause; their number is limited (Clients).
+    enum Queue : std::size_t { kSilent, kLingering, kRequested, kPartial, kNewcomer, kStalled, kQueues };
     struct Key {
-        Micros last_used = 0;
+        Micros time = 0; // of the last use; in kStalled of the last progress of its answers
         std::uint64_t sequence = 0;
         Entry *entry = nullptr;
         auto operator<=>(const Key &other) const {
-            return std::pair(last_used, sequence) <=> std::pair(other.last_used, other.sequence);
+            return std::pair(time, sequence) <=> std::pair(other.time, other.sequence);
         }
     };
     using KeySet = std::set<Key>;
 
     static std::optional<std::size_t> queue_of(const Entry &entry);
-    static Key key(Entry &entry) { return {entry.queued_last_used_, entry.sequence_, &entry}; }
-    // Its `last_used` is the accept time.
+    static Key key(Entry &entry) { return {entry.queued_time_, entry.sequence_, &entry}; }
+    // Its time is that of the accept.
     static Key accept_key(Entry &entry) { return {entry.use_.accepted, entry.sequence_, &entry}; }
     // Puts an entry into the queues that its use calls for.
     void reposition(Entry &entry);
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -19,7 +19,12 @@
 constexpr Micros kFirstRequestTimeout = 2'000'000; // from the accept
 constexpr Micros kInvalidInputPause = 50'000;      // before the client of an invalid command is read again
 constexpr Micros kWriteTimeout = 10'000'000;       // for a client to read the bytes of one write
-constexpr Micros kLingerTimeout = 200'000; // for a client to close after the sending side was shut down
+constexpr Micros kDeliveryCheckInterval = 100'000;
+constexpr Micros kDeliveryCheckIntervalWhenClosing = 10'000; // the end waits for the answers to be sent
+// For a client that has gone on sending while its connection is closing, without taking its answers.
+constexpr Micros kClosingStallTimeout = 2'000'000;
+// For a client to close after the sending side was shut down, if it has taken all its answers then.
+constexpr Micros kLingerTimeout = 200'000;
 constexpr std::size_t kMaxTransferredBytes =
     std::size_t{48} * 1024;              // of a partial message handed over to another process
 constexpr int kMaxReadsPerTurn = 2;      // of a closing connection, before the event loop serves others
@@ -35,6 +40,8 @@
 asio::awaitable<void> Session::run() {
     client_.notify = [this] {
         arm_closing_timers();
+        if (client_.use().closing && delivery_check_at_ != 0)
+            arm_delivery_check();
         if (reading_finished_)
             wake();
         else if (client_.use().open_requests == 0)
@@ -42,6 +49,8 @@
     };
     received_any_ = client_.inherited.asked; // whether it sent a request before the handover
     arm_closing_timers();
+    if (received_any_)
+        arm_delivery_check();
     if (!client_.inherited.bytes.empty()) { // read before the handover
         input_ = std::exchange(client_.inherited.bytes, {});
         message_started_at_ = last_read_at_ = client_.inherited.since;
@@ -102,6 +111,8 @@
     close_timer_.reset();
     input_wait_timer_.reset();
     flush_timer_.reset();
+    linger_timer_.reset();
+    delivery_check_.reset();
     client_.notify = nullptr;
 }
 
@@ -129,13 +140,18 @@
 // The only place that shuts down a closing connection. It checks for unread bytes and shuts down the sending
 // side in two consecutive calls, without returning to the event loop in between: a request that arrives
 // before the check is read and answered, and the client of one that arrives later is already being sent the
-// end of the stream.
+// end of the stream. While the system holds answers back, as the client has not read what came before them,
+// the client could not see that end.
 bool Session::shut_down_if_quiet() {
     const ConnectionUse &use = client_.use();
     if (reading_finished_ || disconnected_ || !use.closing || use.open_requests > 0)
         return false;
-    if (parsing_ || unparsed_input_ || unsent_bytes() > 0 || !may_end())
+    if (parsing_ || unparsed_input_ || delivery_.unsent_bytes() > 0 || !may_end())
         return false;
+    if (has_untransmitted_bytes(client_.socket)) {
+        arm_delivery_check();
+        return false;
+    }
     if (deadlines_.clock.now() < wait_for_input_until())
         return false;
     if (!is_open_and_silent(client_.socket))
@@ -180,10 +196,7 @@
     closing.withdrawn = true;
     closing.remainder_until = deadlines_.clock.now() + Closing::kRemainderTimeout;
     arm_closing_timers();
-    flush_timer_ = deadlines_.in(Closing::kFlushTimeout, [this] {
-        if (!is_streaming())
-            client_.close(CloseReason::NotReading);
-    });
+    flush_timer_ = deadlines_.in(Closing::kFlushTimeout, [this] { handle_flush_timeout(); });
     if (client_.use().open_requests > 0)
         core::log("client {}: {} open requests are withdrawn ({})", client_.id, client_.use().open_requests,
                   name(*client_.close_reason));
@@ -192,6 +205,73 @@
     wake();
 }
 
+// The client of a closing connection has had time to take its answers. At the end of the process the system
+// sends on what it holds. Otherwise nothing more is read, and the answers are still delivered to a client
+// that takes them.
+void Session::handle_flush_timeout() {
+    const bool process_ends = client_.closing.withdraw_lone_requests;
+    if (process_ends && !is_streaming())
+        return close_and_leave_output(CloseReason::NotReading);
+    if (process_ends)
+        return;
+    flush_timer_ = deadlines_.in(Closing::kFlushTimeout, [this] { handle_flush_timeout(); });
+    if (is_streaming())
+        return;
+    update_delivery();
+    if (delivery_.is_stalled(deadlines_.clock.now(), kClosingStallTimeout)) {
+        client_.reset(CloseReason::NotReading);
+        return wake();
+    }
+    if (delivery_.is_delivered() && !send_shut_down_)
+        return client_.close(CloseReason::NotReading); // it goes on sending
+    if (reading_finished_)
+        return;
+    reading_finished_ = true;
+    client_.set_partial(false);
+    client_.notify();
+}
+
+void Session::close_and_leave_output(CloseReason reason) {
+    boost::system::error_code error;
+    for (int n = 0; n < kDiscardReadsPerPause && !error && client_.has_unread_bytes(); ++n)
+        client_.dropped_before_shutdown += receive_available(client_.socket, error).size();
+    client_.close(reason);
+    wake();
+}
+
+void Session::arm_delivery_check() {
+    const Micros interval =
+        client_.use().closing ? kDeliveryCheckIntervalWhenClosing : kDeliveryCheckInterval;
+    const Micros due = deadlines_.clock.now() + interval;
+    if (delivery_check_at_ != 0 && delivery_check_at_ <= due)
+        return;
+    delivery_check_at_ = due;
+    delivery_check_ = deadlines_.at(due, [this] { check_delivery(); });
+}
+
+void Session::update_delivery() {
+    const Micros now = deadlines_.clock.now();
+    if (delivery_.on_held_by_system(unacknowledged_bytes(client_.socket, send_shut_down_), now))
+        client_.received(now);
+    client_.set_delivery(delivery_.state(now), delivery_.last_progress());
+}
+
+void Session::check_delivery() {
+    delivery_check_at_ = 0;
+    if (!client_.socket.is_open())
+        return;
+    update_delivery();
+    if (delivery_.is_stalled(deadlines_.clock.now(), AnswerDelivery::kStallTimeout)) {
+        client_.reset(CloseReason::NotReading);
+        return wake();
+    }
+    if (!delivery_.is_delivered())
+        arm_delivery_check();
+    arm_client_timeout();
+    if (client_.use().closing && !has_untransmitted_bytes(client_.socket))
+        client_.notify();
+}
+
 bool Session::at_limit() const {
     const std::size_t open = client_.use().open_requests;
     return is_output_full() ||
@@ -199,11 +279,11 @@
 }
 
 bool Session::is_output_full() const {
-    return unsent_bytes() >= (memory_.is_short() ? kMaxUnsentBytesWhenShort : kMaxUnsentBytes);
+    return delivery_.unsent_bytes() >= (memory_.is_short() ? kMaxUnsentBytesWhenShort : kMaxUnsentBytes);
 }
 
 void Session::update_reservation() {
-    memory_reservation_.resize(buffered_bytes() + unsent_bytes());
+    memory_reservation_.resize(buffered_bytes() + delivery_.unsent_bytes());
 }
 
 // Records that the client has disconnected, also while it waits for answers, and abandons its open requests.
@@ -375,27 +455,28 @@
 }
 
 void Session::send(std::string_view bytes, std::size_t answers) {
-    output_ += bytes;
-    output_answers_ += answers;
+    delivery_.queue(bytes, answers, deadlines_.clock.now());
     update_reservation();
     if (writing_ || disconnected_)
         return;
+    if (delivery_check_at_ == 0)
+        arm_delivery_check();
     writing_ = client_.writing = true;
     asio::co_spawn(client_.socket.get_executor(), write(shared_from_this()), asio::detached);
 }
 
 asio::awaitable<void> Session::write(std::shared_ptr<Session> self) {
-    while (!self->disconnected_ && !self->output_.empty()) {
-        std::string out = std::exchange(self->output_, {});
-        const std::size_t answers = std::exchange(self->output_answers_, 0);
+    while (!self->disconnected_ && self->delivery_.has_queued()) {
+        AnswerDelivery::Batch batch = self->delivery_.begin_batch();
         boost::system::error_code error;
         const auto timeout = self->deadlines_.in(
             kWriteTimeout, [&client = self->client_] { client.close(CloseReason::NotReading); });
-        self->bytes_being_written_ = out.size();
-        co_await write_without_yield(self->client_.socket, out, error);
-        std::string().swap(out);
-        self->bytes_being_written_ = 0;
-        self->client_.complete_requests(answers);
+        co_await write_without_yield(
+            self->client_.socket, batch.bytes, error,
+            [&delivery = self->delivery_](std::size_t bytes) { delivery.on_accepted(bytes); });
+        std::string().swap(batch.bytes);
+        self->delivery_.end_batch();
+        self->client_.complete_requests(batch.answers);
         self->client_.received(self->deadlines_.clock.now());
         self->update_reservation();
         // The closed socket fails the read in run() or finish(), which then handles the disconnect.
@@ -452,16 +533,25 @@
         co_await wake_signal_.take();
     if (disconnected_)
         co_return;
-    boost::system::error_code error;
     if (!send_shut_down_) {
+        boost::system::error_code ignored;
         client_.dropped_before_shutdown += client_.unread_bytes();
-        client_.socket.shutdown(tcp::socket::shutdown_send, error);
+        client_.socket.shutdown(tcp::socket::shutdown_send, ignored);
+        send_shut_down_ = true;
         client_.mark_lingering();
     }
-    const auto timeout = deadlines_.in(kLingerTimeout, [this] {
-        client_.close(CloseReason::ClientDisconnected);
-        wake();
-    });
+    co_await linger();
+}
+
+// Waits until the client closes the connection, or has taken all its answers and has had time to close. If
+// the socket were closed before, the client's next bytes would reset the connection, and the system would
+// drop what it still holds.
+asio::awaitable<void> Session::linger() {
+    update_delivery();
+    if (!delivery_.is_delivered())
+        arm_delivery_check();
+    arm_linger_timer();
+    boost::system::error_code error;
     for (int n = 0; n < kDiscardReadsPerPause && !error; ++n) {
         co_await client_.socket.async_wait(tcp::socket::wait_read,
                                            asio::redirect_error(asio::use_awaitable, error));
@@ -472,4 +562,16 @@
         co_await wake_signal_.take();
 }
 
+void Session::arm_linger_timer() {
+    linger_timer_ = deadlines_.in(kLingerTimeout, [this] { handle_linger_timeout(); });
+}
+
+void Session::handle_linger_timeout() {
+    update_delivery();
+    if (!delivery_.is_delivered() && !client_hung_up())
+        return arm_linger_timer();
+    client_.close(CloseReason::ClientDisconnected);
+    wake();
+}
+
 } // namespace marblewood::net
--- a/src/net/session.hpp
+++ b/src/net/session.hpp
@@ -5,6 +5,7 @@
 
 #include "core/mailbox.hpp"
 #include "core/memory_budget.hpp"
+#include "net/answer_delivery.hpp"
 #include "net/clients.hpp"
 #include "net/input_arrivals.hpp"
 #include "net/input_turns.hpp"
@@ -104,7 +105,17 @@
     // Whether nothing more is parsed: the output is full, or the connection has kMaxOpenRequests open
     // requests that do not wait for input.
     bool at_limit() const;
-    std::size_t unsent_bytes() const { return output_.size() + bytes_being_written_; }
+    // Has check_delivery() called soon; a check that is pending is at most brought forward.
+    void arm_delivery_check();
+    // Asks the system what the client has taken, and ends the connection if that is nothing for too long.
+    void check_delivery();
+    void update_delivery();
+    void handle_flush_timeout();
+    // Closes the connection so that the system goes on sending what it holds.
+    void close_and_leave_output(CloseReason reason);
+    void arm_linger_timer();
+    void handle_linger_timeout();
+    asio::awaitable<void> linger();
     // Waits for `duration`, or with `until_below_limit` at most until at_limit() is false.
     asio::awaitable<void> pause(Micros duration, bool until_below_limit = false);
     // Ends wait_readable() and nothing else.
@@ -120,11 +131,8 @@
     asio::awaitable<void> finish();
 
     core::Mailbox<bool> wake_signal_, flushed_signal_;
-    std::string output_;
-    std::size_t output_answers_ = 0;
+    AnswerDelivery delivery_;
     bool writing_ = false, disconnected_ = false;
-    std::size_t bytes_being_written_ =
-        0;                 // taken out of output_ by write(), which has not written all of them
     bool parsing_ = false; // parse_received() is running
     // input_ holds bytes that are not parsed yet, as the connection was at its limit. The client is not timed
     // meanwhile: it may have sent all that is expected of it.
@@ -140,7 +148,9 @@
     InputTurns::Account turn_;
     core::MemoryBudget::Reservation memory_reservation_;
     core::MemoryBudget &memory_;
-    core::Deadlines::Entry client_timeout_, close_timer_, input_wait_timer_, flush_timer_, hang_up_timer_;
+    core::Deadlines::Entry client_timeout_, close_timer_, input_wait_timer_, flush_timer_, hang_up_timer_,
+        linger_timer_, delivery_check_;
+    Micros delivery_check_at_ = 0; // when delivery_check_ is due; 0: none is pending
 };
 
 } // namespace marblewood::net
--- a/src/net/sockets.hpp
+++ b/src/net/sockets.hpp
@@ -10,6 +10,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <functional>
 #include <linux/sockios.h>
 #include <string>
 #include <string_view>
@@ -168,13 +169,18 @@
 }
 
 /// Writes all bytes, the first of them at once, and returns how many were written; if fewer than all, `error`
-/// is set. Resumes the caller without yielding after the last byte, so that no other handler runs in between.
+/// is set. Calls `on_accepted` with the number of bytes that each write has taken. Resumes the caller without
+/// yielding after the last byte, so that no other handler runs in between.
 inline asio::awaitable<std::size_t> write_without_yield(tcp::socket &socket, std::string_view bytes,
-                                                        boost::system::error_code &error) {
+                                                        boost::system::error_code &error,
+                                                        std::function<void(std::size_t)> on_accepted = {}) {
     std::size_t written = 0;
     socket.non_blocking(true, error);
     while (!error && written < bytes.size()) {
-        written += socket.write_some(asio::buffer(bytes.substr(written)), error);
+        const std::size_t accepted = socket.write_some(asio::buffer(bytes.substr(written)), error);
+        written += accepted;
+        if (on_accepted)
+            on_accepted(accepted);
         if (!is_retryable(error))
             continue;
         co_await socket.async_wait(tcp::socket::wait_write, asio::redirect_error(asio::use_awaitable, error));
--- a/tests/eviction_test.cpp
+++ b/tests/eviction_test.cpp
@@ -15,6 +15,7 @@
 
 using namespace marblewood;
 using net::ConnectionUse;
+using net::DeliveryState;
 using net::EvictionOrder;
 
 namespace {
@@ -45,6 +46,10 @@
 // state.
 std::optional<std::pair<int, Micros>> expected_rank(const Connection &connection, Micros now) {
     const ConnectionUse &use = connection.use();
+    if (use.delivery == DeliveryState::Stalled)
+        return std::pair(5, use.delivery_progress);
+    if (use.delivery == DeliveryState::InProgress)
+        return std::nullopt;
     if (use.lingering)
         return std::pair(1, use.last_used);
     const bool ends_by_itself = use.closing && (use.has_requested || use.partial);
@@ -64,12 +69,26 @@
     return first;
 }
 
+Connection *expected_longest_stalled(std::list<Connection> &connections, std::size_t &stalled) {
+    Connection *first = nullptr;
+    stalled = 0;
+    for (Connection &connection : connections) {
+        const ConnectionUse &use = connection.use();
+        if (use.delivery != DeliveryState::Stalled)
+            continue;
+        ++stalled;
+        if (!first || use.delivery_progress < first->use().delivery_progress)
+            first = &connection;
+    }
+    return first;
+}
+
 Connection *expected_idle_requester(std::list<Connection> &connections, std::size_t &requesters) {
     Connection *first = nullptr;
     requesters = 0;
     for (Connection &connection : connections) {
         const ConnectionUse &use = connection.use();
-        if (!use.has_requested || use.persistent || use.closing)
+        if (!use.has_requested || use.persistent || use.closing || use.delivery == DeliveryState::Stalled)
             continue;
         ++requesters;
         if (use.idle() && (!first || use.last_used < first->use().last_used))
@@ -101,6 +120,10 @@
         Connection *const idle = expected_idle_requester(connections_, requesters);
         ASSERT_EQ(order_.requesters(), requesters);
         ASSERT_EQ(order_.longest_idle_requester(), idle);
+        std::size_t stalled = 0;
+        Connection *const longest_stalled = expected_longest_stalled(connections_, stalled);
+        ASSERT_EQ(order_.stalled(), stalled);
+        ASSERT_EQ(order_.longest_stalled(), longest_stalled);
         Connection *const first = expected_first(connections_, now_);
         const auto unread = [](EvictionOrder::Entry &entry) {
             return static_cast<Connection &>(entry).unread;
@@ -109,9 +132,11 @@
     }
 
 private:
+    static constexpr std::array kDeliveryStates{DeliveryState::Delivered, DeliveryState::InProgress,
+                                                DeliveryState::Stalled};
     std::uint64_t random_up_to(std::uint64_t max) { return random_() % (max + 1); }
     void use(Connection &connection) {
-        switch (random_up_to(8)) {
+        switch (random_up_to(9)) {
         case 0:
             return connection.mark_requested();
         case 1:
@@ -126,6 +151,9 @@
             return random_up_to(5) == 0 ? connection.mark_closing() : void();
         case 6:
             return random_up_to(5) == 0 ? connection.mark_lingering() : void();
+        case 7:
+            return connection.set_delivery(kDeliveryStates[random_up_to(kDeliveryStates.size() - 1)],
+                                           now_ - static_cast<Micros>(random_up_to(3'000'000)));
         default: // bytes arrive, or unread ones are read
             connection.unread = !connection.unread && random_up_to(1) == 1;
             connection.received(now_);
--- /dev/null
+++ b/tests/slow_client_test.cpp
@@ -0,0 +1,342 @@
+// Clients that read what they are owed slowly, with pauses or not at all, while their connection ends.
+// Usage: slow_client_test SCENARIO
+#include "crowd.hpp"
+#include "helper.hpp"
+#include "scenarios.hpp"
+
+using namespace test;
+using Clock = std::chrono::steady_clock;
+
+namespace {
+
+const std::string kPiece = "7f3a9c21e0b4d655", kNextPiece = "00000000000000bb";
+constexpr std::size_t kLongBytes = 3'000'000; // what the system takes at once
+constexpr int kReceiveBufferBytes = 65'536;
+constexpr Limits kAmple{.memory_mb = 128, .sockets = 512};
+
+// Serves kPiece with a value of `bytes`, and each other piece with "next".
+RespNode::Script node_of_long_values(std::size_t bytes = kLongBytes) {
+    return [bytes](const std::vector<std::string> &words, int) {
+        return RespNode::served(words[1] == kPiece ? std::string(bytes, 'v') : "next");
+    };
+}
+struct Setup {
+    explicit Setup(RespNode::Script script = node_of_long_values(), Limits limits = kAmple,
+                   const std::string &settings = kSettings)
+        : node(std::move(script)), discovery(member("s-1", node.server.port, 0)),
+          program(discovery, "", settings, {}, 0, "n0", limits) {}
+    RespNode node;
+    Discovery discovery;
+    Program program;
+};
+
+// A client whose system buffers little, so that what it does not read stays at the broker.
+class SlowClient {
+public:
+    explicit SlowClient(int port) : socket_(connect(port)), started_(Clock::now()) {}
+    bool send(const std::string &bytes) const { return socket_.send(bytes); }
+    // Reads `bytes_per_turn` every 10 ms until `until` after the start, or the end of the connection.
+    void read_slowly(std::chrono::milliseconds until, std::size_t bytes_per_turn) {
+        while (open_ && Clock::now() - started_ < until) {
+            read(bytes_per_turn);
+            std::this_thread::sleep_for(10ms);
+        }
+    }
+    // Reads slowly until `bytes` have come, or the end of the connection.
+    void read_slowly_up_to(std::size_t bytes, std::size_t bytes_per_turn) {
+        while (open_ && received_.size() < bytes) {
+            read(bytes_per_turn);
+            std::this_thread::sleep_for(10ms);
+        }
+    }
+    void read_to_the_end() {
+        while (open_)
+            read(65'536);
+    }
+    std::size_t received() const { return received_.size(); }
+    // Removes the next whole answer; empty if there is none.
+    std::optional<resp::Value> answer() {
+        std::string_view bytes = received_;
+        auto value = reader_.take(bytes);
+        received_.erase(0, received_.size() - bytes.size());
+        return value;
+    }
+    // Reads as fast as possible until there is an answer; empty at the end of the connection.
+    std::optional<resp::Value> next_answer() {
+        for (;;) {
+            if (auto value = answer(); value || !open_)
+                return value;
+            read(65'536);
+        }
+    }
+    void expect_value(std::size_t bytes) {
+        const auto value = next_answer();
+        if (!value)
+            fmt::print(stderr, "{} bytes of {}, then: {}\n", received(), bytes, end_);
+        else if (value->text.size() != bytes)
+            fmt::print(stderr, "an answer of {} bytes: {:.40}\n", value->text.size(), value->text);
+        assert(value && value->text == std::string(bytes, 'v'));
+    }
+    bool ended_in_order() const { return !open_ && end_ == "end"; }
+    std::chrono::milliseconds age() const {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - started_);
+    }
+
+private:
+    static Socket connect(int port) {
+        const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+        setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes, sizeof kReceiveBufferBytes);
+        const sockaddr_in address = local(port);
+        assert(::connect(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0);
+        return Socket(descriptor);
+    }
+    void read(std::size_t most) {
+        pollfd waiting{socket_.descriptor(), POLLIN, 0};
+        assert(::poll(&waiting, 1, 15'000) > 0);
+        std::string chunk(most, '\0');
+        const auto got = ::recv(socket_.descriptor(), chunk.data(), chunk.size(), 0);
+        if (got > 0)
+            received_.append(chunk, 0, static_cast<std::size_t>(got));
+        open_ = got > 0;
+        if (!open_)
+            end_ = got == 0 ? "end" : std::strerror(errno);
+    }
+    Socket socket_;
+    const Clock::time_point started_;
+    std::string received_;
+    resp::Reader reader_{resp::kMaxNodeBulkBytes};
+    bool open_ = true;
+    std::string end_;
+};
+
+constexpr std::size_t kSlowly = 6'000; // a turn: 0.6 MB/s, so that a long value takes 5 s
+
+// Guards against an idle end, 2 s after the system took a value that its client still reads.
+void a_value_read_slowly_is_no_idle_connection() {
+    Setup setup;
+    SlowClient client(setup.program.port);
+    client.send(get(kPiece));
+    client.read_slowly(3500ms, kSlowly);
+    assert(client.send(get(kNextPiece)));
+    client.read_slowly_up_to(kLongBytes, kSlowly);
+    client.expect_value(kLongBytes);
+    assert(client.next_answer()->text == "next");
+    assert(setup.program.figures().at("clients_closed_idle") == 0);
+}
+
+// The same for many short answers, whose commands came at once.
+void answers_to_a_pipeline_read_slowly_come_whole() {
+    constexpr int kCommands = 60;
+    constexpr std::size_t kBytes = 60'000;
+    const std::string value(kBytes, 'v');
+    Setup setup(node_of_long_values(kBytes));
+    SlowClient client(setup.program.port);
+    std::string commands;
+    for (int n = 0; n < kCommands; ++n)
+        commands += get(kPiece, 0, 5000);
+    client.send(commands);
+    client.read_slowly(3500ms, kSlowly);
+    assert(client.send(get(kNextPiece)));
+    client.read_slowly(4500ms, kSlowly);
+    int served = 0;
+    for (int n = 0; n < kCommands; ++n) {
+        const auto answer = client.next_answer();
+        assert(answer && (answer->text == value || answer->text.starts_with("BUSY")));
+        served += answer->text == value;
+    }
+    fmt::print(stderr, "{} of {} commands served\n", served, kCommands);
+    assert(served > kCommands / 2);
+    assert(client.next_answer()->text == "next");
+}
+
+// Guards against counting the seconds in which a client reads nothing as idle ones.
+void a_client_that_pauses_gets_the_rest() {
+    Setup setup;
+    SlowClient client(setup.program.port);
+    client.send(get(kPiece));
+    client.read_slowly(300ms, kSlowly);
+    std::this_thread::sleep_for(3s);
+    assert(client.send(get(kNextPiece)));
+    client.expect_value(kLongBytes);
+    assert(client.next_answer()->text == "next");
+}
+
+// A connection may rest for 2 s after its client has taken the value, and is ended then.
+void a_connection_is_idle_once_its_answers_are_taken() {
+    Setup setup;
+    SlowClient client(setup.program.port);
+    client.send(get(kPiece));
+    client.read_slowly_up_to(kLongBytes, kSlowly);
+    client.expect_value(kLongBytes);
+    const auto taken = client.age();
+    client.read_to_the_end();
+    const auto rested = client.age() - taken;
+    fmt::print(stderr, "ended {} ms after the value\n", rested.count());
+    assert(client.ended_in_order() && rested > 1500ms && rested < 2700ms);
+    assert(setup.program.figures().at("clients_closed_undelivered") == 0);
+}
+
+// Guards against an end by an operator that a late command turns into a reset.
+void a_value_read_slowly_outlasts_a_quiesce() {
+    Setup setup;
+    SlowClient client(setup.program.port);
+    client.send(get(kPiece));
+    client.read_slowly(200ms, kSlowly);
+    assert(setup.program.call("POST", "quiesce").first == 200);
+    client.read_slowly(4000ms, kSlowly);
+    assert(client.send(get(kNextPiece)));
+    client.read_slowly_up_to(kLongBytes, kSlowly);
+    client.expect_value(kLongBytes);
+    assert(client.next_answer()->text.starts_with("BUSY"));
+    client.read_to_the_end();
+    assert(client.ended_in_order());
+}
+
+// Guards against an end of the process that a late command turns into a reset, before it has to end.
+void a_value_read_slowly_outlasts_a_shutdown() {
+    constexpr std::size_t kBytes = 2'000'000;
+    constexpr auto kSignalAt = 200ms, kKillAfter = 2500ms + 700ms; // the longest deadline of kSettings
+    Setup setup(node_of_long_values(kBytes));
+    SlowClient client(setup.program.port);
+    client.send(get(kPiece));
+    client.read_slowly(kSignalAt, kSlowly);
+    setup.program.signal(SIGTERM);
+    client.read_slowly(kSignalAt + kKillAfter - 200ms, kSlowly);
+    assert(client.send(get(kNextPiece)));
+    const int exit_code = setup.program.exit_code();
+    const auto exited = client.age();
+    fmt::print(stderr, "the process ended {} ms after the signal\n", (exited - kSignalAt).count());
+    assert(exit_code == 0 && exited < kSignalAt + kKillAfter);
+    client.expect_value(kBytes);
+    assert(client.next_answer()->text.starts_with("BUSY"));
+    client.read_to_the_end();
+}
+
+// The process that takes over a connection does not know what was written to it.
+void a_value_read_slowly_outlasts_an_upgrade() {
+    Setup setup;
+    SlowClient client(setup.program.port);
+    client.send(get(kPiece));
+    client.read_slowly(300ms, kSlowly);
+    Program successor(setup.program);
+    setup.program.signal(SIGTERM);
+    client.read_slowly(4000ms, kSlowly);
+    assert(client.send(get(kNextPiece)));
+    client.read_slowly_up_to(kLongBytes, kSlowly);
+    client.expect_value(kLongBytes);
+    assert(client.next_answer()->text == "next");
+}
+
+void a_value_outlasts_the_end_that_follows(const std::string &behind, const std::string &last_answer) {
+    Setup setup;
+    SlowClient client(setup.program.port);
+    client.send(get(kPiece) + behind);
+    for (auto at = 1000ms; at < 4000ms; at += 500ms) { // discarded
+        client.read_slowly(at, kSlowly);
+        client.send(get(kNextPiece));
+    }
+    client.read_slowly_up_to(kLongBytes, kSlowly);
+    client.expect_value(kLongBytes);
+    const auto last = client.next_answer();
+    assert(last && last->text.starts_with(last_answer));
+    client.read_to_the_end();
+    assert(client.ended_in_order());
+}
+// Guards against a reset 0.2 s after the last answer was written, while the client still reads.
+void a_value_outlasts_quit() {
+    a_value_outlasts_the_end_that_follows("*1\r\n$4\r\nQUIT\r\n", "OK");
+}
+void a_value_outlasts_bad_input() {
+    a_value_outlasts_the_end_that_follows("nonsense\r\n", "ERR Protocol error");
+}
+
+// Guards against making room by ending the connection of a client that still reads its answer.
+void a_value_read_slowly_outlasts_a_crowd() {
+    constexpr int kCrowd = 200; // more than there are descriptors
+    Setup setup(node_of_long_values(), {.memory_mb = 128, .sockets = 128});
+    SlowClient client(setup.program.port);
+    client.send(get(kPiece));
+    client.read_slowly(300ms, kSlowly);
+    std::list<Socket> crowd;
+    for (int n = 0; n < kCrowd; ++n) {
+        crowd.push_back(setup.program.client());
+        crowd.back().send(get(kNextPiece));
+        client.read_slowly(300ms + (n + 1) * 15ms, kSlowly);
+    }
+    assert(client.send(get(kNextPiece)));
+    client.read_slowly_up_to(kLongBytes, kSlowly);
+    client.expect_value(kLongBytes);
+    assert(client.next_answer()->text == "next");
+}
+
+// A client that never reads holds its connection for a bounded time.
+void a_client_that_never_reads_is_let_go() {
+    constexpr auto kBound = 10s; // the README's
+    Setup setup;
+    const SlowClient client(setup.program.port);
+    client.send(get(kPiece));
+    std::this_thread::sleep_for(kBound - 2s);
+    assert(setup.program.figures().at("clients_open") == 1);
+    std::this_thread::sleep_for(3s);
+    const auto figures = setup.program.figures();
+    assert(figures.at("clients_open") == 0 && figures.at("clients_closed_not_reading") == 1);
+}
+
+// Guards against clients that never read and push out one that asks again and again, or take its memory.
+void a_crowd_that_never_reads_pushes_out_no_client() {
+    constexpr Limits kLimits{.memory_mb = 32, .sockets = 256};
+    constexpr int kClientSockets = 256 - 256 / 4 - 40; // what is left beside nodes and reserve
+    Setup setup(node_of_long_values(400'000), kLimits);
+    std::atomic<bool> done = false;
+    std::thread crowd([&] {
+        std::list<Socket> members;
+        for (int n = 0; n < 400; ++n) {
+            const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+            setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes, sizeof kReceiveBufferBytes);
+            const sockaddr_in address = local(setup.program.port);
+            assert(::connect(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0);
+            members.emplace_back(descriptor);
+            members.back().send(get(kPiece));
+            std::this_thread::sleep_for(15ms);
+        }
+        done = true;
+    });
+    Socket client = setup.program.client();
+    int asked = 0;
+    long most_open = 0;
+    for (; !done; ++asked) {
+        assert(client.send(get(kNextPiece)));
+        const auto answer = client.value(); // the same connection all the time
+        assert(answer);
+        if (asked % 20 == 0)
+            most_open = std::max(most_open, setup.program.figures().at("clients_open"));
+        std::this_thread::sleep_for(20ms);
+    }
+    crowd.join();
+    fmt::print(stderr, "{} requests answered; at most {} connections, {} kB\n", asked, most_open,
+               setup.program.peak_memory_kb());
+    assert(asked > 100 && most_open <= kClientSockets);
+    assert(setup.program.peak_memory_kb() < 32 * 1024);
+    assert(setup.program.figures().at("clients_closed_not_reading") > 0);
+}
+
+constexpr Scenario kScenarios[] = {
+    {"idle", a_value_read_slowly_is_no_idle_connection},
+    {"pipeline", answers_to_a_pipeline_read_slowly_come_whole},
+    {"pause", a_client_that_pauses_gets_the_rest},
+    {"idle_after", a_connection_is_idle_once_its_answers_are_taken},
+    {"quiesce", a_value_read_slowly_outlasts_a_quiesce},
+    {"shutdown", a_value_read_slowly_outlasts_a_shutdown},
+    {"upgrade", a_value_read_slowly_outlasts_an_upgrade},
+    {"quit", a_value_outlasts_quit},
+    {"bad_input", a_value_outlasts_bad_input},
+    {"eviction", a_value_read_slowly_outlasts_a_crowd},
+    {"never", a_client_that_never_reads_is_let_go},
+    {"never_crowd", a_crowd_that_never_reads_pushes_out_no_client},
+};
+
+} // namespace
+
+int main(int argc, char **argv) {
+    return run_scenario(kScenarios, argc, argv);
+}
