Time a client that does not read from what it last took, not from the begin of a write

A client that read two values of 3 MB at 0.1 MB/s was cut off after 10 s. The time for writing counted from the begin of a write to its last byte, and the system says that it has room again only when a third of its buffer is free (some 1.3 MB here), which takes such a client 13 s. The time goes; AnswerDelivery's, which counts from the last byte that the client's side acknowledged, covers a write that waits as well.

--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -18,7 +18,6 @@
 constexpr Micros kMessageTimeout = 2'500'000;  // from first to last byte; well-behaved clients take up to 2 s
 constexpr Micros kFirstRequestTimeout = 2'000'000; // from the accept
 constexpr Micros kInvalidInputPause = 50'000;      // before the client of an invalid command is read again
-constexpr Micros kWriteTimeout = 10'000'000;       // for a client to read the bytes of one write
 constexpr Micros kDeliveryCheckInterval = 100'000;
 constexpr Micros kDeliveryCheckIntervalWhenClosing = 10'000; // the end waits for the answers to be sent
 // For a client that has gone on sending while its connection is closing, without taking its answers.
@@ -469,8 +468,6 @@
     while (!self->disconnected_ && self->delivery_.has_queued()) {
         AnswerDelivery::Batch batch = self->delivery_.begin_batch();
         boost::system::error_code error;
-        const auto timeout = self->deadlines_.in(
-            kWriteTimeout, [&client = self->client_] { client.close(CloseReason::NotReading); });
         co_await write_without_yield(
             self->client_.socket, batch.bytes, error,
             [&delivery = self->delivery_](std::size_t bytes) { delivery.on_accepted(bytes); });
--- a/tests/slow_client_test.cpp
+++ b/tests/slow_client_test.cpp
@@ -149,6 +149,18 @@
     assert(client.next_answer()->text == "next");
 }
 
+// Guards against a time for writing that counts from the begin of a write, however large, and not from when
+// the client last took something.
+void answers_that_take_long_to_write_come_whole() {
+    constexpr std::size_t kBytesPerTurn = 1'000; // 0.1 MB/s: a full send buffer has room again after 13 s
+    Setup setup;
+    SlowClient client(setup.program.port);
+    client.send(get(kPiece) + get(kPiece));
+    client.read_slowly(14'500ms, kBytesPerTurn);
+    client.expect_value(kLongBytes);
+    client.expect_value(kLongBytes);
+}
+
 // Guards against counting the seconds in which a client reads nothing as idle ones.
 void a_client_that_pauses_gets_the_rest() {
     Setup setup;
@@ -323,6 +335,7 @@
 constexpr Scenario kScenarios[] = {
     {"idle", a_value_read_slowly_is_no_idle_connection},
     {"pipeline", answers_to_a_pipeline_read_slowly_come_whole},
+    {"long_write", answers_that_take_long_to_write_come_whole},
     {"pause", a_client_that_pauses_gets_the_rest},
     {"idle_after", a_connection_is_idle_once_its_answers_are_taken},
     {"quiesce", a_value_read_slowly_outlasts_a_quiesce},
