Deliver the whole answers before a value that its node breaks off

A client that had asked for two long values at once and read slowly lost the first, whole one when the node of the second broke off: the connection was closed at once, and its next command met a reset. It ends in order now: nothing more is read, what is queued is written, the sending side is shut down, and the socket is closed once the client's side has acknowledged all. The client still sees the end within the value.

--- a/src/net/resp/front.cpp
+++ b/src/net/resp/front.cpp
@@ -219,7 +219,7 @@
     }
 
     // Streams a long value from a node, no faster than the client reads it. If the node breaks off, the
-    // connection is closed, so that the client does not take the value for complete.
+    // connection ends there, so that the client does not take the value for complete.
     asio::awaitable<void> stream_value([[maybe_unused]] std::shared_ptr<Session> self,
                                        std::shared_ptr<core::Stream> stream) {
         for (;;) {
@@ -237,7 +237,7 @@
         if (is_disconnected())
             co_return stream->abandon();
         if (!stream->is_complete())
-            co_return client_.close(CloseReason::BrokenValue);
+            co_return end_after_output(CloseReason::BrokenValue, slots_.size());
         streaming_ = false;
         slots_.pop_front(), ++first_slot_number_;
         send("\r\n", 1);
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -441,6 +441,15 @@
     client_.notify();
 }
 
+void Session::end_after_output(CloseReason reason, std::size_t unanswered) {
+    client_.note_close_reason(reason);
+    reading_finished_ = true;
+    client_.set_partial(false);
+    client_.complete_requests(unanswered);
+    on_disconnect();
+    client_.notify();
+}
+
 // Suspends reading, so that a client that floods its connection or sends invalid commands in a loop does not
 // take the processor time of all others.
 asio::awaitable<void> Session::pause(Micros duration, bool until_below_limit) {
--- a/src/net/session.hpp
+++ b/src/net/session.hpp
@@ -66,6 +66,9 @@
     /// Reserves what the connection holds now. To be called after buffered_bytes() has changed, except within
     /// parse_received().
     void update_reservation();
+    /// Ends the connection after the bytes that are queued. Nothing more is read, and the `unanswered`
+    /// requests that are open get no answer.
+    void end_after_output(CloseReason reason, std::size_t unanswered);
     bool is_disconnected() const { return disconnected_; }
     /// Whether input that has arrived is not parsed, because the connection is at its limit. What the
     /// client is waited for may be in it.
--- a/tests/slow_client_test.cpp
+++ b/tests/slow_client_test.cpp
@@ -262,6 +262,34 @@
     a_value_outlasts_the_end_that_follows("nonsense\r\n", "ERR Protocol error");
 }
 
+// Guards against losing the whole answers before a value that its node breaks off.
+void a_value_outlasts_the_next_one_that_breaks_off() {
+    constexpr std::size_t kBrokenBytes = 100'000;
+    const Server node([](Socket &s) {
+        while (const auto command = s.value()) {
+            const bool whole = command->elements[1].text == kPiece;
+            if (whole && !s.send(RespNode::served(std::string(kLongBytes, 'v'))))
+                return;
+            if (!whole && s.send(fmt::format("*3\r\n${}\r\n{}", kLongBytes, std::string(kBrokenBytes, 'v'))))
+                return;
+        }
+    });
+    const Discovery discovery(member("s-1", node.port, 0));
+    const Program program(discovery, "", kSettings, {}, 0, "n0", kAmple);
+    SlowClient client(program.port);
+    client.send(get(kPiece) + get(kNextPiece));
+    client.read_slowly(3500ms, kSlowly);
+    client.send(get(kNextPiece));
+    client.read_slowly_up_to(kLongBytes, kSlowly);
+    client.expect_value(kLongBytes);
+    client.read_to_the_end();
+    assert(client.ended_in_order() && !client.answer());
+    while (program.figures().at("clients_open") > 0)
+        std::this_thread::sleep_for(10ms);
+    const auto figures = program.figures();
+    assert(figures.at("clients_closed_broken_value") == 1 && figures.at("current") == 0);
+}
+
 // Guards against making room by ending the connection of a client that still reads its answer.
 void a_value_read_slowly_outlasts_a_crowd() {
     constexpr int kCrowd = 200; // more than there are descriptors
@@ -343,6 +371,7 @@
     {"upgrade", a_value_read_slowly_outlasts_an_upgrade},
     {"quit", a_value_outlasts_quit},
     {"bad_input", a_value_outlasts_bad_input},
+    {"broken_value", a_value_outlasts_the_next_one_that_breaks_off},
     {"eviction", a_value_read_slowly_outlasts_a_crowd},
     {"never", a_client_that_never_reads_is_let_go},
     {"never_crowd", a_crowd_that_never_reads_pushes_out_no_client},
