Close an operator's call once its caller has taken the reply

A caller that took over 0.2 s to read its reply and sent anything meanwhile was reset: 1,066 of 2,148 bytes of the statistics came, with a receive buffer of 1 KB. The socket was closed 0.2 s after the system had taken the reply. The server asks what the caller's side has acknowledged now, and closes once that is all, or once the caller has taken nothing for 2 s. Broker, coordinator and distributor share this server.

--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -13,10 +13,13 @@
 /// Limit on connections; the socket budget keeps descriptors in reserve for them.
 constexpr std::size_t kMaxCallers = 12;
 constexpr std::size_t kMaxCallBytes = 8192;
-/// Time limit for receiving a call, and again for writing its reply. Executing it takes the caller no time.
+/// Time limit for receiving a call. Executing it takes the caller no time.
 constexpr Micros kCallTimeout = 2'000'000;
-/// Time for a caller to read its reply. If the connection were closed at once, data that the caller still
-/// sends would cause a reset, and the caller could lose the reply.
+/// For how long a caller may take nothing of its reply.
+constexpr Micros kReplyStallTimeout = 2'000'000;
+constexpr Micros kDeliveryCheckInterval = 100'000;
+/// Time for a caller to close the connection after its reply. If it were closed at once, data that the caller
+/// still sends would cause a reset, and the caller could lose the reply.
 constexpr Micros kLingerTimeout = 200'000;
 /// Delay before the next accept after a failed one.
 constexpr auto kAcceptRetryDelay = std::chrono::microseconds(10'000);
@@ -127,17 +130,41 @@
     close_after(*caller, kCallTimeout);
     const std::string response = co_await receive_and_execute(*caller);
     if (!response.empty()) {
-        close_after(*caller, kCallTimeout);
-        boost::system::error_code error;
-        co_await net::write_all(caller->socket, response, error);
-        caller->socket.shutdown(tcp::socket::shutdown_send, error);
-        close_after(*caller, kLingerTimeout);
-        co_await drain(*caller, error);
+        co_await write_reply(*caller, response);
+        co_await drain(*caller);
     }
     caller->close();
     callers_.erase(caller);
 }
 
+asio::awaitable<void> AdminServer::write_reply(Caller &caller, const std::string &response) {
+    caller.delivery.queue(response, 1, deadlines_.clock.now());
+    watch_delivery(caller);
+    const net::AnswerDelivery::Batch batch = caller.delivery.begin_batch();
+    boost::system::error_code error;
+    co_await net::write_without_yield(
+        caller.socket, batch.bytes, error,
+        [&delivery = caller.delivery](std::size_t bytes) { delivery.on_accepted(bytes); });
+    caller.delivery.end_batch();
+    caller.socket.shutdown(tcp::socket::shutdown_send, error);
+    caller.shut_down_at = deadlines_.clock.now();
+}
+
+void AdminServer::watch_delivery(Caller &caller) {
+    caller.timeout = deadlines_.in(kDeliveryCheckInterval, [this, &caller] {
+        if (!caller.socket.is_open())
+            return;
+        const Micros now = deadlines_.clock.now();
+        const bool shut_down = caller.shut_down_at != 0;
+        caller.delivery.on_held_by_system(net::unacknowledged_bytes(caller.socket, shut_down), now);
+        const bool has_had_time = shut_down && now - caller.shut_down_at >= kLingerTimeout;
+        const bool taken = caller.delivery.is_delivered() && has_had_time;
+        if (taken || caller.delivery.is_stalled(now, kReplyStallTimeout))
+            return caller.close();
+        watch_delivery(caller);
+    });
+}
+
 void AdminServer::close_after(Caller &caller, Micros timeout) {
     caller.timeout = deadlines_.in(timeout, [&caller] { caller.close(); });
 }
@@ -162,10 +189,14 @@
     co_return response;
 }
 
-asio::awaitable<void> AdminServer::drain(Caller &caller, boost::system::error_code error) {
+asio::awaitable<void> AdminServer::drain(Caller &caller) {
     std::string ignored;
+    boost::system::error_code error;
     while (!error && ignored.size() < kMaxCallBytes)
         error = co_await net::read_more(caller.socket, ignored);
+    if (!error)
+        co_await caller.socket.async_wait(tcp::socket::wait_error,
+                                          asio::redirect_error(asio::use_awaitable, error));
 }
 
 // Calls about cells may have to wait for the cell coordinator; all others are executed immediately.
--- a/src/admin/admin_server.hpp
+++ b/src/admin/admin_server.hpp
@@ -6,6 +6,7 @@
 /// Threads: everything runs on the io_context's single thread.
 #pragma once
 
+#include "net/answer_delivery.hpp"
 #include "net/http.hpp"
 
 #include <functional>
@@ -47,6 +48,9 @@
         explicit Caller(tcp::socket accepted) : socket(std::move(accepted)) {}
         void close();
         tcp::socket socket;
+        net::AnswerDelivery delivery;
+        /// When the sending side was shut down, after the reply was written; 0: it is not.
+        Micros shut_down_at = 0;
         /// Closes the connection; set while the server waits for the caller.
         core::Deadlines::Entry timeout;
     };
@@ -57,9 +61,13 @@
     asio::awaitable<void> serve(CallerIterator caller);
     void close_after(Caller &caller, Micros timeout);
     asio::awaitable<std::string> receive_and_execute(Caller &caller);
-    /// Reads and discards what the caller still sends, until it closes the connection, an error occurs or the
-    /// limit on the size of a call is reached.
-    static asio::awaitable<void> drain(Caller &caller, boost::system::error_code error);
+    asio::awaitable<void> write_reply(Caller &caller, const std::string &response);
+    /// Closes the connection once the caller has taken its reply and has had time to close it, or takes
+    /// nothing of it for too long.
+    void watch_delivery(Caller &caller);
+    /// Reads and discards what the caller still sends, up to the limit on the size of a call, until the
+    /// connection is closed.
+    static asio::awaitable<void> drain(Caller &caller);
 
     asio::awaitable<std::string> execute(net::http::Request request);
     asio::awaitable<std::string> execute_cells(net::http::Request request);
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -37,6 +37,53 @@
         assert(caller.ended());
 }
 
+// Guards against a reset 0.2 s after the reply was written, while the caller still reads it and sends more.
+void a_slow_caller_gets_its_whole_reply() {
+    constexpr int kReceiveBufferBytes = 1024;
+    constexpr std::size_t kBytesPerRead = 300; // each 100 ms
+    const Discovery discovery(member("s-1", free_port(), 0));
+    const Program program(discovery);
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+    setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes, sizeof kReceiveBufferBytes);
+    const sockaddr_in address = local(program.control);
+    assert(::connect(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0);
+    const Socket caller(descriptor);
+    caller.send("GET /admin/stats HTTP/1.1\r\n\r\n");
+    std::string reply;
+    char chunk[kBytesPerRead];
+    for (;;) {
+        const auto got = ::recv(caller.descriptor(), chunk, sizeof chunk, 0);
+        if (got <= 0)
+            break;
+        reply.append(chunk, static_cast<std::size_t>(got));
+        std::this_thread::sleep_for(100ms);
+        caller.send("x");
+    }
+    const std::size_t body = reply.find("\r\n\r\n");
+    assert(body != std::string::npos);
+    const auto wanted = static_cast<std::size_t>(number_after(reply, "Content-Length: ", 0));
+    fmt::print(stderr, "{} bytes of {}\n", reply.size() - body - 4, wanted);
+    assert(wanted > kReceiveBufferBytes && reply.size() - body - 4 == wanted);
+}
+
+// A caller that reads nothing of its reply is let go.
+void a_caller_that_never_reads_is_let_go() {
+    constexpr int kReceiveBufferBytes = 1024;
+    const Discovery discovery(member("s-1", free_port(), 0));
+    const Program program(discovery);
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+    setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes, sizeof kReceiveBufferBytes);
+    const sockaddr_in address = local(program.control);
+    assert(::connect(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0);
+    const Socket caller(descriptor);
+    caller.send("GET /admin/stats HTTP/1.1\r\n\r\n");
+    const auto called = std::chrono::steady_clock::now();
+    std::this_thread::sleep_for(3s); // the time of 2 s, and some
+    while (caller.send("x") && std::chrono::steady_clock::now() - called < 10s)
+        std::this_thread::sleep_for(10ms);
+    assert(std::chrono::steady_clock::now() - called < 4s);
+}
+
 // A call that arrives one byte at a time is executed.
 void a_call_may_come_in_pieces() {
     const Discovery discovery(member("s-1", free_port(), 0));
@@ -218,6 +265,8 @@
 int main() {
     health_and_unknown_calls();
     silent_callers_keep_nobody_out();
+    a_slow_caller_gets_its_whole_reply();
+    a_caller_that_never_reads_is_let_go();
     a_call_may_come_in_pieces();
     figures_are_what_happened();
     costs_are_counted();
