--- a/tests/nvme_test.cpp
+++ b/tests/nvme_test.cpp
@@ -547,6 +547,63 @@
     }
 }
 
+// A host whose admin queue has answers waiting that it reads slowly, so that the system holds them.
+class SlowHost {
+public:
+    static constexpr std::uint16_t kCommands = 600; // 2.5 MB of answers, less than the system takes
+    explicit SlowHost(int port) : admin(Socket::to(port)) {
+        assert(Host::connect(admin, 0, 0xffff) > 0);
+        buffer_little(admin);
+        std::string commands;
+        for (std::uint16_t cid = 1; cid <= kCommands; ++cid)
+            commands += identify(cid);
+        admin.send(commands);
+    }
+    // Reads the completions of all commands but the last `left`, within some 10 ms each.
+    void read_slowly(std::uint16_t left = 0) {
+        while (completed_ < kCommands - left) {
+            const auto pdu = receive(admin);
+            assert(pdu);
+            if (pdu->type != Type::Response)
+                continue;
+            ++completed_;
+            std::this_thread::sleep_for(8ms);
+        }
+    }
+    Socket admin;
+
+private:
+    std::uint16_t completed_ = 0;
+};
+
+// Guards against a reset of a host that is still reading when its connection ends, and sends its next
+// command.
+void answers_to_a_slow_host_outlast_a_quiesce() {
+    const Discovery discovery(member("s-1", free_port(), 0));
+    const int port = free_port();
+    const Program program(discovery, operator_settings(port, false));
+    SlowHost host(port);
+    std::this_thread::sleep_for(200ms);
+    assert(program.call("POST", "quiesce").first == 200);
+    host.read_slowly(200); // some 3 s
+    assert(host.admin.send(identify(SlowHost::kCommands + 1)));
+    host.read_slowly();
+    assert(receive(host.admin)->type == Type::C2HData && receive(host.admin)->type == Type::Response);
+    assert(host.admin.ended());
+}
+void answers_to_a_slow_host_outlast_a_malformed_pdu() {
+    const Discovery discovery(member("s-1", free_port(), 0));
+    const int port = free_port();
+    const Program program(discovery, operator_settings(port, false));
+    SlowHost host(port);
+    host.admin.send(std::string(128, 'x'));
+    host.read_slowly(200);
+    host.admin.send(identify(SlowHost::kCommands + 1));
+    host.read_slowly();
+    assert(receive(host.admin)->type == Type::C2HTermReq);
+    assert(host.admin.ended());
+}
+
 // Guards against a deadlock: the data of writes was held back as too many commands were open, which were just
 // these writes, so that each failed once its time was over.
 void writes_get_the_data_that_they_wait_for() {
@@ -642,6 +699,8 @@
     a_host_that_never_rests_is_sent_away();
     commands_held_back_behind_unread_answers_are_completed();
     keep_alives_held_back_behind_unread_answers_count();
+    answers_to_a_slow_host_outlast_a_quiesce();
+    answers_to_a_slow_host_outlast_a_malformed_pdu();
     writes_get_the_data_that_they_wait_for();
     a_node_has_time_for_each_admin_command();
     a_node_that_misses_a_keep_alive_is_left();
