End a shutdown in time although clients read nothing of a streamed value

After SIGTERM a process with 60 clients that had asked for two values of 3 MB and read nothing ended after 10 s; SIGKILL may come after 3.2 s. A connection to which a value is streamed was exempt from the time that closing connections have for their answers. The exemption holds only while the client takes something within 2 s.

--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -205,22 +205,21 @@
 }
 
 // The client of a closing connection has had time to take its answers. At the end of the process the system
-// sends on what it holds. Otherwise nothing more is read, and the answers are still delivered to a client
-// that takes them.
+// sends on what it holds, and a value that is still being streamed goes on. Otherwise nothing more is read, and
+// the answers are still delivered. A client that takes nothing ends either.
 void Session::handle_flush_timeout() {
     const bool process_ends = client_.closing.withdraw_lone_requests;
-    if (process_ends && !is_streaming())
-        return close_and_leave_output(CloseReason::NotReading);
-    if (process_ends)
-        return;
-    flush_timer_ = deadlines_.in(Closing::kFlushTimeout, [this] { handle_flush_timeout(); });
-    if (is_streaming())
-        return;
     update_delivery();
-    if (delivery_.is_stalled(deadlines_.clock.now(), kClosingStallTimeout)) {
+    const bool stalled = delivery_.is_stalled(deadlines_.clock.now(), kClosingStallTimeout);
+    if (process_ends && (stalled || !is_streaming()))
+        return close_and_leave_output(CloseReason::NotReading);
+    if (stalled) {
         client_.reset(CloseReason::NotReading);
         return wake();
     }
+    flush_timer_ = deadlines_.in(Closing::kFlushTimeout, [this] { handle_flush_timeout(); });
+    if (is_streaming())
+        return;
     if (delivery_.is_delivered() && !send_shut_down_)
         return client_.close(CloseReason::NotReading); // it goes on sending
     if (reading_finished_)
--- a/tests/slow_client_test.cpp
+++ b/tests/slow_client_test.cpp
@@ -204,6 +204,57 @@
     assert(client.ended_in_order());
 }
 
+// The same for a client that goes on sending, so that there is no moment between two requests.
+void a_value_read_slowly_outlasts_a_quiesce_with_commands_behind_it() {
+    Setup setup;
+    SlowClient client(setup.program.port);
+    client.send(get(kPiece));
+    client.read_slowly(200ms, kSlowly);
+    assert(setup.program.call("POST", "quiesce").first == 200);
+    for (auto at = 300ms; at < 4500ms; at += 100ms) {
+        client.read_slowly(at, kSlowly);
+        assert(client.send(get(kNextPiece)));
+    }
+    client.read_slowly_up_to(kLongBytes, kSlowly);
+    client.expect_value(kLongBytes);
+    client.read_to_the_end();
+    assert(client.ended_in_order());
+}
+
+// A client that never reads and goes on sending does not outlast a quiesce: 4 s after the call no client may
+// be held with a request from the last 2 s.
+void a_client_that_never_reads_does_not_outlast_a_quiesce() {
+    Setup setup;
+    const SlowClient client(setup.program.port);
+    client.send(get(kPiece));
+    std::this_thread::sleep_for(200ms);
+    assert(setup.program.call("POST", "quiesce").first == 200);
+    const auto called = Clock::now();
+    while (client.send(get(kNextPiece)) && Clock::now() - called < 8s)
+        std::this_thread::sleep_for(10ms);
+    const auto held = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - called);
+    fmt::print(stderr, "held for {} ms\n", held.count());
+    assert(held < 4s);
+}
+
+// Clients that never read do not keep the process from ending in its time.
+void clients_that_never_read_do_not_outlast_a_shutdown() {
+    constexpr auto kKillAfter = 2500ms + 700ms; // the longest deadline of kSettings
+    Setup setup;
+    std::list<SlowClient> clients;
+    for (int n = 0; n < 60; ++n) {
+        clients.emplace_back(setup.program.port);
+        clients.back().send(get(kPiece) + (n % 2 == 0 ? get(kPiece) : ""));
+    }
+    std::this_thread::sleep_for(500ms);
+    setup.program.signal(SIGTERM);
+    const auto signalled = Clock::now();
+    const int exit_code = setup.program.exit_code();
+    const auto ended = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - signalled);
+    fmt::print(stderr, "ended after {} ms\n", ended.count());
+    assert(exit_code == 0 && ended < kKillAfter);
+}
+
 // Guards against an end of the process that a late command turns into a reset, before it has to end.
 void a_value_read_slowly_outlasts_a_shutdown() {
     constexpr std::size_t kBytes = 2'000'000;
@@ -367,6 +418,9 @@
     {"pause", a_client_that_pauses_gets_the_rest},
     {"idle_after", a_connection_is_idle_once_its_answers_are_taken},
     {"quiesce", a_value_read_slowly_outlasts_a_quiesce},
+    {"quiesce_sending", a_value_read_slowly_outlasts_a_quiesce_with_commands_behind_it},
+    {"quiesce_never", a_client_that_never_reads_does_not_outlast_a_quiesce},
+    {"shutdown_never", clients_that_never_read_do_not_outlast_a_shutdown},
     {"shutdown", a_value_read_slowly_outlasts_a_shutdown},
     {"upgrade", a_value_read_slowly_outlasts_an_upgrade},
     {"quit", a_value_outlasts_quit},
