--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -37,15 +37,7 @@
 } // namespace
 
 asio::awaitable<void> Session::run() {
-    client_.notify = [this] {
-        arm_closing_timers();
-        if (client_.use().closing && delivery_check_at_ != 0)
-            arm_delivery_check();
-        if (reading_finished_)
-            wake();
-        else if (client_.use().open_requests == 0)
-            interrupt_read();
-    };
+    client_.notify = [this] { handle_notification(); };
     received_any_ = client_.inherited.asked; // whether it sent a request before the handover
     arm_closing_timers();
     if (received_any_)
@@ -115,6 +107,17 @@
     client_.notify = nullptr;
 }
 
+// The connection has begun to close or is to be handed over, or what its end waited for may have come.
+void Session::handle_notification() {
+    arm_closing_timers();
+    if (client_.use().closing && delivery_check_at_ != 0)
+        arm_delivery_check();
+    if (reading_finished_)
+        wake();
+    else if (client_.use().open_requests == 0)
+        interrupt_read();
+}
+
 // Ends a closing connection between two requests, if there is such a moment before its deadline. Reads and
 // handles what has arrived, at most kMaxReadsPerTurn reads per call, and shuts the connection down once
 // nothing is left to read. Returns true if the connection is finished.
@@ -205,8 +208,8 @@
 }
 
 // The client of a closing connection has had time to take its answers. At the end of the process the system
-// sends on what it holds, and a value that is still being streamed goes on. Otherwise nothing more is read, and
-// the answers are still delivered. A client that takes nothing ends either.
+// sends on what it holds, and a value that is still being streamed goes on. Otherwise nothing more is read,
+// and the answers are still delivered. A client that takes nothing ends either.
 void Session::handle_flush_timeout() {
     const bool process_ends = client_.closing.withdraw_lone_requests;
     update_delivery();
--- a/src/net/session.hpp
+++ b/src/net/session.hpp
@@ -94,6 +94,7 @@
     void watch_for_hang_up();
     asio::awaitable<void> suspend_reading();
     bool hand_over();
+    void handle_notification();
     void arm_client_timeout();
     bool end_between_requests();
     bool shut_down_if_quiet();
