End clients that do not read before those that ask, and never the same one twice

Now only a client that has taken more than its system did at first is protected, for 3 s from what it last took (it may pause). One that has not is ordered with the idle ones, by when it last took something, and counts among them for the quarter of the descriptors, as it did before. A connection whose socket is closed leaves the order.

--- a/src/net/answer_delivery.cpp
+++ b/src/net/answer_delivery.cpp
@@ -5,8 +5,10 @@
 namespace marblewood::net {
 
 void AnswerDelivery::queue(std::string_view bytes, std::size_t answers, Micros now) {
-    if (is_delivered())
+    if (is_delivered()) {
         last_progress_ = now;
+        has_read_ = reported_ = false;
+    }
     queued_.bytes += bytes;
     queued_.answers += answers;
 }
@@ -24,13 +26,15 @@
     held_by_system_ = bytes;
     if (taken || inherited)
         last_progress_ = now;
+    has_read_ = has_read_ || (taken && reported_);
+    reported_ = true;
     return taken;
 }
 
 DeliveryState AnswerDelivery::state(Micros now) const {
     if (is_delivered())
         return DeliveryState::Delivered;
-    return is_stalled(now, kStallGrace) ? DeliveryState::Stalled : DeliveryState::InProgress;
+    return has_read_ && !is_stalled(now, kReaderGrace) ? DeliveryState::Reading : DeliveryState::Unread;
 }
 
 } // namespace marblewood::net
--- a/src/net/answer_delivery.hpp
+++ b/src/net/answer_delivery.hpp
@@ -13,9 +13,9 @@
 
 /// How far the answers of a connection have come.
 enum class DeliveryState {
-    Delivered,  ///< the client's side has acknowledged all of them
-    InProgress, ///< some are on their way, and the client takes them
-    Stalled,    ///< some are on their way, and the client has taken nothing for kStallGrace
+    Delivered, ///< the client's side has acknowledged all of them, as far as is known
+    Reading,   ///< some are on their way, and the client has shown within kReaderGrace that it reads
+    Unread,    ///< some are on their way, and it has not
 };
 
 /// Bytes count as owed from queue() until the client's side has acknowledged them. All times are Unix time in
@@ -24,8 +24,8 @@
 public:
     /// For how long a client may take nothing of what it is owed before its connection is ended.
     static constexpr Micros kStallTimeout = 10'000'000;
-    /// After this time the connection of such a client may be ended to make room for others.
-    static constexpr Micros kStallGrace = 500'000;
+    /// A client that has read counts as Reading for this time after it last took something.
+    static constexpr Micros kReaderGrace = 3'000'000;
 
     /// What is written at one time.
     struct Batch {
@@ -60,6 +60,10 @@
     std::size_t batch_bytes_ = 0;
     std::size_t held_by_system_ = 0;
     Micros last_progress_ = 0;
+    // The client has taken something since the system first reported that it holds bytes. Until then it may
+    // be just its system that takes them, into its receive buffer.
+    bool has_read_ = false;
+    bool reported_ = false;
 };
 
 } // namespace marblewood::net
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -155,7 +155,6 @@
         client->close_for_shutdown(now, answer_all_at_);
     asio::co_spawn(io_, serve(client), asio::detached);
     limit_idle_requesters();
-    limit_stalled();
 }
 
 void Clients::pause() {
@@ -193,8 +192,9 @@
 }
 
 bool Clients::evict_one() {
-    EvictionOrder::Entry *const entry = order_.next(
-        deadlines_.clock.now(), [](EvictionOrder::Entry &e) { return static_cast<Client &>(e).in_use(); });
+    EvictionOrder::Entry *const entry = order_.next(deadlines_.clock.now(), [](EvictionOrder::Entry &e) {
+        return static_cast<Client &>(e).has_unhandled_input();
+    });
     if (!entry)
         return false;
     evict(static_cast<Client &>(*entry));
@@ -202,10 +202,11 @@
 }
 
 void Clients::evict(Client &client) {
-    if (client.use().delivery == DeliveryState::Stalled)
+    if (client.use().unread())
         client.reset(CloseReason::NotReading);
     else
         client.close(CloseReason::Evicted);
+    client.mark_closed();
     client.begin_closing(CloseReason::Evicted, deadlines_.clock.now());
 }
 
@@ -218,14 +219,14 @@
     // During a drain, the client could not reconnect.
     if (budget_.shared() || on_drained_)
         return;
-    if (EvictionOrder::Entry *const entry = order_.longest_idle_requester())
-        static_cast<Client &>(*entry).begin_closing(CloseReason::TooManyIdle, deadlines_.clock.now());
-}
-
-// As many may stall as may be idle, so that neither push out clients that use their connections.
-void Clients::limit_stalled() {
-    if (order_.stalled() > static_cast<std::size_t>(budget_.max_idle_clients()))
-        evict(static_cast<Client &>(*order_.longest_stalled()));
+    EvictionOrder::Entry *const entry = order_.longest_idle_requester();
+    if (!entry)
+        return;
+    Client &client = static_cast<Client &>(*entry);
+    if (client.use().unread())
+        evict(client);
+    else
+        client.begin_closing(CloseReason::TooManyIdle, deadlines_.clock.now());
 }
 
 asio::awaitable<void> Clients::serve(std::list<Client>::iterator client) {
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -127,8 +127,8 @@
         return error ? 0 : bytes;
     }
     bool has_unread_bytes() { return unread_bytes() > 0; }
-    /// Whether the client has sent what the broker has not handled yet, or is still sent answers.
-    bool in_use() { return input_waits || has_unread_bytes() || has_untransmitted_bytes(socket); }
+    /// Whether the client has sent what the broker has not handled yet.
+    bool has_unhandled_input() { return input_waits || has_unread_bytes(); }
     /// Begins to close the connection; the session shuts it down once all open requests are answered.
     void begin_closing(CloseReason why, Micros now) {
         begin_closing_by(why, now, now + Closing::kCloseTimeout, false);
@@ -216,10 +216,8 @@
     asio::awaitable<void> serve(std::list<Client>::iterator client);
     bool evict_one(); // closes one to make room; false: all are in use
     void evict(Client &client);
-    // Closes the longest idle connection if too many clients stay connected after a request.
+    // Closes the longest idle or unread connection if too many clients stay connected after a request.
     void limit_idle_requesters();
-    // Ends the connection that has been stalled the longest if too many clients do not read their answers.
-    void limit_stalled();
     void advance_drain();
     void begin_closing_all();
     bool accept_backlog(bool last);
--- a/src/net/eviction_order.cpp
+++ b/src/net/eviction_order.cpp
@@ -34,6 +34,9 @@
 void EvictionOrder::Entry::mark_closing() {
     update([](ConnectionUse &use) { use.closing = true; });
 }
+void EvictionOrder::Entry::mark_closed() {
+    update([](ConnectionUse &use) { use.closed = true; });
+}
 void EvictionOrder::Entry::mark_lingering() {
     update([](ConnectionUse &use) { use.lingering = true; });
 }
@@ -52,10 +55,10 @@
 
 std::optional<std::size_t> EvictionOrder::queue_of(const Entry &entry) {
     const ConnectionUse &use = entry.use_;
-    if (use.delivery == DeliveryState::Stalled)
-        return kStalled;
-    if (use.delivery == DeliveryState::InProgress)
+    if (use.closed || use.delivery == DeliveryState::Reading)
         return std::nullopt;
+    if (use.unread())
+        return kRequested;
     if (use.lingering)
         return kLingering;
     const bool has_begun = use.has_requested || use.partial;
@@ -82,18 +85,17 @@
 void EvictionOrder::reposition(Entry &entry) {
     const ConnectionUse &use = entry.use_;
     const auto queue = queue_of(entry);
-    const bool requester = use.has_requested && !use.persistent && !use.closing && queue != kStalled;
-    const bool idle_requester = requester && use.idle();
+    const bool requester = use.has_requested && !use.persistent && !use.closing;
+    const bool idle_requester = requester && (use.idle() || use.unread());
     if (requester != entry.counted_requester_)
         requester ? ++requesters_ : --requesters_;
     entry.counted_requester_ = requester;
     const bool unchanged = queue == entry.queue_ && idle_requester == entry.queued_idle_;
     const bool in_no_queue = !queue && !idle_requester;
-    const Micros time = queue == kStalled ? use.delivery_progress : use.last_used;
-    if (unchanged && (in_no_queue || time == entry.queued_time_))
+    if (unchanged && (in_no_queue || use.active_at() == entry.queued_time_))
         return;
     dequeue(entry);
-    entry.queued_time_ = time;
+    entry.queued_time_ = use.active_at();
     entry.queue_ = queue;
     entry.queued_idle_ = idle_requester;
     if (queue)
@@ -118,7 +120,7 @@
     for (std::size_t queue = 0; queue < kQueues && !found; ++queue)
         for (const Key &candidate : queues_[queue]) {
             ++examined_;
-            if (queue == kLingering || queue == kStalled || !in_use(*candidate.entry)) {
+            if (queue == kLingering || candidate.entry->use().unread() || !in_use(*candidate.entry)) {
                 found = candidate.entry;
                 break;
             }
@@ -129,11 +131,6 @@
     return found;
 }
 
-EvictionOrder::Entry *EvictionOrder::longest_stalled() const {
-    const KeySet &stalled = queues_[kStalled];
-    return stalled.empty() ? nullptr : stalled.begin()->entry;
-}
-
 EvictionOrder::Entry *EvictionOrder::longest_idle_requester() const {
     return idle_requesters_.empty() ? nullptr : idle_requesters_.begin()->entry;
 }
--- a/src/net/eviction_order.hpp
+++ b/src/net/eviction_order.hpp
@@ -26,13 +26,17 @@
     bool persistent = false;    ///< the protocol keeps the connection open while idle
     bool partial = false;       ///< part of a request has been received
     bool closing = false;       ///< is being closed; see net::Closing
+    bool closed = false;        ///< its socket is closed, so that closing it makes no more room
     bool lingering = false;     ///< all answers sent, sending side shut down; waits for the client to close
     std::size_t open_requests = 0; ///< requests received whose answers are not completely written
     /// Whether the client has taken the answers that are written.
     DeliveryState delivery = DeliveryState::Delivered;
-    Micros delivery_progress = 0; ///< when it last took something; counts while `delivery` is Stalled
+    Micros delivery_progress = 0; ///< when it last took something; counts while `delivery` is Unread
 
     bool idle() const { return open_requests == 0 && !partial && delivery == DeliveryState::Delivered; }
+    bool unread() const { return delivery == DeliveryState::Unread; }
+    /// What the order of closing counts from.
+    Micros active_at() const { return unread() ? delivery_progress : last_used; }
 };
 
 class EvictionOrder {
@@ -54,6 +58,7 @@
         void mark_requested();
         void mark_persistent();
         void mark_closing();
+        void mark_closed();
         void mark_lingering();
         void set_delivery(DeliveryState state, Micros last_progress);
         void add_open_request();
@@ -76,17 +81,13 @@
     };
 
     /// The connection to close first at time `now`, or nullptr if all are in use. A connection for which
-    /// `in_use` returns true is, unless it lingers or its client takes nothing of its answers.
+    /// `in_use` returns true is, unless it lingers or its client does not read its answers.
     Entry *next(Micros now, const std::function<bool(Entry &)> &in_use);
 
-    /// Number of connections whose clients take nothing of their answers.
-    std::size_t stalled() const { return queues_[kStalled].size(); }
-    /// The one of these that has taken nothing for the longest, or nullptr.
-    Entry *longest_stalled() const;
-
-    /// Number of connections that have sent a request and are neither closing, persistent nor stalled.
+    /// Number of connections that have sent a request and are neither closing nor persistent.
     std::size_t requesters() const { return requesters_; }
-    /// The least recently used idle one of these, or nullptr.
+    /// The one of these that is idle or whose client does not read, and has been so for the longest; or
+    /// nullptr.
     Entry *longest_idle_requester() const;
 
     /// Number of connections examined by all calls of next(), as a measure of its cost.
@@ -94,11 +95,11 @@
 
 private:
     // Connections are closed in the order of these queues. Those that never sent a request come before those
-    // whose clients use them again; newcomers come late, although they have not sent a request either.
-    // Stalled ones come last, as their clients may only pause; their number is limited (Clients).
-    enum Queue : std::size_t { kSilent, kLingering, kRequested, kPartial, kNewcomer, kStalled, kQueues };
+    // whose clients use them again or do not read their answers; newcomers come last, although they have not
+    // sent a request either.
+    enum Queue : std::size_t { kSilent, kLingering, kRequested, kPartial, kNewcomer, kQueues };
     struct Key {
-        Micros time = 0; // of the last use; in kStalled of the last progress of its answers
+        Micros time = 0; // ConnectionUse::active_at()
         std::uint64_t sequence = 0;
         Entry *entry = nullptr;
         auto operator<=>(const Key &other) const {
