Test a distributor's list that its caller reads slowly, and reword two comments

The distributor does not end a connection while its caller reads: 3,200 nodes read at 160 kB/s with the next call behind them come whole. Its code is unchanged. Two comments said "measured" of what is a fit and a span of time.

--- a/src/lab/scale/line.hpp
+++ b/src/lab/scale/line.hpp
@@ -1,4 +1,4 @@
-// A line through measured points: least squares, with the errors of its parts.
+// A least-squares fit of a straight line to points, with the standard errors of its parameters.
 #pragma once
 
 #include <vector>
--- a/src/overload/quota_lending.hpp
+++ b/src/overload/quota_lending.hpp
@@ -9,7 +9,7 @@
 /// Rule. Each of the h hosts has a part: a balance of at most burst / h units, empty at the start of the
 /// process, which refills at rate / h. Lent units are deducted from the lender's balance, and reduce its
 /// capacity until the lender can be sure that the borrower can no longer spend them. The borrower may spend
-/// them for the loan's lifetime, measured from its request by its own monotonic clock, which is read whenever
+/// them for the loan's lifetime, counted from its request by its own monotonic clock, which is read whenever
 /// units are spent. The lender measures from the arrival of the request, which is later, and adds a margin
 /// for clocks that run at different speeds. Lent units that are not spent in time are lost.
 ///
--- a/tests/distribute_test.cpp
+++ b/tests/distribute_test.cpp
@@ -331,6 +331,33 @@
 }
 
 // An invalid configuration must be reported in one line that names the field, with a non-zero exit code.
+// Guards against cutting off a list that its caller reads slowly, with its next call behind it.
+void a_slow_caller_gets_its_whole_list() {
+    constexpr int kNodes = 3'200;
+    constexpr int kReceiveBufferBytes = 65'536;
+    constexpr std::size_t kBytesPerRead = 8'000;
+    Discovery discovery(members(kNodes));
+    const Distributor distributor(discovery.port());
+    distributor.await("members", kNodes);
+    const Socket caller = Socket::to(distributor.port, kReceiveBufferBytes);
+    const std::string call = "GET /v1/servers HTTP/1.1\r\nHost: d\r\n\r\n";
+    const std::string whole = http_get(distributor.port, "/v1/servers").second;
+    caller.send(call);
+    std::string received;
+    bool sent_next = false;
+    while (received.size() < 2 * whole.size()) {
+        if (!sent_next && received.size() > whole.size() / 2)
+            sent_next = caller.send(call);
+        std::string chunk(kBytesPerRead, '\0');
+        const auto got = ::recv(caller.descriptor(), chunk.data(), chunk.size(), 0);
+        assert(got > 0);
+        received.append(chunk, 0, static_cast<std::size_t>(got));
+        std::this_thread::sleep_for(50ms);
+    }
+    const std::size_t first = received.find(whole);
+    assert(whole.size() > 4 * kReceiveBufferBytes && first != std::string::npos);
+}
+
 void a_bad_configuration_is_one_line() {
     const std::string rest = R"("listen":"127.0.0.1:1","zone":"a","region":"r")";
     const std::string parents = R"("parents":[{"name":"p","address":"127.0.0.1:1"}])";
@@ -394,6 +421,7 @@
     a_new_distributor_has_nothing_to_say_until_it_knows_the_list();
     bad_answers_change_nothing();
     bad_calls_are_refused();
+    a_slow_caller_gets_its_whole_list();
     a_bad_configuration_is_one_line();
     a_brokers_own_part_is_checked();
 }
