--- a/src/admin/statistics.cpp
+++ b/src/admin/statistics.cpp
@@ -60,6 +60,7 @@
                     status.clients.closed[reason]);
     out.counter("clients_closed_unread", status.clients.closed_unread);
     out.counter("clients_closed_undelivered", status.clients.closed_undelivered);
+    out.counter("clients_closed_unanswered", status.clients.closed_unanswered);
     out.gauge("clients_open", status.clients_open);
     out.gauge("clients_closing", status.clients_closing);
 }
--- a/src/net/answer_delivery.hpp
+++ b/src/net/answer_delivery.hpp
@@ -5,6 +5,7 @@
 
 #include "marblewood/scheduler.hpp"
 
+#include <array>
 #include <cstddef>
 #include <string>
 #include <string_view>
@@ -18,6 +19,11 @@
     Unread,    ///< some are pending, and it has not
 };
 
+constexpr std::string_view name(DeliveryState state) {
+    constexpr std::array<std::string_view, 3> kNames{"delivered", "reading", "unread"};
+    return kNames[static_cast<std::size_t>(state)];
+}
+
 /// Bytes are pending from queue() until the client's system has acknowledged them. All times are Unix time in
 /// microseconds.
 class AnswerDelivery {
--- a/src/net/client_figures.hpp
+++ b/src/net/client_figures.hpp
@@ -43,6 +43,8 @@
     std::uint64_t closed_unread = 0; ///< closed by the broker with unparsed input from the client
     /// Closed by the broker with written bytes that the client's side had not acknowledged.
     std::uint64_t closed_undelivered = 0;
+    /// Closed by the broker with open requests, whose clients get no whole answer.
+    std::uint64_t closed_unanswered = 0;
 
     std::uint64_t &of(CloseReason reason) { return closed[static_cast<std::size_t>(reason)]; }
 };
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -197,11 +197,12 @@
     });
     if (!entry)
         return false;
-    evict(static_cast<Client &>(*entry));
+    evict(static_cast<Client &>(*entry), "descriptors");
     return true;
 }
 
-void Clients::evict(Client &client) {
+void Clients::evict(Client &client, std::string_view cause) {
+    log_chosen(client, cause);
     if (client.use().unread())
         client.reset(CloseReason::NotReading);
     else
@@ -224,9 +225,9 @@
         return;
     Client &client = static_cast<Client &>(*entry);
     if (client.use().unread())
-        evict(client);
-    else
-        client.begin_closing(CloseReason::TooManyIdle, deadlines_.clock.now());
+        return evict(client, "idle_limit");
+    log_chosen(client, "idle_limit");
+    client.begin_closing(CloseReason::TooManyIdle, deadlines_.clock.now());
 }
 
 asio::awaitable<void> Clients::serve(std::list<Client>::iterator client) {
@@ -242,6 +243,10 @@
         ++figures_.closed_unread;
     if (client->undelivered_at_close > 0)
         ++figures_.closed_undelivered;
+    if (client->unanswered_at_close > 0) {
+        ++figures_.closed_unanswered;
+        log_unanswered(*client);
+    }
     log_ended(*client);
     clients_.erase(client);
     last_change_at_ = deadlines_.clock.now();
@@ -315,6 +320,31 @@
               ended_line_limiter_.take_suppressed());
 }
 
+// Logs that requests of a connection got no whole answer because the broker closed it.
+void Clients::log_unanswered(const Client &client) {
+    if (!unanswered_line_limiter_.allow(deadlines_.clock.now()))
+        return;
+    core::log("client_closed_unanswered client={} reason={} open_requests={} age_ms={} "
+              "unacknowledged_bytes={} suppressed_lines={}",
+              client.id, name(*client.close_reason), client.unanswered_at_close,
+              (deadlines_.clock.now() - client.use().accepted) / 1000, client.undelivered_at_close,
+              unanswered_line_limiter_.take_suppressed());
+}
+
+// Logs which connection is ended for others, and what the choice was made by.
+void Clients::log_chosen(Client &client, std::string_view cause) {
+    const Micros now = deadlines_.clock.now();
+    if (!chosen_line_limiter_.allow(now))
+        return;
+    const ConnectionUse &use = client.use();
+    core::log("client_chosen_to_end client={} cause={} open_requests={} delivery={} "
+              "unacknowledged_bytes={} last_used_ms={} age_ms={} clients={} requesters={} "
+              "suppressed_lines={}",
+              client.id, cause, use.open_requests, name(use.delivery), unacknowledged_bytes(client.socket),
+              (now - use.last_used) / 1000, (now - use.accepted) / 1000, clients_.size(), order_.requesters(),
+              chosen_line_limiter_.take_suppressed());
+}
+
 // Logs that the broker no longer waits for the rest of a client's message. Bytes that are unparsed or unread
 // then are input that the client has sent and the broker has not handled.
 void Clients::log_abandoned_message(const Client &client, const AbandonedMessage &message) {
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -107,6 +107,8 @@
     std::size_t dropped_before_shutdown = 0, dropped_after_shutdown = 0;
     /// Written bytes that the client's side had not acknowledged when the broker closed the socket.
     std::size_t undelivered_at_close = 0;
+    /// Requests that were open when the broker closed the socket.
+    std::size_t unanswered_at_close = 0;
     std::uint64_t bytes_received = 0; // since the last call of Clients::take_busiest()
     /// Set by Clients. The session calls it when it stops waiting for the rest of a message.
     std::function<void(const AbandonedMessage &)> on_message_abandoned;
@@ -156,8 +158,10 @@
     /// has sent what is not read, or sends more.
     void close(CloseReason why) {
         note_close_reason(why);
-        if (socket.is_open() && *close_reason != CloseReason::ClientDisconnected)
+        if (socket.is_open() && *close_reason != CloseReason::ClientDisconnected) {
             undelivered_at_close = unacknowledged_bytes(socket, use().lingering);
+            unanswered_at_close = use().open_requests;
+        }
         boost::system::error_code ignored;
         socket.shutdown(tcp::socket::shutdown_both, ignored);
         socket.close(ignored);
@@ -215,7 +219,7 @@
     void admit(tcp::socket socket, HandedOverClient inherited);
     asio::awaitable<void> serve(std::list<Client>::iterator client);
     bool evict_one(); // closes one to make room; false: all are in use
-    void evict(Client &client);
+    void evict(Client &client, std::string_view cause);
     // Closes the longest idle or unread connection if too many clients stay connected after a request.
     void limit_idle_requesters();
     void advance_drain();
@@ -226,6 +230,8 @@
     void close_for_quiesce();
     bool closing_for_quiesce() const; // the broker is quiesced and kQuiesceGrace is over
     void log_ended(const Client &client);
+    void log_unanswered(const Client &client);
+    void log_chosen(Client &client, std::string_view cause);
     void log_abandoned_message(const Client &client, const AbandonedMessage &message);
     // Logs every kReportInterval, while any connection is open, what keeps the closing ones open.
     void report_closing(std::string_view cause);
@@ -250,6 +256,10 @@
     core::Deadlines::Entry drain_timer_, quiesce_timer_, report_timer_;
     static constexpr int kMaxEndedLinesPerSecond = 50;
     core::LogRateLimiter ended_line_limiter_{kMaxEndedLinesPerSecond};
+    static constexpr int kMaxUnansweredLinesPerSecond = 20;
+    core::LogRateLimiter unanswered_line_limiter_{kMaxUnansweredLinesPerSecond};
+    static constexpr int kMaxChosenLinesPerSecond = 10;
+    core::LogRateLimiter chosen_line_limiter_{kMaxChosenLinesPerSecond};
     static constexpr int kMaxAbandonedLinesPerSecond = 10;
     core::LogRateLimiter abandoned_line_limiter_{kMaxAbandonedLinesPerSecond};
 };
