--- a/tests/crowd.hpp
+++ b/tests/crowd.hpp
@@ -14,8 +14,9 @@
 /// What each connection of a crowd does.
 struct CrowdBehavior {
     int connections = 0;
-    /// Sent once, at the begin of each connection.
-    std::string opening = {};
+    /// Returns what is sent once, at the begin of a connection; an id of a request in it has to be new. Null:
+    /// nothing.
+    std::function<std::string()> opening = nullptr;
     /// Returns what is sent next, again and again; an empty text: nothing more. Null: only the opening is
     /// sent.
     std::function<std::string()> next = nullptr;
@@ -23,13 +24,17 @@
     std::size_t read_bytes_per_turn = 0;
     bool reconnects = false;      ///< a connection that has ended is replaced by a new one
     int receive_buffer_bytes = 0; ///< of the sockets; 0: the system's
+    /// From one group of connections to the next while the crowd comes; 0: all come at once.
+    std::chrono::milliseconds interval{};
+    int group = 1; ///< connections that come at one time
 };
 
 class Crowd {
 public:
     Crowd(int port, CrowdBehavior behavior) : port_(port), behavior_(std::move(behavior)) {
-        for (int n = 0; n < behavior_.connections; ++n)
-            members_.push_back(connect());
+        if (behavior_.interval == 0ms)
+            while (!complete())
+                members_.push_back(connect());
     }
     ~Crowd() {
         for (const Member &member : members_)
@@ -45,6 +50,9 @@
         const auto end = std::chrono::steady_clock::now() + duration;
         while (std::chrono::steady_clock::now() < end) {
             const auto turn_ends = std::chrono::steady_clock::now() + kTurn;
+            for (; !complete() && next_group_ <= turn_ends; next_group_ += behavior_.interval)
+                for (int n = 0; n < behavior_.group && !complete(); ++n)
+                    members_.push_back(connect());
             bool sent = false;
             for (Member &member : members_)
                 sent |= advance(member);
@@ -65,6 +73,7 @@
         std::string unsent;
     };
 
+    bool complete() const { return static_cast<int>(members_.size()) >= behavior_.connections; }
     Member connect() const {
         const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
         // What all of them have sent must not use up the memory that the system has for TCP: it drops other
@@ -79,7 +88,7 @@
             return {};
         }
         ::fcntl(descriptor, F_SETFL, O_NONBLOCK);
-        return {descriptor, behavior_.opening};
+        return {descriptor, behavior_.opening ? behavior_.opening() : std::string()};
     }
     // Sends and reads what is possible now; returns whether anything was sent.
     bool advance(Member &member) {
@@ -114,6 +123,7 @@
     const int port_;
     const CrowdBehavior behavior_;
     std::vector<Member> members_;
+    std::chrono::steady_clock::time_point next_group_ = std::chrono::steady_clock::now();
 };
 
 } // namespace test
--- a/tests/flood_soak.cpp
+++ b/tests/flood_soak.cpp
@@ -59,7 +59,8 @@
     const auto read_bytes = static_cast<std::size_t>(draw.of({0, 300, 65'536}));
     const int buffer = draw.of({0, 4096});
     const bool reconnects = draw.one_in(2);
-    const auto flood = [&](const char *name, std::string opening, std::function<std::string()> next) {
+    const auto flood = [&](const char *name, std::function<std::string()> opening,
+                           std::function<std::string()> next) {
         return Flood{name,
                      {.connections = crowd,
                       .opening = std::move(opening),
@@ -70,19 +71,19 @@
     };
     switch (draw.between(0, 6)) {
     case 0:
-        return flood("invalid input", "", [] { return std::string(50'000, '?'); });
+        return flood("invalid input", nullptr, [] { return std::string(50'000, '?'); });
     case 1:
-        return flood("invalid commands", "", [] { return repeated("*1\r\n$7\r\nINVALID\r\n", 2000); });
+        return flood("invalid commands", nullptr, [] { return repeated("*1\r\n$7\r\nINVALID\r\n", 2000); });
     case 2:
-        return flood("pings", "", [] { return repeated("*1\r\n$4\r\nPING\r\n", 2000); });
+        return flood("pings", nullptr, [] { return repeated("*1\r\n$4\r\nPING\r\n", 2000); });
     case 3:
-        return flood("half requests", half_a_write(), nullptr);
+        return flood("half requests", half_a_write, nullptr);
     case 4:
-        return flood("slow requests", half_a_write(), [] { return std::string(100, 'b'); });
+        return flood("slow requests", half_a_write, [] { return std::string(100, 'b'); });
     case 5:
-        return flood("short fields", "", read_with_short_fields);
+        return flood("short fields", nullptr, read_with_short_fields);
     default:
-        return flood("new names", "", reads_of_new_names);
+        return flood("new names", nullptr, reads_of_new_names);
     }
 }
 
--- a/tests/memory_limit_test.cpp
+++ b/tests/memory_limit_test.cpp
@@ -109,12 +109,13 @@
 }
 void large_requests_that_stop_half_way() {
     const Fixture fixture;
-    fixture.check({.connections = kCrowd, .opening = put_head(65'536) + std::string(40'000, 'b')}, 2s);
+    fixture.check(
+        {.connections = kCrowd, .opening = [] { return put_head(65'536) + std::string(40'000, 'b'); }}, 2s);
 }
 void large_requests_written_slowly() {
     const Fixture fixture;
     fixture.check({.connections = kCrowd,
-                   .opening = put_head(65'536),
+                   .opening = [] { return put_head(65'536); },
                    .next = [] { return std::string(300, 'b'); },
                    .reconnects = true},
                   4s);
@@ -155,7 +156,7 @@
 void values_passed_on_slowly() {
     const Fixture fixture(std::string(1'000'000, 'v'));
     fixture.check({.connections = 300,
-                   .opening = get(kPiece),
+                   .opening = [] { return get(kPiece); },
                    .read_bytes_per_turn = 300,
                    .reconnects = true,
                    .receive_buffer_bytes = 4096},
@@ -270,7 +271,7 @@
         commands += nvme_identify(cid);
     fixture.check(fixture.nvme_port,
                   {.connections = 300,
-                   .opening = nvme::ic_req() + nvme_connect(1),
+                   .opening = [] { return nvme::ic_req() + nvme_connect(1); },
                    .next = [&] { return commands; },
                    .receive_buffer_bytes = 4096},
                   3s);
