--- /dev/null
+++ b/tests/crowd_test.cpp
@@ -0,0 +1,185 @@
+// Clients that ask in the usual way beside crowds that misbehave: each of their requests has its answer, on
+// the connection on which it was sent, and the process stays within its limits.
+// Usage: crowd_test SCENARIO
+#include "crowd.hpp"
+#include "faults/request_loop.hpp"
+#include "scenarios.hpp"
+
+using namespace test;
+
+namespace {
+
+constexpr Limits kLimits{.memory_mb = 32, .sockets = 1024};
+constexpr std::size_t kKilobytesPerMegabyte = 1024;
+#ifdef __SANITIZE_ADDRESS__
+constexpr bool kMeasuresMemory = false; // the sanitizer's own memory passes the limit
+#else
+constexpr bool kMeasuresMemory = true;
+#endif
+const std::string kLongPiece = "00000000000000bb";
+constexpr int kUsualClients = 10;
+constexpr int kOneTimeClients = 1; // connect anew for each request
+constexpr int kWaitMs = 1500;
+constexpr auto kNodeTime = 25ms; // so that a request is open for longer than a crossing takes
+constexpr int kNodes = 9;
+constexpr auto kPause = 30ms; // of a usual client, less than its system delays an acknowledgement
+constexpr auto kCrowdTime = 5s;
+
+// Nodes that serve kLongPiece with a value of `value_bytes`, and each other request with its id.
+class Nodes {
+public:
+    explicit Nodes(std::size_t value_bytes) {
+        for (int n = 0; n < kNodes; ++n)
+            nodes_.emplace_back([this, value_bytes](const std::vector<std::string> &words, int) {
+                return answer(words[1], words[2], value_bytes);
+            });
+    }
+    std::string members() const {
+        std::string all;
+        for (int n = 0; const RespNode &node : nodes_)
+            all += (n++ == 0 ? "" : ",") + member(fmt::format("s-{}", n), node.server.port, 0);
+        return all;
+    }
+    bool has_taken(const std::string &id) const {
+        const std::lock_guard lock(mutex_);
+        return taken_.contains(id);
+    }
+
+private:
+    std::string answer(const std::string &piece, const std::string &id, std::size_t value_bytes) {
+        if (piece == kLongPiece)
+            return RespNode::served(std::string(value_bytes, 'v'));
+        {
+            const std::lock_guard lock(mutex_);
+            taken_.insert(id);
+        }
+        std::this_thread::sleep_for(kNodeTime);
+        return RespNode::served(id);
+    }
+    mutable std::mutex mutex_;
+    std::set<std::string> taken_;
+    std::list<RespNode> nodes_;
+};
+
+std::string repeated(const std::string &text, int count) {
+    std::string all;
+    for (int n = 0; n < count; ++n)
+        all += text;
+    return all;
+}
+std::string put_head(std::size_t body) {
+    const std::string whole = put(kPiece, std::string(body, 'b'));
+    return whole.substr(0, whole.size() - body - 2);
+}
+std::string read_with_short_fields() {
+    return resp::command({"OBJ.GET", kPiece, fresh_id(),
+                          "c=read,t=standard,d=1500,volume=00000003b4d60021,units=2,shard=0,hosts=1" +
+                              repeated(",a=", 20'000)});
+}
+
+// Runs the crowds beside usual clients, one thread each, and checks what these and the process have seen.
+void expect_service_beside(const std::vector<CrowdBehavior> &behaviors, std::size_t value_bytes = 0) {
+    const Nodes nodes(value_bytes);
+    const Discovery discovery(nodes.members());
+    Program program(discovery, "", with_deadlines(kWaitMs, kWaitMs), {}, 0, "n0", kLimits);
+    RequestTally tally;
+    tally.taken_by_node = [&nodes](const std::string &id) { return nodes.has_taken(id); };
+    std::list<LoopClient> clients;
+    for (int n = 0; n < kUsualClients; ++n)
+        clients.emplace_back(program.port,
+                             LoopOptions{.wait_ms = kWaitMs, .pause = kPause, .reconnects = true}, tally);
+    for (int n = 0; n < kOneTimeClients; ++n)
+        clients.emplace_back(
+            program.port, LoopOptions{.wait_ms = kWaitMs, .pause = kPause, .requests = 1, .reconnects = true},
+            tally);
+    std::this_thread::sleep_for(500ms);
+    std::vector<std::thread> crowds;
+    for (const CrowdBehavior &behavior : behaviors)
+        crowds.emplace_back([&program, &behavior] {
+            Crowd crowd(program.port, behavior);
+            crowd.run(kCrowdTime);
+        });
+    std::size_t most_descriptors = 0;
+    for (const auto end = Clock::now() + kCrowdTime; Clock::now() < end; std::this_thread::sleep_for(5ms))
+        most_descriptors = std::max(most_descriptors, program.descriptors());
+    for (std::thread &crowd : crowds)
+        crowd.join();
+    clients.clear();
+    const auto figures = program.figures();
+    const std::size_t peak_kb = program.peak_memory_kb();
+    fmt::print(stderr, "{}; peak {} kB; at most {} descriptors; closed as not reading {}\n", tally.summary(),
+               peak_kb, most_descriptors, figures.at("clients_closed_not_reading"));
+    if (tally.lost > 0 || tally.late > 0)
+        fmt::print(stderr, "{}\n", program.log());
+    assert(program.running());
+    assert(tally.lost == 0 && tally.late == 0);
+    assert(tally.served > 0);
+    assert(most_descriptors <= static_cast<std::size_t>(kLimits.sockets));
+    assert(!kMeasuresMemory || peak_kb < kLimits.memory_mb * kKilobytesPerMegabyte);
+}
+
+CrowdBehavior slow_readers(int connections, int group, std::chrono::milliseconds interval) {
+    return {.connections = connections,
+            .opening = [] { return get(kLongPiece); },
+            .read_bytes_per_turn = 3'000,
+            .receive_buffer_bytes = 65'536,
+            .interval = interval,
+            .group = group};
+}
+
+// Guards against ending a connection with an open request to make room, because its client's system
+// acknowledges the answer before that some ms late.
+void usual_clients_beside_slow_readers() {
+    expect_service_beside({slow_readers(600, 60, 400ms)}, 3'000'000);
+}
+// The same beside clients that come again as soon as their connection has ended.
+void usual_clients_beside_slow_readers_that_return() {
+    CrowdBehavior behavior = slow_readers(500, 1, 5ms);
+    behavior.reconnects = true;
+    expect_service_beside({behavior}, 400'000);
+}
+// The same where a crowd fills the descriptors with requests that do not come whole.
+void usual_clients_beside_half_requests() {
+    expect_service_beside({{.connections = 1000,
+                            .opening = [] { return put_head(65'536) + std::string(40'000, 'b'); },
+                            .read_bytes_per_turn = 4096,
+                            .reconnects = true}});
+}
+void usual_clients_beside_slow_requests() {
+    expect_service_beside({{.connections = 1000,
+                            .opening = [] { return put_head(65'536); },
+                            .next = [] { return std::string(300, 'b'); },
+                            .read_bytes_per_turn = 4096,
+                            .reconnects = true}});
+}
+void usual_clients_beside_all_of_these() {
+    expect_service_beside({slow_readers(200, 1, 5ms),
+                           {.connections = 150,
+                            .opening = [] { return put_head(65'536) + std::string(40'000, 'b'); },
+                            .read_bytes_per_turn = 4096,
+                            .reconnects = true},
+                           {.connections = 150,
+                            .opening = [] { return put_head(65'536); },
+                            .next = [] { return std::string(300, 'b'); },
+                            .read_bytes_per_turn = 4096,
+                            .reconnects = true},
+                           {.connections = 150,
+                            .next = read_with_short_fields,
+                            .read_bytes_per_turn = 4096,
+                            .reconnects = true}},
+                          1'000'000);
+}
+
+constexpr Scenario kScenarios[] = {
+    {"slow_readers", usual_clients_beside_slow_readers},
+    {"slow_readers_return", usual_clients_beside_slow_readers_that_return},
+    {"half_requests", usual_clients_beside_half_requests},
+    {"slow_requests", usual_clients_beside_slow_requests},
+    {"all", usual_clients_beside_all_of_these},
+};
+
+} // namespace
+
+int main(int argc, char **argv) {
+    return run_scenario(kScenarios, argc, argv);
+}
--- a/tests/faults/request_loop.hpp
+++ b/tests/faults/request_loop.hpp
@@ -45,6 +45,9 @@
     std::atomic<long> max_crossing_us = 0; ///< of these, the longest time from being written to the close
     /// Requests written on an open connection that was then closed without an answer to them.
     std::atomic<long> lost = 0;
+    /// Whether a node has taken the request with this id. If set, such a request counts as lost, however
+    /// shortly before the close it was written.
+    std::function<bool(const std::string &id)> taken_by_node = nullptr;
     /// Requests answered more than kLateTolerance after the time for which the client waits.
     std::atomic<long> late = 0;
     static constexpr auto kLateTolerance = 500ms;
@@ -222,7 +225,8 @@
     void count_unanswered() {
         for (const OpenRequest &request : open_) {
             const auto after = *ended_at_ - request.written;
-            if (!request.end_seen && after > kCrossingWindow) {
+            const bool taken = tally_.taken_by_node && tally_.taken_by_node(request.id);
+            if (!request.end_seen && (taken || after > kCrossingWindow)) {
                 ++tally_.lost;
                 fmt::print("lost: request {} on port {} at {:.3f} ended after {} us\n", request.id,
                            local_port(), std::chrono::duration<double>(ended_at_->time_since_epoch()).count(),
