Take a client for one that does not read only where its system holds answers back

Clients lost requests that a node had taken: the broker reset their connection to make room, 1 to 62 ms after the request was sent. The connection was in the order as "unread", which counts before open requests (EvictionOrder::queue_of), and any answer not acknowledged at one of the looks, 0.1 s apart, made it so for 0.1 s. A client's system may delay that acknowledgement by 40 ms, so every client that asks at that pace is unread by turns. Evidence: client_chosen_to_end open_requests=1 delivery=unread unacknowledged_bytes=0 last_used_ms=1, on.

Answers are unread now only where the system holds some back (SIOCOUTQNSD), as the client's system takes no more, and nothing was acknowledged for 0.25 s; 3 s where the client has read 64 KiB, or nothing is held back. A closed window is what a client that reads nothing has, and a late acknowledgement has not. An answer is pending from when it is queued, not from the first look.

The unit tests of AnswerDelivery state the new rule; the one that called a client unread from the first byte on has the two graces in its place.

--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -156,7 +156,8 @@
             return;
         const Micros now = deadlines_.clock.now();
         const bool shut_down = caller.shut_down_at != 0;
-        caller.delivery.on_unacknowledged(net::unacknowledged_bytes(caller.socket, shut_down), now);
+        caller.delivery.on_unacknowledged(net::unacknowledged_bytes(caller.socket, shut_down),
+                                          net::has_untransmitted_bytes(caller.socket), now);
         const bool has_had_time = shut_down && now - caller.shut_down_at >= kLingerTimeout;
         const bool taken = caller.delivery.is_delivered() && has_had_time;
         if (taken || caller.delivery.is_stalled(now, kReplyStallTimeout))
--- a/src/net/answer_delivery.cpp
+++ b/src/net/answer_delivery.cpp
@@ -7,7 +7,8 @@
 void AnswerDelivery::queue(std::string_view bytes, std::size_t answers, Micros now) {
     if (is_delivered()) {
         last_acknowledged_at_ = now;
-        has_read_ = reported_ = false;
+        read_bytes_ = 0;
+        reported_ = held_back_ = false;
     }
     queued_.bytes += bytes;
     queued_.answers += answers;
@@ -19,14 +20,16 @@
     return batch;
 }
 
-bool AnswerDelivery::on_unacknowledged(std::size_t bytes, Micros now) {
+bool AnswerDelivery::on_unacknowledged(std::size_t bytes, bool held_back, Micros now) {
     const bool taken = bytes < unacknowledged_bytes_;
     // A connection that another process has handed over may hold bytes that were written there.
     const bool inherited = bytes > 0 && is_delivered();
+    if (taken && reported_)
+        read_bytes_ += unacknowledged_bytes_ - bytes;
     unacknowledged_bytes_ = bytes;
+    held_back_ = held_back;
     if (taken || inherited)
         last_acknowledged_at_ = now;
-    has_read_ = has_read_ || (taken && reported_);
     reported_ = true;
     return taken;
 }
@@ -34,7 +37,9 @@
 DeliveryState AnswerDelivery::state(Micros now) const {
     if (is_delivered())
         return DeliveryState::Delivered;
-    return has_read_ && !is_stalled(now, kReaderGrace) ? DeliveryState::Reading : DeliveryState::Unread;
+    const bool has_read = read_bytes_ >= kReadBytes;
+    const Micros grace = has_read || !held_back_ ? kReaderGrace : kFirstReadGrace;
+    return is_stalled(now, grace) ? DeliveryState::Unread : DeliveryState::Pending;
 }
 
 } // namespace marblewood::net
--- a/src/net/answer_delivery.hpp
+++ b/src/net/answer_delivery.hpp
@@ -15,12 +15,12 @@
 /// How far the answers of a connection have come.
 enum class DeliveryState {
     Delivered, ///< none is pending, as far as is known
-    Reading,   ///< some are pending, and the client has shown within kReaderGrace that it reads
-    Unread,    ///< some are pending, and it has not
+    Pending,   ///< some are pending, and the client may be reading them
+    Unread,    ///< some are held back by a client that has not read for some time
 };
 
 constexpr std::string_view name(DeliveryState state) {
-    constexpr std::array<std::string_view, 3> kNames{"delivered", "reading", "unread"};
+    constexpr std::array<std::string_view, 3> kNames{"delivered", "pending", "unread"};
     return kNames[static_cast<std::size_t>(state)];
 }
 
@@ -30,8 +30,14 @@
 public:
     /// For how long nothing that is pending may be acknowledged before the connection is ended.
     static constexpr Micros kStallTimeout = 10'000'000;
-    /// For how long after the last acknowledgement a client that has read counts as Reading.
+    /// For how long after the last acknowledgement answers count as Pending: of a client that has read, or
+    /// that holds nothing back, as its system or the network may be late with an acknowledgement; of any
+    /// other.
     static constexpr Micros kReaderGrace = 3'000'000;
+    static constexpr Micros kFirstReadGrace = 250'000;
+    /// A client has read once so much was acknowledged after the first report. Its system's receive buffer
+    /// may take less after that without being read.
+    static constexpr std::size_t kReadBytes = std::size_t{64} * 1024;
 
     /// What is written at one time.
     struct Batch {
@@ -47,9 +53,10 @@
     /// The system has accepted `bytes` of the current batch.
     void on_accepted(std::size_t bytes) { unacknowledged_bytes_ += bytes; }
     void end_batch() { batch_bytes_ = 0; }
-    /// The system reports that `bytes` of those accepted are not acknowledged. Returns whether some have been
-    /// acknowledged since the last report.
-    bool on_unacknowledged(std::size_t bytes, Micros now);
+    /// The system reports that `bytes` of those accepted are not acknowledged, and whether it holds some of
+    /// them back, as the client's system takes no more. Returns whether some have been acknowledged since the
+    /// last report.
+    bool on_unacknowledged(std::size_t bytes, bool held_back, Micros now);
 
     /// Bytes that the process holds: queued ones and the whole batch that is being written.
     std::size_t unsent_bytes() const { return queued_.bytes.size() + batch_bytes_; }
@@ -68,10 +75,9 @@
     std::size_t batch_bytes_ = 0;
     std::size_t unacknowledged_bytes_ = 0;
     Micros last_acknowledged_at_ = 0;
-    // Something has been acknowledged after the first report. What is acknowledged before may just fill the
-    // receive buffer of a client that does not read.
-    bool has_read_ = false;
+    std::size_t read_bytes_ = 0; // acknowledged after the first report
     bool reported_ = false;
+    bool held_back_ = false; // as of the last report
 };
 
 } // namespace marblewood::net
--- a/src/net/eviction_order.cpp
+++ b/src/net/eviction_order.cpp
@@ -59,7 +59,7 @@
 
 std::optional<std::size_t> EvictionOrder::queue_of(const Entry &entry) {
     const ConnectionUse &use = entry.use_;
-    if (use.closed || use.delivery == DeliveryState::Reading)
+    if (use.closed || use.delivery == DeliveryState::Pending)
         return std::nullopt;
     if (use.unread())
         return kRequested;
--- a/src/net/session_output.cpp
+++ b/src/net/session_output.cpp
@@ -26,7 +26,8 @@
 
 void Session::update_delivery() {
     const Micros now = deadlines_.clock.now();
-    if (delivery_.on_unacknowledged(unacknowledged_bytes(client_.socket, send_shut_down_), now))
+    if (delivery_.on_unacknowledged(unacknowledged_bytes(client_.socket, send_shut_down_),
+                                    has_untransmitted_bytes(client_.socket), now))
         client_.received(now);
     client_.set_delivery(delivery_.state(now), delivery_.last_acknowledged_at());
 }
@@ -52,7 +53,9 @@
 }
 
 void Session::send(std::string_view bytes, std::size_t answers) {
-    delivery_.queue(bytes, answers, deadlines_.clock.now());
+    const Micros now = deadlines_.clock.now();
+    delivery_.queue(bytes, answers, now);
+    client_.set_delivery(delivery_.state(now), delivery_.last_acknowledged_at());
     update_reservation();
     if (writing_ || disconnected_)
         return;
--- a/tests/answer_delivery_test.cpp
+++ b/tests/answer_delivery_test.cpp
@@ -11,6 +11,10 @@
 
 constexpr Micros kStart = 1'000'000;
 constexpr Micros kGrace = AnswerDelivery::kReaderGrace;
+constexpr Micros kFirstGrace = AnswerDelivery::kFirstReadGrace;
+constexpr std::size_t kRead = AnswerDelivery::kReadBytes;
+constexpr bool kHeldBack = true;
+constexpr bool kTransmitted = false;
 constexpr Micros kTimeout = AnswerDelivery::kStallTimeout;
 
 // Queues `bytes`, which the system accepts at once and holds.
@@ -35,47 +39,58 @@
     delivery.end_batch();
     EXPECT_EQ(delivery.unsent_bytes(), 0u);
     EXPECT_FALSE(delivery.is_delivered());
-    EXPECT_TRUE(delivery.on_unacknowledged(0, kStart + 1));
+    EXPECT_TRUE(delivery.on_unacknowledged(0, kTransmitted, kStart + 1));
     EXPECT_TRUE(delivery.is_delivered());
     EXPECT_EQ(delivery.state(kStart + kTimeout), DeliveryState::Delivered);
 }
 
 TEST(AnswerDelivery, StallsOnceTheClientTakesNothing) {
     AnswerDelivery delivery = delivery_of(100);
-    EXPECT_FALSE(delivery.on_unacknowledged(100, kStart + kGrace));
+    EXPECT_FALSE(delivery.on_unacknowledged(100, kHeldBack, kStart + kGrace));
     EXPECT_FALSE(delivery.is_stalled(kStart + kTimeout - 1, kTimeout));
     EXPECT_TRUE(delivery.is_stalled(kStart + kTimeout, kTimeout));
-    EXPECT_TRUE(delivery.on_unacknowledged(99, kStart + kTimeout));
+    EXPECT_TRUE(delivery.on_unacknowledged(99, kHeldBack, kStart + kTimeout));
     EXPECT_FALSE(delivery.is_stalled(kStart + kTimeout, kTimeout));
     EXPECT_EQ(delivery.last_acknowledged_at(), kStart + kTimeout);
 }
 
 // What goes into the client's receive buffer at first says nothing of the client.
-TEST(AnswerDelivery, CallsAClientAReaderOnceItTakesMoreThanItsSystemDidAtFirst) {
+TEST(AnswerDelivery, CallsAClientAReaderOnceItTakesMoreThanItsSystemMayByItself) {
+    AnswerDelivery delivery = delivery_of(3 * kRead);
+    EXPECT_EQ(delivery.state(kStart), DeliveryState::Pending);
+    EXPECT_TRUE(delivery.on_unacknowledged(2 * kRead, kHeldBack, kStart + 1)); // into the receive buffer
+    EXPECT_EQ(delivery.state(kStart + 1 + kFirstGrace - 1), DeliveryState::Pending);
+    EXPECT_EQ(delivery.state(kStart + 1 + kFirstGrace), DeliveryState::Unread);
+    EXPECT_TRUE(delivery.on_unacknowledged(kRead + 1, kHeldBack, kStart + 2));
+    EXPECT_EQ(delivery.state(kStart + 2 + kFirstGrace), DeliveryState::Unread);
+    EXPECT_TRUE(delivery.on_unacknowledged(kRead, kHeldBack, kStart + 3));
+    EXPECT_EQ(delivery.state(kStart + 3 + kGrace - 1), DeliveryState::Pending);
+    EXPECT_EQ(delivery.state(kStart + 3 + kGrace), DeliveryState::Unread);
+}
+
+// Guards against taking a late acknowledgement, which a client's system may delay, for a client that does not
+// read.
+TEST(AnswerDelivery, DoesNotCallAClientUnreadThatHoldsNothingBack) {
     AnswerDelivery delivery = delivery_of(100);
-    EXPECT_EQ(delivery.state(kStart), DeliveryState::Unread);
-    EXPECT_TRUE(delivery.on_unacknowledged(60, kStart + 1));
-    EXPECT_EQ(delivery.state(kStart + 1), DeliveryState::Unread);
-    EXPECT_TRUE(delivery.on_unacknowledged(50, kStart + 2));
-    EXPECT_EQ(delivery.state(kStart + 2), DeliveryState::Reading);
-    EXPECT_EQ(delivery.state(kStart + 2 + kGrace - 1), DeliveryState::Reading);
-    EXPECT_EQ(delivery.state(kStart + 2 + kGrace), DeliveryState::Unread);
+    EXPECT_FALSE(delivery.on_unacknowledged(100, kTransmitted, kStart + kFirstGrace));
+    EXPECT_EQ(delivery.state(kStart + kGrace - 1), DeliveryState::Pending);
+    EXPECT_EQ(delivery.state(kStart + kGrace), DeliveryState::Unread);
 }
 
 TEST(AnswerDelivery, CountsWhatIsTakenWhileTheSystemAcceptsAsMuch) {
-    AnswerDelivery delivery = delivery_of(100);
-    delivery.on_unacknowledged(100, kStart);
-    delivery.queue(std::string(40, 'v'), 1, kStart + kGrace);
+    AnswerDelivery delivery = delivery_of(kRead);
+    delivery.on_unacknowledged(kRead, kHeldBack, kStart);
+    delivery.queue(std::string(kRead, 'v'), 1, kStart + kGrace);
     EXPECT_EQ(delivery.last_acknowledged_at(), kStart); // more to take is no progress
     delivery.begin_batch();
-    delivery.on_accepted(40);
-    EXPECT_TRUE(delivery.on_unacknowledged(100, kStart + kGrace));
-    EXPECT_EQ(delivery.state(kStart + kGrace), DeliveryState::Reading);
+    delivery.on_accepted(kRead);
+    EXPECT_TRUE(delivery.on_unacknowledged(kRead, kHeldBack, kStart + kGrace));
+    EXPECT_EQ(delivery.state(kStart + 2 * kGrace - 1), DeliveryState::Pending);
 }
 
 TEST(AnswerDelivery, TimesANewAnswerFromItsBegin) {
     AnswerDelivery delivery = delivery_of(100);
-    delivery.on_unacknowledged(0, kStart + 1);
+    delivery.on_unacknowledged(0, kTransmitted, kStart + 1);
     const Micros later = kStart + 2 * kTimeout;
     delivery.queue("v", 1, later);
     EXPECT_FALSE(delivery.is_stalled(later + kTimeout - 1, kTimeout));
@@ -83,7 +98,7 @@
 
 TEST(AnswerDelivery, TimesWhatAnotherProcessHasWrittenFromTheFirstLook) {
     AnswerDelivery delivery;
-    EXPECT_FALSE(delivery.on_unacknowledged(500, kStart));
+    EXPECT_FALSE(delivery.on_unacknowledged(500, kHeldBack, kStart));
     EXPECT_FALSE(delivery.is_delivered());
     EXPECT_FALSE(delivery.is_stalled(kStart + kTimeout - 1, kTimeout));
     EXPECT_TRUE(delivery.is_stalled(kStart + kTimeout, kTimeout));
--- a/tests/eviction_test.cpp
+++ b/tests/eviction_test.cpp
@@ -51,7 +51,7 @@
 // state.
 std::optional<std::pair<int, Micros>> expected_rank(const Connection &connection, Micros now) {
     const ConnectionUse &use = connection.use();
-    if (use.closed || use.delivery == DeliveryState::Reading)
+    if (use.closed || use.delivery == DeliveryState::Pending)
         return std::nullopt;
     if (use.delivery == DeliveryState::Unread)
         return std::pair(2, use.acknowledged_at);
@@ -127,7 +127,7 @@
     }
 
 private:
-    static constexpr std::array kDeliveryStates{DeliveryState::Delivered, DeliveryState::Reading,
+    static constexpr std::array kDeliveryStates{DeliveryState::Delivered, DeliveryState::Pending,
                                                 DeliveryState::Unread};
     std::uint64_t random_up_to(std::uint64_t max) { return random_() % (max + 1); }
     void use(Connection &connection) {
