Count only idle connections towards the limit of idle ones, and end none that is read

Cause: limit_idle_requesters() compared all connections that had asked, those with open requests too, with the quarter that idle ones may take, and chose among the idle and the unread ones; a client reads 64 KiB at that rate only after its grace. From the 256th on, each newcomer ended one.

Now idle connections alone are counted and ended.

The model of eviction_test has the new rule.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -197,12 +197,12 @@
     });
     if (!entry)
         return false;
-    evict(static_cast<Client &>(*entry), "descriptors");
+    evict(static_cast<Client &>(*entry));
     return true;
 }
 
-void Clients::evict(Client &client, std::string_view cause) {
-    log_chosen(client, cause);
+void Clients::evict(Client &client) {
+    log_chosen(client, "descriptors");
     if (client.use().unread())
         client.reset(CloseReason::NotReading);
     else
@@ -214,20 +214,19 @@
 // Some clients send one request and stay connected, each on a connection of its own. As the number of client
 // connections is limited, they would keep others from sending requests.
 void Clients::limit_idle_requesters() {
-    if (order_.requesters() < static_cast<std::size_t>(budget_.max_idle_clients()))
+    const Micros now = deadlines_.clock.now();
+    if (order_.idle_requesters(now) < static_cast<std::size_t>(budget_.max_idle_clients()))
         return;
     // During a handover, closing a connection while its next request arrives would reject that request.
     // During a drain, the client could not reconnect.
     if (budget_.shared() || on_drained_)
         return;
-    EvictionOrder::Entry *const entry = order_.least_active_requester(deadlines_.clock.now());
+    EvictionOrder::Entry *const entry = order_.longest_idle_requester(now);
     if (!entry)
         return;
     Client &client = static_cast<Client &>(*entry);
-    if (client.use().unread())
-        return evict(client, "idle_limit");
     log_chosen(client, "idle_limit");
-    client.begin_closing(CloseReason::TooManyIdle, deadlines_.clock.now());
+    client.begin_closing(CloseReason::TooManyIdle, now);
 }
 
 asio::awaitable<void> Clients::serve(std::list<Client>::iterator client) {
@@ -338,11 +337,11 @@
         return;
     const ConnectionUse &use = client.use();
     core::log("client_chosen_to_end client={} cause={} open_requests={} delivery={} "
-              "unacknowledged_bytes={} last_used_ms={} age_ms={} clients={} requesters={} "
+              "unacknowledged_bytes={} last_used_ms={} age_ms={} clients={} idle={} "
               "suppressed_lines={}",
               client.id, cause, use.open_requests, name(use.delivery), unacknowledged_bytes(client.socket),
-              (now - use.last_used) / 1000, (now - use.accepted) / 1000, clients_.size(), order_.requesters(),
-              chosen_line_limiter_.take_suppressed());
+              (now - use.last_used) / 1000, (now - use.accepted) / 1000, clients_.size(),
+              order_.idle_requesters(now), chosen_line_limiter_.take_suppressed());
 }
 
 // Logs that the broker no longer waits for the rest of a client's message. Bytes that are unparsed or unread
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -219,8 +219,8 @@
     void admit(tcp::socket socket, HandedOverClient inherited);
     asio::awaitable<void> serve(std::list<Client>::iterator client);
     bool evict_one(); // closes one to make room; false: all are in use
-    void evict(Client &client, std::string_view cause);
-    // Closes the longest idle or unread connection if too many clients stay connected after a request.
+    void evict(Client &client);
+    // Closes the longest idle connection if too many clients stay connected after a request.
     void limit_idle_requesters();
     void advance_drain();
     void begin_closing_all();
--- a/src/net/eviction_order.cpp
+++ b/src/net/eviction_order.cpp
@@ -15,8 +15,6 @@
     order_.dequeue(*this);
     if (newcomer_)
         order_.newcomers_.erase(accept_key(*this));
-    if (counted_requester_)
-        --order_.requesters_;
 }
 
 void EvictionOrder::Entry::received(Micros now) {
@@ -92,10 +90,7 @@
     const ConnectionUse &use = entry.use_;
     const auto queue = queue_of(entry);
     const bool requester = use.has_requested && !use.persistent && !use.closing;
-    const bool idle_requester = requester && queue != kActive && (use.idle() || use.unread());
-    if (requester != entry.counted_requester_)
-        requester ? ++requesters_ : --requesters_;
-    entry.counted_requester_ = requester;
+    const bool idle_requester = requester && queue != kActive && use.idle();
     const bool unchanged = queue == entry.queue_ && idle_requester == entry.queued_idle_;
     const bool in_no_queue = !queue && !idle_requester;
     if (unchanged && (in_no_queue || use.active_at() == entry.queued_time_))
@@ -147,7 +142,12 @@
     return found;
 }
 
-EvictionOrder::Entry *EvictionOrder::least_active_requester(Micros now) {
+std::size_t EvictionOrder::idle_requesters(Micros now) {
+    expire_active(now);
+    return idle_requesters_.size();
+}
+
+EvictionOrder::Entry *EvictionOrder::longest_idle_requester(Micros now) {
     expire_active(now);
     return idle_requesters_.empty() ? nullptr : idle_requesters_.begin()->entry;
 }
--- a/src/net/eviction_order.hpp
+++ b/src/net/eviction_order.hpp
@@ -79,7 +79,7 @@
         bool newcomer_ = true; // accepted less than kNewcomerGrace ago, as of the last expire_newcomers()
         bool rested_ = false;  // not used for kActiveGrace, as of the last expire_active()
         std::optional<std::size_t> queue_; // the queue that holds it, ordered by `queued_time_`
-        bool queued_idle_ = false, counted_requester_ = false;
+        bool queued_idle_ = false;
         Micros queued_time_ = 0;
     };
 
@@ -87,11 +87,11 @@
     /// `in_use` returns true is, unless it lingers or its client does not read its answers.
     Entry *next(Micros now, const std::function<bool(Entry &)> &in_use);
 
-    /// Number of connections that have sent a request and are neither closing nor persistent.
-    std::size_t requesters() const { return requesters_; }
-    /// The one of these that is idle and not active, or whose client does not read, and has been so for the
-    /// longest; or nullptr.
-    Entry *least_active_requester(Micros now);
+    /// Number of connections that have sent a request, are idle and not active, and are neither closing nor
+    /// persistent.
+    std::size_t idle_requesters(Micros now);
+    /// The one of these that has been idle for the longest, or nullptr.
+    Entry *longest_idle_requester(Micros now);
 
     /// Number of connections examined by all calls of next(), as a measure of its cost.
     std::uint64_t examined() const { return examined_; }
@@ -124,7 +124,6 @@
     std::array<KeySet, kQueues> queues_;
     KeySet newcomers_; // all entries whose newcomer_ is set, by accept time
     KeySet idle_requesters_;
-    std::size_t requesters_ = 0;
     std::uint64_t last_sequence_ = 0, examined_ = 0;
 };
 
--- a/tests/crowd_test.cpp
+++ b/tests/crowd_test.cpp
@@ -78,7 +78,9 @@
 }
 
 // Runs the crowds beside usual clients, one thread each, and checks what these and the process have seen.
-void expect_service_beside(const std::vector<CrowdBehavior> &behaviors, std::size_t value_bytes = 0) {
+// Returns the program's figures.
+std::map<std::string, long> expect_service_beside(const std::vector<CrowdBehavior> &behaviors,
+                                                  std::size_t value_bytes = 0) {
     const Nodes nodes(value_bytes);
     const Discovery discovery(nodes.members());
     Program program(discovery, "", with_deadlines(kWaitMs, kWaitMs), {}, 0, "n0", kLimits);
@@ -116,6 +118,7 @@
     assert(tally.served > 0);
     assert(most_descriptors <= static_cast<std::size_t>(kLimits.sockets));
     assert(!kMeasuresMemory || peak_kb < kLimits.memory_mb * kKilobytesPerMegabyte);
+    return figures;
 }
 
 CrowdBehavior slow_readers(int connections, int group, std::chrono::milliseconds interval) {
@@ -138,6 +141,15 @@
     behavior.reconnects = true;
     expect_service_beside({behavior}, 400'000);
 }
+// Guards against ending clients that read slowly, while there is room, as if they were idle.
+void slow_readers_while_there_is_room() {
+    constexpr std::size_t kVerySlowly = 1'000; // a turn of 10 ms
+    CrowdBehavior behavior = slow_readers(500, 1, 5ms);
+    behavior.read_bytes_per_turn = kVerySlowly;
+    const auto figures = expect_service_beside({behavior}, 1'000'000);
+    assert(figures.at("clients_closed_not_reading") == 0);
+    assert(figures.at("clients_closed_unanswered") == 0);
+}
 // The same where a crowd fills the descriptors with requests that do not come whole.
 void usual_clients_beside_half_requests() {
     expect_service_beside({{.connections = 1000,
@@ -173,6 +185,7 @@
 constexpr Scenario kScenarios[] = {
     {"slow_readers", usual_clients_beside_slow_readers},
     {"slow_readers_return", usual_clients_beside_slow_readers_that_return},
+    {"room", slow_readers_while_there_is_room},
     {"half_requests", usual_clients_beside_half_requests},
     {"slow_requests", usual_clients_beside_slow_requests},
     {"all", usual_clients_beside_all_of_these},
--- a/tests/eviction_test.cpp
+++ b/tests/eviction_test.cpp
@@ -76,21 +76,19 @@
     return first;
 }
 
-Connection *expected_least_active_requester(std::list<Connection> &connections, Micros now,
-                                            std::size_t &requesters) {
+Connection *expected_longest_idle_requester(std::list<Connection> &connections, Micros now,
+                                            std::size_t &idle_requesters) {
     Connection *first = nullptr;
     Micros first_since = 0;
-    requesters = 0;
+    idle_requesters = 0;
     for (Connection &connection : connections) {
         const ConnectionUse &use = connection.use();
-        if (!use.has_requested || use.persistent || use.closing)
+        if (!use.has_requested || use.persistent || use.closing || !use.idle() || is_active(use, now))
             continue;
-        ++requesters;
-        const bool unread = use.delivery == DeliveryState::Unread;
-        const Micros since = unread ? use.acknowledged_at : use.last_used;
-        if (((use.idle() && !is_active(use, now)) || unread) && (!first || since < first_since)) {
+        ++idle_requesters;
+        if (!first || use.last_used < first_since) {
             first = &connection;
-            first_since = since;
+            first_since = use.last_used;
         }
     }
     return first;
@@ -115,10 +113,10 @@
     }
 
     void compare() {
-        std::size_t requesters = 0;
-        Connection *const idle = expected_least_active_requester(connections_, now_, requesters);
-        ASSERT_EQ(order_.requesters(), requesters);
-        ASSERT_EQ(order_.least_active_requester(now_), idle);
+        std::size_t idle_requesters = 0;
+        Connection *const idle = expected_longest_idle_requester(connections_, now_, idle_requesters);
+        ASSERT_EQ(order_.idle_requesters(now_), idle_requesters);
+        ASSERT_EQ(order_.longest_idle_requester(now_), idle);
         Connection *const first = expected_first(connections_, now_);
         const auto unread = [](EvictionOrder::Entry &entry) {
             return static_cast<Connection &>(entry).unread;
