End the slowest reader when readers fill the descriptors, so that newcomers get in

Readers whose answers are held back come last in the order, the slowest first (bytes per second of what is pending). Those that have not shown yet that they read come before the clients that return soon, and only while no request is open on their connection; 0.25 s later they are unread. An answer that is pending, and not held back, protects as before.

--- a/src/net/answer_delivery.cpp
+++ b/src/net/answer_delivery.cpp
@@ -1,5 +1,6 @@
 #include "net/answer_delivery.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace marblewood::net {
@@ -30,16 +31,28 @@
     held_back_ = held_back;
     if (taken || inherited)
         last_acknowledged_at_ = now;
-    reported_ = true;
+    if (!std::exchange(reported_, true))
+        first_report_at_ = now;
     return taken;
 }
 
 DeliveryState AnswerDelivery::state(Micros now) const {
     if (is_delivered())
         return DeliveryState::Delivered;
-    const bool has_read = read_bytes_ >= kReadBytes;
-    const Micros grace = has_read || !held_back_ ? kReaderGrace : kFirstReadGrace;
-    return is_stalled(now, grace) ? DeliveryState::Unread : DeliveryState::Pending;
+    const Micros grace = has_read() || !held_back_ ? kReaderGrace : kFirstReadGrace;
+    if (is_stalled(now, grace))
+        return DeliveryState::Unread;
+    if (!held_back_)
+        return DeliveryState::Pending;
+    return has_read() ? DeliveryState::Reading : DeliveryState::HeldBack;
+}
+
+std::int64_t AnswerDelivery::read_rate(Micros now) const {
+    if (!has_read())
+        return 0;
+    constexpr Micros kSecond = 1'000'000;
+    const Micros elapsed = std::max<Micros>(1, now - first_report_at_);
+    return static_cast<std::int64_t>(read_bytes_) * kSecond / elapsed;
 }
 
 } // namespace marblewood::net
--- a/src/net/answer_delivery.hpp
+++ b/src/net/answer_delivery.hpp
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -15,23 +16,33 @@
 /// How far the answers of a connection have come.
 enum class DeliveryState {
     Delivered, ///< none is pending, as far as is known
-    Pending,   ///< some are pending, and the client may be reading them
-    Unread,    ///< some are held back by a client that has not read for some time
+    Pending,   ///< some are pending, and none are held back, as far as is known
+    HeldBack,  ///< the client's system takes no more for now; the client has not shown yet that it reads
+    Reading,   ///< the same, and the client has read
+    Unread,    ///< nothing that is pending has been taken for some time
 };
 
 constexpr std::string_view name(DeliveryState state) {
-    constexpr std::array<std::string_view, 3> kNames{"delivered", "pending", "unread"};
+    constexpr std::array<std::string_view, 5> kNames{"delivered", "pending", "held_back", "reading",
+                                                     "unread"};
     return kNames[static_cast<std::size_t>(state)];
 }
 
+/// How the answers of a connection stand at one time.
+struct DeliveryReport {
+    DeliveryState state = DeliveryState::Delivered;
+    Micros acknowledged_at = 0; ///< AnswerDelivery::last_acknowledged_at()
+    std::int64_t read_rate = 0; ///< AnswerDelivery::read_rate()
+};
+
 /// Bytes are pending from queue() until the client's system has acknowledged them. All times are Unix time in
 /// microseconds.
 class AnswerDelivery {
 public:
     /// For how long nothing that is pending may be acknowledged before the connection is ended.
     static constexpr Micros kStallTimeout = 10'000'000;
-    /// For how long after the last acknowledgement answers count as Pending: of a client that has read, or
-    /// that holds nothing back, as its system or the network may be late with an acknowledgement; of any
+    /// For how long after the last acknowledgement answers do not count as Unread: of a client that has read,
+    /// or that holds nothing back, as its system or the network may be late with an acknowledgement; of any
     /// other.
     static constexpr Micros kReaderGrace = 3'000'000;
     static constexpr Micros kFirstReadGrace = 250'000;
@@ -69,14 +80,21 @@
         return !is_delivered() && now - last_acknowledged_at_ >= time;
     }
     DeliveryState state(Micros now) const;
+    /// Bytes per second that the client has read since the first report on what is pending; 0 if it has not
+    /// read.
+    std::int64_t read_rate(Micros now) const;
+    DeliveryReport report(Micros now) const { return {state(now), last_acknowledged_at_, read_rate(now)}; }
 
 private:
+    bool has_read() const { return read_bytes_ >= kReadBytes; }
+
     Batch queued_;
     std::size_t batch_bytes_ = 0;
     std::size_t unacknowledged_bytes_ = 0;
     Micros last_acknowledged_at_ = 0;
     std::size_t read_bytes_ = 0; // acknowledged after the first report
     bool reported_ = false;
+    Micros first_report_at_ = 0;
     bool held_back_ = false; // as of the last report
 };
 
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -203,7 +203,7 @@
 
 void Clients::evict(Client &client) {
     log_chosen(client, "descriptors");
-    if (client.use().unread())
+    if (client.use().may_not_read())
         client.reset(CloseReason::NotReading);
     else
         client.close(CloseReason::Evicted);
@@ -339,9 +339,9 @@
     core::log("client_chosen_to_end client={} cause={} open_requests={} delivery={} "
               "unacknowledged_bytes={} last_used_ms={} age_ms={} clients={} idle={} "
               "suppressed_lines={}",
-              client.id, cause, use.open_requests, name(use.delivery), unacknowledged_bytes(client.socket),
-              (now - use.last_used) / 1000, (now - use.accepted) / 1000, clients_.size(),
-              order_.idle_requesters(now), chosen_line_limiter_.take_suppressed());
+              client.id, cause, use.open_requests, name(use.delivery.state),
+              unacknowledged_bytes(client.socket), (now - use.last_used) / 1000, (now - use.accepted) / 1000,
+              clients_.size(), order_.idle_requesters(now), chosen_line_limiter_.take_suppressed());
 }
 
 // Logs that the broker no longer waits for the rest of a client's message. Bytes that are unparsed or unread
--- a/src/net/eviction_order.cpp
+++ b/src/net/eviction_order.cpp
@@ -42,11 +42,8 @@
 void EvictionOrder::Entry::mark_lingering() {
     update([](ConnectionUse &use) { use.lingering = true; });
 }
-void EvictionOrder::Entry::set_delivery(DeliveryState state, Micros acknowledged_at) {
-    update([state, acknowledged_at](ConnectionUse &use) {
-        use.delivery = state;
-        use.acknowledged_at = acknowledged_at;
-    });
+void EvictionOrder::Entry::set_delivery(const DeliveryReport &report) {
+    update([&report](ConnectionUse &use) { use.delivery = report; });
 }
 void EvictionOrder::Entry::add_open_request() {
     update([](ConnectionUse &use) { ++use.open_requests; });
@@ -57,10 +54,14 @@
 
 std::optional<std::size_t> EvictionOrder::queue_of(const Entry &entry) {
     const ConnectionUse &use = entry.use_;
-    if (use.closed || use.delivery == DeliveryState::Pending)
+    if (use.closed || use.delivery.state == DeliveryState::Pending)
         return std::nullopt;
     if (use.unread())
         return kRequested;
+    if (use.delivery.state == DeliveryState::Reading)
+        return kReading;
+    if (use.delivery.state == DeliveryState::HeldBack)
+        return use.open_requests == 0 ? std::optional<std::size_t>(kHeldBack) : std::nullopt;
     if (use.lingering)
         return kLingering;
     const bool has_begun = use.has_requested || use.partial;
@@ -93,10 +94,10 @@
     const bool idle_requester = requester && queue != kActive && use.idle();
     const bool unchanged = queue == entry.queue_ && idle_requester == entry.queued_idle_;
     const bool in_no_queue = !queue && !idle_requester;
-    if (unchanged && (in_no_queue || use.active_at() == entry.queued_time_))
+    if (unchanged && (in_no_queue || use.rank() == entry.queued_rank_))
         return;
     dequeue(entry);
-    entry.queued_time_ = use.active_at();
+    entry.queued_rank_ = use.rank();
     entry.queue_ = queue;
     entry.queued_idle_ = idle_requester;
     if (queue)
@@ -106,7 +107,7 @@
 }
 
 void EvictionOrder::expire_newcomers(Micros now) {
-    while (!newcomers_.empty() && now - newcomers_.begin()->time >= kNewcomerGrace) {
+    while (!newcomers_.empty() && now - newcomers_.begin()->rank >= kNewcomerGrace) {
         Entry &entry = *newcomers_.begin()->entry;
         newcomers_.erase(newcomers_.begin());
         entry.newcomer_ = false;
@@ -116,7 +117,7 @@
 
 void EvictionOrder::expire_active(Micros now) {
     KeySet &active = queues_[kActive];
-    while (!active.empty() && now - active.begin()->time >= kActiveGrace) {
+    while (!active.empty() && now - active.begin()->rank >= kActiveGrace) {
         Entry &entry = *active.begin()->entry;
         entry.rested_ = true;
         reposition(entry);
@@ -131,7 +132,9 @@
     for (std::size_t queue = 0; queue < kQueues && !found; ++queue)
         for (const Key &candidate : queues_[queue]) {
             ++examined_;
-            if (queue == kLingering || candidate.entry->use().unread() || !in_use(*candidate.entry)) {
+            const bool ends_in_any_case =
+                queue == kLingering || queue == kReading || candidate.entry->use().unread();
+            if (ends_in_any_case || !in_use(*candidate.entry)) {
                 found = candidate.entry;
                 break;
             }
--- a/src/net/eviction_order.hpp
+++ b/src/net/eviction_order.hpp
@@ -30,13 +30,18 @@
     bool closed = false;        ///< its socket is closed, so that closing it makes no more room
     bool lingering = false;     ///< all answers sent, sending side shut down; waits for the client to close
     std::size_t open_requests = 0; ///< requests received whose answers are not completely written
-    DeliveryState delivery = DeliveryState::Delivered; ///< of the answers that are written
-    Micros acknowledged_at = 0; ///< AnswerDelivery::last_acknowledged_at(); counts while `delivery` is Unread
-
-    bool idle() const { return open_requests == 0 && !partial && delivery == DeliveryState::Delivered; }
-    bool unread() const { return delivery == DeliveryState::Unread; }
-    /// What the order of closing counts from.
-    Micros active_at() const { return unread() ? acknowledged_at : last_used; }
+    DeliveryReport delivery;       ///< of the answers that are written
+
+    bool idle() const { return open_requests == 0 && !partial && delivery.state == DeliveryState::Delivered; }
+    bool unread() const { return delivery.state == DeliveryState::Unread; }
+    /// Whether the client has not shown that it reads the answers that are held back.
+    bool may_not_read() const { return unread() || delivery.state == DeliveryState::HeldBack; }
+    /// The position within a queue of the order: the lowest comes first. A time, or the rate of a reader.
+    std::int64_t rank() const {
+        if (delivery.state == DeliveryState::Reading)
+            return delivery.read_rate;
+        return may_not_read() ? delivery.acknowledged_at : last_used;
+    }
 };
 
 class EvictionOrder {
@@ -62,7 +67,7 @@
         void mark_closing();
         void mark_closed();
         void mark_lingering();
-        void set_delivery(DeliveryState state, Micros acknowledged_at);
+        void set_delivery(const DeliveryReport &report);
         void add_open_request();
         void complete_requests(std::size_t count);
 
@@ -78,13 +83,14 @@
         const std::uint64_t sequence_;
         bool newcomer_ = true; // accepted less than kNewcomerGrace ago, as of the last expire_newcomers()
         bool rested_ = false;  // not used for kActiveGrace, as of the last expire_active()
-        std::optional<std::size_t> queue_; // the queue that holds it, ordered by `queued_time_`
+        std::optional<std::size_t> queue_; // the queue that holds it, ordered by `queued_rank_`
         bool queued_idle_ = false;
-        Micros queued_time_ = 0;
+        std::int64_t queued_rank_ = 0;
     };
 
     /// The connection to close first at time `now`, or nullptr if all are in use. A connection for which
-    /// `in_use` returns true is, unless it lingers or its client does not read its answers.
+    /// `in_use` returns true is, unless it lingers or its client does not read its answers, or reads them
+    /// slowly and there is no other.
     Entry *next(Micros now, const std::function<bool(Entry &)> &in_use);
 
     /// Number of connections that have sent a request, are idle and not active, and are neither closing nor
@@ -99,21 +105,32 @@
 private:
     // Connections are closed in the order of these queues. Those that never sent a request come before those
     // whose clients use them again or do not read their answers; newcomers come late, although they have not
-    // sent a request either, and active ones last.
-    enum Queue : std::size_t { kSilent, kLingering, kRequested, kPartial, kNewcomer, kActive, kQueues };
+    // sent a request either, and active ones after them. Readers are ended last, the slowest first: their
+    // answers are lost, and without them newcomers would find no room.
+    enum Queue : std::size_t {
+        kSilent,
+        kLingering,
+        kRequested,
+        kPartial,
+        kNewcomer,
+        kHeldBack,
+        kActive,
+        kReading,
+        kQueues
+    };
     struct Key {
-        Micros time = 0; // ConnectionUse::active_at()
+        std::int64_t rank = 0; // ConnectionUse::rank()
         std::uint64_t sequence = 0;
         Entry *entry = nullptr;
         auto operator<=>(const Key &other) const {
-            return std::pair(time, sequence) <=> std::pair(other.time, other.sequence);
+            return std::pair(rank, sequence) <=> std::pair(other.rank, other.sequence);
         }
     };
     using KeySet = std::set<Key>;
 
     static std::optional<std::size_t> queue_of(const Entry &entry);
-    static Key key(Entry &entry) { return {entry.queued_time_, entry.sequence_, &entry}; }
-    // Its time is that of the accept.
+    static Key key(Entry &entry) { return {entry.queued_rank_, entry.sequence_, &entry}; }
+    // Its rank is that of the accept.
     static Key accept_key(Entry &entry) { return {entry.use_.accepted, entry.sequence_, &entry}; }
     // Puts an entry into the queues that its use calls for.
     void reposition(Entry &entry);
--- a/src/net/session_output.cpp
+++ b/src/net/session_output.cpp
@@ -29,7 +29,7 @@
     if (delivery_.on_unacknowledged(unacknowledged_bytes(client_.socket, send_shut_down_),
                                     has_untransmitted_bytes(client_.socket), now))
         client_.received(now);
-    client_.set_delivery(delivery_.state(now), delivery_.last_acknowledged_at());
+    client_.set_delivery(delivery_.report(now));
 }
 
 void Session::check_delivery() {
@@ -55,7 +55,7 @@
 void Session::send(std::string_view bytes, std::size_t answers) {
     const Micros now = deadlines_.clock.now();
     delivery_.queue(bytes, answers, now);
-    client_.set_delivery(delivery_.state(now), delivery_.last_acknowledged_at());
+    client_.set_delivery(delivery_.report(now));
     update_reservation();
     if (writing_ || disconnected_)
         return;
