--- a/src/core/stream.hpp
+++ b/src/core/stream.hpp
@@ -16,20 +16,25 @@
 class Stream {
 public:
     static constexpr std::size_t kBufferBytes = std::size_t{16} * 1024;
+    static constexpr std::size_t kBufferBytesWhenShort = std::size_t{2} * 1024; ///< while memory is short
 
     /// \param total_bytes length of the complete value.
     Stream(const boost::asio::any_io_executor &executor, MemoryBudget &memory, std::size_t total_bytes)
-        : length(total_bytes), data_ready_(executor), space_ready_(executor), reservation_(memory) {}
+        : length(total_bytes), data_ready_(executor), space_ready_(executor), memory_(memory),
+          reservation_(memory) {}
 
     const std::size_t length; ///< length of the complete value in bytes
 
+    /// How many bytes the writer may read from the node at one time, and the buffer may hold before it waits.
+    std::size_t buffer_bytes() const { return memory_.is_short() ? kBufferBytesWhenShort : kBufferBytes; }
+
     /// Writer: appends `bytes`, then waits while the buffer is full. Returns false if the reader has
     /// abandoned the stream.
     boost::asio::awaitable<bool> put(std::string bytes) {
         buffer_ += bytes;
         reservation_.resize(buffer_.size());
         wake(data_ready_);
-        while (!abandoned_ && buffer_.size() >= kBufferBytes)
+        while (!abandoned_ && buffer_.size() >= buffer_bytes())
             co_await space_ready_.take();
         co_return !abandoned_;
     }
@@ -69,6 +74,7 @@
     Mailbox<bool> data_ready_;
     Mailbox<bool> space_ready_;
     std::string buffer_;
+    const MemoryBudget &memory_;
     MemoryBudget::Reservation reservation_;
     bool finished_ = false;
     bool complete_ = false;
--- a/src/net/resp/node_port.cpp
+++ b/src/net/resp/node_port.cpp
@@ -120,7 +120,7 @@
             timer = connection.close_if_silent(deadlines, silence_timeout(reader, attempt));
         response.unusable =
             bool(co_await read_more(connection.socket, connection.received,
-                                    attempt.stream ? core::Stream::kBufferBytes : kReadChunkBytes));
+                                    attempt.stream ? attempt.stream->buffer_bytes() : kReadChunkBytes));
         std::string_view bytes = connection.received;
         try {
             response.value = reader.take(bytes);
--- a/tests/crowd_test.cpp
+++ b/tests/crowd_test.cpp
@@ -1,8 +1,7 @@
 // Clients that ask in the usual way beside crowds that misbehave: each of their requests has its answer, on
 // the connection on which it was sent, and the process stays within its limits.
 // Usage: crowd_test SCENARIO
-#include "crowd.hpp"
-#include "faults/request_loop.hpp"
+#include "faults/soak_parts.hpp"
 #include "scenarios.hpp"
 
 using namespace test;
@@ -11,78 +10,28 @@
 
 constexpr Limits kLimits{.memory_mb = 32, .sockets = 1024};
 constexpr std::size_t kKilobytesPerMegabyte = 1024;
+constexpr double kMemoryShare = 0.9; // of the limit that the process may take
 #ifdef __SANITIZE_ADDRESS__
 constexpr bool kMeasuresMemory = false; // the sanitizer's own memory passes the limit
 #else
 constexpr bool kMeasuresMemory = true;
 #endif
-const std::string kLongPiece = "00000000000000bb";
 constexpr int kUsualClients = 10;
 constexpr int kOneTimeClients = 1; // connect anew for each request
 constexpr int kWaitMs = 1500;
 constexpr auto kNodeTime = 25ms; // so that a request is open for longer than a crossing takes
 constexpr int kNodes = 9;
 constexpr auto kPause = 30ms; // of a usual client, less than its system delays an acknowledgement
+constexpr std::size_t kHead = 500, kHalf = 40'000; // bytes of a write
+constexpr int kFields = 20'000;
 constexpr auto kCrowdTime = 5s;
 
-// Nodes that serve kLongPiece with a value of `value_bytes`, and each other request with its id.
-class Nodes {
-public:
-    explicit Nodes(std::size_t value_bytes) {
-        for (int n = 0; n < kNodes; ++n)
-            nodes_.emplace_back([this, value_bytes](const std::vector<std::string> &words, int) {
-                return answer(words[1], words[2], value_bytes);
-            });
-    }
-    std::string members() const {
-        std::string all;
-        for (int n = 0; const RespNode &node : nodes_)
-            all += (n++ == 0 ? "" : ",") + member(fmt::format("s-{}", n), node.server.port, 0);
-        return all;
-    }
-    bool has_taken(const std::string &id) const {
-        const std::lock_guard lock(mutex_);
-        return taken_.contains(id);
-    }
-
-private:
-    std::string answer(const std::string &piece, const std::string &id, std::size_t value_bytes) {
-        if (piece == kLongPiece)
-            return RespNode::served(std::string(value_bytes, 'v'));
-        {
-            const std::lock_guard lock(mutex_);
-            taken_.insert(id);
-        }
-        std::this_thread::sleep_for(kNodeTime);
-        return RespNode::served(id);
-    }
-    mutable std::mutex mutex_;
-    std::set<std::string> taken_;
-    std::list<RespNode> nodes_;
-};
-
-std::string repeated(const std::string &text, int count) {
-    std::string all;
-    for (int n = 0; n < count; ++n)
-        all += text;
-    return all;
-}
-std::string put_head(std::size_t body) {
-    const std::string whole = put(kPiece, std::string(body, 'b'));
-    return whole.substr(0, whole.size() - body - 2);
-}
-std::string read_with_short_fields() {
-    return resp::command({"OBJ.GET", kPiece, fresh_id(),
-                          "c=read,t=standard,d=1500,volume=00000003b4d60021,units=2,shard=0,hosts=1" +
-                              repeated(",a=", 20'000)});
-}
-
 // Runs the crowds beside usual clients, one thread each, and checks what these and the process have seen.
 // Returns the program's figures.
 std::map<std::string, long> expect_service_beside(const std::vector<CrowdBehavior> &behaviors,
                                                   std::size_t value_bytes = 0,
                                                   const Limits &limits = kLimits) {
-    const Nodes nodes(value_bytes);
+    const RecordingNodes nodes(kNodes, kNodeTime, value_bytes);
     const Discovery discovery(nodes.members());
     Program program(discovery, "", with_deadlines(kWaitMs, kWaitMs), {}, 0, "n0", limits);
     RequestTally tally;
@@ -118,13 +67,14 @@
     assert(tally.lost == 0 && tally.late == 0);
     assert(tally.served > 0);
     assert(most_descriptors <= static_cast<std::size_t>(limits.sockets));
-    assert(!kMeasuresMemory || peak_kb < limits.memory_mb * kKilobytesPerMegabyte);
+    assert(!kMeasuresMemory ||
+           static_cast<double>(peak_kb) < kMemoryShare * limits.memory_mb * kKilobytesPerMegabyte);
     return figures;
 }
 
 CrowdBehavior slow_readers(int connections, int group, std::chrono::milliseconds interval) {
     return {.connections = connections,
-            .opening = [] { return get(kLongPiece); },
+            .opening = [] { return get(RecordingNodes::kLongPiece); },
             .read_bytes_per_turn = 3'000,
             .receive_buffer_bytes = 65'536,
             .interval = interval,
@@ -151,6 +101,13 @@
     assert(figures.at("clients_closed_not_reading") == 0);
     assert(figures.at("clients_closed_unanswered") == 0);
 }
+// The longest values, read slowly by clients that come at once.
+void usual_clients_beside_slow_readers_of_the_longest_values() {
+    constexpr int kReaders = 700;
+    CrowdBehavior behavior = slow_readers(kReaders, kReaders, 0ms);
+    behavior.receive_buffer_bytes = 4'096;
+    expect_service_beside({behavior}, 4 * kKilobytesPerMegabyte * 1'024);
+}
 // Guards against newcomers that find no room among clients that read slowly.
 void usual_clients_where_slow_readers_fill_the_descriptors() {
     constexpr Limits kFewDescriptors{.memory_mb = 32, .sockets = 256};
@@ -161,13 +118,13 @@
 // The same where a crowd fills the descriptors with requests that do not come whole.
 void usual_clients_beside_half_requests() {
     expect_service_beside({{.connections = 1000,
-                            .opening = [] { return put_head(65'536) + std::string(40'000, 'b'); },
+                            .opening = [] { return begin_of_write(kHalf); },
                             .read_bytes_per_turn = 4096,
                             .reconnects = true}});
 }
 void usual_clients_beside_slow_requests() {
     expect_service_beside({{.connections = 1000,
-                            .opening = [] { return put_head(65'536); },
+                            .opening = [] { return begin_of_write(kHead); },
                             .next = [] { return std::string(300, 'b'); },
                             .read_bytes_per_turn = 4096,
                             .reconnects = true}});
@@ -175,28 +132,39 @@
 void usual_clients_beside_all_of_these() {
     expect_service_beside({slow_readers(200, 1, 5ms),
                            {.connections = 150,
-                            .opening = [] { return put_head(65'536) + std::string(40'000, 'b'); },
+                            .opening = [] { return begin_of_write(kHalf); },
                             .read_bytes_per_turn = 4096,
                             .reconnects = true},
                            {.connections = 150,
-                            .opening = [] { return put_head(65'536); },
+                            .opening = [] { return begin_of_write(kHead); },
                             .next = [] { return std::string(300, 'b'); },
                             .read_bytes_per_turn = 4096,
                             .reconnects = true},
                            {.connections = 150,
-                            .next = read_with_short_fields,
+                            .next = [] { return read_with_short_fields(kFields, kWaitMs); },
                             .read_bytes_per_turn = 4096,
                             .reconnects = true}},
                           1'000'000);
 }
 
+// Guards against long values that are passed on to many clients at once and hold memory while it is short.
+void usual_clients_beside_slow_readers_and_half_requests_at_once() {
+    constexpr int kEach = 350;
+    CrowdBehavior readers = slow_readers(kEach, kEach, 0ms);
+    readers.receive_buffer_bytes = 4'096;
+    CrowdBehavior writers{.connections = kEach, .opening = [] { return begin_of_write(kHalf); }};
+    expect_service_beside({readers, writers}, 4 * kKilobytesPerMegabyte * 1'024);
+}
+
 constexpr Scenario kScenarios[] = {
     {"slow_readers", usual_clients_beside_slow_readers},
     {"slow_readers_return", usual_clients_beside_slow_readers_that_return},
     {"room", slow_readers_while_there_is_room},
+    {"longest", usual_clients_beside_slow_readers_of_the_longest_values},
     {"full", usual_clients_where_slow_readers_fill_the_descriptors},
     {"half_requests", usual_clients_beside_half_requests},
     {"slow_requests", usual_clients_beside_slow_requests},
+    {"at_once", usual_clients_beside_slow_readers_and_half_requests_at_once},
     {"all", usual_clients_beside_all_of_these},
 };
 
--- a/tests/flood_soak.cpp
+++ b/tests/flood_soak.cpp
@@ -5,9 +5,7 @@
 /// No request of the well-behaved clients may be lost, and none answered too late, and the memory of the
 /// process stays under its limit. Run with the first seed and the number of seeds; prints a line for each,
 /// and the failed ones last.
-#include "crowd.hpp"
-#include "faults/draw.hpp"
-#include "faults/request_loop.hpp"
+#include "faults/soak_parts.hpp"
 #include "scenarios.hpp"
 
 #include <algorithm>
@@ -22,12 +20,6 @@
 constexpr std::size_t kLimitKb = std::size_t{32} * 1024;
 constexpr int kMaxCrowd = 500; // connections, of the 728 that clients can have
 
-std::string repeated(const std::string &text, int count) {
-    std::string all;
-    for (int n = 0; n < count; ++n)
-        all += text;
-    return all;
-}
 std::string reads_of_new_names() {
     static std::atomic<std::uint64_t> number = 0;
     std::string requests;
@@ -44,10 +36,8 @@
     const std::string whole = put(kPiece, std::string(65'536, 'b'));
     return whole.substr(0, whole.size() / 2);
 }
-std::string read_with_short_fields() {
-    const std::string list =
-        "c=read,t=standard,d=300,volume=00000003b4d60021,units=2,shard=0,hosts=1" + repeated(",a=", 20'000);
-    return resp::command({"OBJ.GET", kPiece, fresh_id(), list});
+std::string read_with_many_fields() {
+    return read_with_short_fields(20'000, 300);
 }
 
 struct Flood {
@@ -81,84 +71,12 @@
     case 4:
         return flood("slow requests", half_a_write, [] { return std::string(100, 'b'); });
     case 5:
-        return flood("short fields", nullptr, read_with_short_fields);
+        return flood("short fields", nullptr, read_with_many_fields);
     default:
         return flood("new names", nullptr, reads_of_new_names);
     }
 }
 
-// Runs a crowd until it is destroyed.
-class RunningCrowd {
-public:
-    RunningCrowd(int port, CrowdBehavior behavior)
-        : crowd_(port, std::move(behavior)), thread_([this] {
-              while (!stopping_)
-                  crowd_.run(20ms);
-          }) {}
-    ~RunningCrowd() {
-        stopping_ = true;
-        thread_.join();
-    }
-
-private:
-    Crowd crowd_;
-    std::atomic<bool> stopping_ = false;
-    std::thread thread_;
-};
-
-// Resident memory of a process; 0 if it has ended.
-std::size_t resident_kb(pid_t process) {
-    std::ifstream status(fmt::format("/proc/{}/status", process));
-    for (std::string word; status >> word;)
-        if (word == "VmRSS:" && status >> word)
-            return std::stoul(word);
-    return 0;
-}
-
-// The most that the processes' resident memory has been, together at one time.
-class MemorySampler {
-public:
-    explicit MemorySampler(std::vector<pid_t> processes)
-        : processes_(std::move(processes)), thread_([this] {
-              for (; !stopping_; std::this_thread::sleep_for(5ms))
-                  sample();
-          }) {}
-    ~MemorySampler() { stop(); }
-    std::size_t stop() {
-        stopping_ = true;
-        if (thread_.joinable())
-            thread_.join();
-        return peak_kb_;
-    }
-
-private:
-    void sample() {
-        std::size_t sum = 0;
-        for (const pid_t process : processes_)
-            sum += resident_kb(process);
-        peak_kb_ = std::max(peak_kb_, sum);
-    }
-    const std::vector<pid_t> processes_;
-    std::atomic<bool> stopping_ = false;
-    std::size_t peak_kb_ = 0;
-    std::thread thread_;
-};
-
-// Sends a series of signals, SIGTERM the first that ends the process, and SIGKILL as early as it may come.
-void end_with_signals(Draw &draw, Program &program, int longest_ms) {
-    for (int n = draw.between(0, 3); n > 0; --n) {
-        program.signal(SIGHUP);
-        std::this_thread::sleep_for(milliseconds(draw.between(0, 50)));
-    }
-    program.signal(SIGTERM);
-    const auto kill = Clock::now() + kill_after(longest_ms);
-    for (int n = draw.between(0, 3); n > 0; --n) {
-        std::this_thread::sleep_for(milliseconds(draw.between(0, 200)));
-        program.signal(draw.of({SIGTERM, SIGHUP, SIGINT}));
-    }
-    std::this_thread::sleep_until(kill);
-}
-
 bool run_flood(unsigned seed) {
     Draw draw(seed);
     const int longest = draw.of({300, 600, 1500});
