--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -299,7 +299,11 @@
                                         .peers = peers_,
                                         .cell_router = cell_router_});
     cost_log_.emplace(deadlines_, [this] { return stats_->costs(); });
-    process_monitor_.emplace(deadlines_, [this] { return stats_->process_state(); });
+    process_monitor_.emplace(deadlines_, [this] {
+        ProcessState state = stats_->process_state();
+        state.memory_limit_bytes = state.reserved_limit_bytes * kMemoryDivisor;
+        return state;
+    });
     if (admin_acceptor_)
         admin_.emplace(io_, deadlines_, std::move(*admin_acceptor_), admin_operations());
     clients_->apply(quiesce_);
--- a/src/app/process_handover.cpp
+++ b/src/app/process_handover.cpp
@@ -1,10 +1,16 @@
 #include "app/process_handover.hpp"
 
 #include "core/log.hpp"
+#include "core/memory_usage.hpp"
 
 #include <unistd.h>
 
 namespace marblewood::app {
+namespace {
+
+constexpr Micros kReturnInterval = 100'000;
+
+} // namespace
 
 ProcessHandover::ProcessHandover(const std::string &path, Parts parts, OperatorActions actions)
     : parts_(parts), actions_(std::move(actions)) {
@@ -113,6 +119,15 @@
 void ProcessHandover::share_limits(bool shared, int clients_elsewhere) {
     parts_.sockets.share(shared, clients_elsewhere);
     parts_.memory.set_shared(shared);
+    return_timer_.reset();
+    if (shared)
+        return_freed_memory();
+}
+
+/// Gives freed memory back again and again while both processes serve: each has only half of the limit.
+void ProcessHandover::return_freed_memory() {
+    core::return_freed_memory();
+    return_timer_ = parts_.deadlines.in(kReturnInterval, [this] { return_freed_memory(); });
 }
 
 } // namespace marblewood::app
--- a/src/app/process_monitor.hpp
+++ b/src/app/process_monitor.hpp
@@ -1,5 +1,6 @@
 /// \file
-/// Logs the state of the process when it grows, falls behind or runs short of memory for clients.
+/// Logs the state of the process when it grows, falls behind or runs short of memory for clients, and gives
+/// freed memory back to the system.
 #pragma once
 
 #include "core/deadlines.hpp"
@@ -15,6 +16,7 @@
 struct ProcessState {
     std::size_t reserved_bytes = 0;       ///< of the budget for clients' requests and answers
     std::size_t reserved_limit_bytes = 0; ///< beyond which new work is refused
+    std::size_t memory_limit_bytes = 0;   ///< of the process
     std::size_t clients_open = 0;
     std::size_t clients_closing = 0;
     std::size_t open_requests = 0;
@@ -34,11 +36,15 @@
     static constexpr std::size_t kLoggedGrowthKb = 1024;
     static constexpr Micros kLoggedLateness = 20'000;
 
+    /// Freed memory is given back while resident memory is above this part of the limit.
+    static constexpr std::size_t kReturnAboveDivisor = 3;
+
     ProcessMonitor(core::Deadlines &deadlines, std::function<ProcessState()> read);
 
 private:
     void schedule();
     void sample();
+    void return_freed_memory(const core::MemoryUsage &memory, std::size_t limit_bytes);
 
     core::Deadlines &deadlines_;
     std::function<ProcessState()> read_;
--- a/src/core/memory_usage.cpp
+++ b/src/core/memory_usage.cpp
@@ -1,6 +1,7 @@
 #include "core/memory_usage.hpp"
 
 #include <fstream>
+#include <malloc.h>
 #include <string>
 
 namespace marblewood::core {
@@ -17,4 +18,8 @@
     return std::nullopt;
 }
 
+void return_freed_memory() {
+    ::malloc_trim(0);
+}
+
 } // namespace marblewood::core
--- a/src/core/memory_usage.hpp
+++ b/src/core/memory_usage.hpp
@@ -15,4 +15,7 @@
 /// Reads /proc/self/status; empty if it cannot be read.
 std::optional<MemoryUsage> read_memory_usage();
 
+/// Gives the pages of freed memory back to the system, which the C library keeps otherwise. Takes some ms.
+void return_freed_memory();
+
 } // namespace marblewood::core
--- a/tests/memory_limit_test.cpp
+++ b/tests/memory_limit_test.cpp
@@ -190,6 +190,19 @@
                   5s);
 }
 
+// Guards against memory that a crowd took and that the process keeps when the crowd has left.
+void memory_of_a_crowd_that_has_left() {
+    const Fixture fixture;
+    const std::size_t start_kb = fixture.program.memory_kb();
+    fixture.check(
+        {.connections = kCrowd, .opening = [] { return put_head(65'536) + std::string(40'000, 'b'); }}, 2s);
+    const std::size_t peak_kb = fixture.program.peak_memory_kb();
+    std::this_thread::sleep_for(4s);
+    const std::size_t kept_kb = fixture.program.memory_kb();
+    fmt::print(stderr, "kept: {} kB\n", kept_kb);
+    assert(kept_kb < start_kb + (peak_kb - start_kb) / 2);
+}
+
 // Two processes during an upgrade have one limit together.
 void invalid_input_during_an_upgrade() {
     const Fixture fixture;
@@ -290,6 +303,7 @@
     {"slow_streams", values_passed_on_slowly},
     {"new_volumes", ever_new_volumes},
     {"new_volumes_crowd", ever_new_volumes_of_a_crowd},
+    {"crowd_left", memory_of_a_crowd_that_has_left},
     {"upgrade", invalid_input_during_an_upgrade},
     {"nvme_invalid_input", nvme_invalid_input_at_once},
     {"nvme_unread_replies", nvme_replies_not_read},
