--- a/src/net/session_output.cpp
+++ b/src/net/session_output.cpp
@@ -55,9 +55,11 @@
 void Session::send(std::string_view bytes, std::size_t answers) {
     const Micros now = deadlines_.clock.now();
     delivery_.queue(bytes, answers, now);
-    client_.set_delivery(delivery_.report(now));
     update_reservation();
-    if (writing_ || disconnected_)
+    if (disconnected_)
+        return;
+    client_.set_delivery(delivery_.report(now));
+    if (writing_)
         return;
     if (delivery_check_at_ == 0)
         arm_delivery_check();
