Let ended sessions finish before more of a crowd is accepted at the end of the process

Cause: accept_backlog() accepted up to 4,096 in one turn of the loop, at the last moment even without room; each newcomer's socket makes room by closing another, but the session of that one runs to its end only in later turns, so that thousands pile up.

At most 64 ended sessions are left before accepting pauses until the next turn, and at most 16 connections go beyond the room, within the reserved descriptors. A backlog that fits is still emptied in the turn that stops listening.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <limits>
 #include <thread>
 
 namespace marblewood::net {
@@ -16,7 +17,10 @@
 constexpr Micros kBacklogTimeout = 100'000; // for accepting the backlog at the end of a drain
 constexpr Micros kBacklogCheckInterval = 1'000;
 constexpr int kMaxAcceptsPerTurn = 64;
-constexpr int kMaxAcceptsAtEnd = 4096; // more than the backlog holds
+// Sessions of connections that were ended for others run to their end in the turns after that. So many may
+// be left of them before no more connections are accepted.
+constexpr std::size_t kMaxEndedSessions = 64;
+constexpr int kMaxAcceptsBeyondRoom = 16; // within the descriptors that are reserved for other purposes
 constexpr Micros kReportInterval = 1'000'000;
 constexpr Micros kSlowClose = 500'000; // a connection that takes longer to close is logged
 
@@ -130,7 +134,7 @@
             continue;
         }
         admit(std::move(socket), HandedOverClient());
-        accept_waiting(kMaxAcceptsPerTurn, false);
+        accept_waiting(kMaxAcceptsPerTurn, 0);
     }
 }
 
@@ -208,6 +212,7 @@
     else
         client.close(CloseReason::Evicted);
     client.mark_closed();
+    ++ended_sessions_;
     client.begin_closing(CloseReason::Evicted, deadlines_.clock.now());
 }
 
@@ -247,6 +252,8 @@
         log_unanswered(*client);
     }
     log_ended(*client);
+    if (client->use().closed)
+        --ended_sessions_;
     clients_.erase(client);
     last_change_at_ = deadlines_.clock.now();
     if (on_drained_ && clients_.empty() && !acceptor_.is_open())
@@ -420,20 +427,24 @@
         client.close_for_shutdown(now, answer_all_at_);
 }
 
-// Accepts all connections in the backlog in one turn of the event loop, as a client may already have written
-// a request to one of them, and as others may arrive in the meantime. Returns whether the backlog is empty.
+// Accepts connections from the backlog, if possible all in one turn of the event loop, as a client may
+// already have written a request to one of them, and as others may arrive in the meantime. Returns whether
+// the backlog is empty.
 bool Clients::accept_backlog(bool last) {
     const std::uint64_t before = figures_.accepted;
-    const bool emptied = accept_waiting(kMaxAcceptsAtEnd, last);
+    const bool emptied = accept_waiting(std::numeric_limits<int>::max(), last ? kMaxAcceptsBeyondRoom : 0);
     accepted_at_end_ += figures_.accepted - before;
     return emptied;
 }
 
-// Accepts up to `most` connections that wait in the backlog. Stops when there is no room, unless
-// `even_if_full` is set. Returns whether the backlog is empty.
-bool Clients::accept_waiting(int most, bool even_if_full) {
+// Accepts up to `most` connections that wait in the backlog, up to `beyond_room` of them although there is no
+// room. Stops when there is none otherwise, or when too many sessions have to run to their end first. Returns
+// whether the backlog is empty.
+bool Clients::accept_waiting(int most, int beyond_room) {
     for (int n = 0; n < most; ++n) {
-        if (budget_.clients_full() && !evict_one() && !even_if_full)
+        if (ended_sessions_ >= kMaxEndedSessions)
+            return false;
+        if (budget_.clients_full() && !evict_one() && beyond_room-- <= 0)
             return false;
         tcp::socket socket(io_);
         boost::system::error_code error;
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -225,7 +225,7 @@
     void advance_drain();
     void begin_closing_all();
     bool accept_backlog(bool last);
-    bool accept_waiting(int most, bool even_if_full);
+    bool accept_waiting(int most, int beyond_room);
     void stop_listening();
     void close_for_quiesce();
     bool closing_for_quiesce() const; // the broker is quiesced and kQuiesceGrace is over
@@ -250,6 +250,7 @@
     core::Mailbox<bool> resumed_;
     std::optional<Micros> quiesced_since_;
     Micros close_connections_at_ = 0, answer_all_at_ = 0; // while it drains
+    std::size_t ended_sessions_ = 0;                      // of connections that evict() has closed
     std::uint64_t accepted_at_end_ = 0;                   // connections that accept_backlog() has accepted
     bool closing_all_ = false;                            // close_connections_at_ has passed
     Micros last_change_at_ = 0;                           // when a connection was last accepted or ended
--- a/tests/memory_limit_test.cpp
+++ b/tests/memory_limit_test.cpp
@@ -1,7 +1,7 @@
 // The resident memory of the process while clients misbehave in numbers: it has to stay under
 // limits.memory_mb, over which the platform kills the process.
 // Usage: memory_limit_test SCENARIO
-#include "crowd.hpp"
+#include "faults/soak_parts.hpp"
 #include "scenarios.hpp"
 
 #include "net/nvme/pdu.hpp"
@@ -10,7 +10,7 @@
 
 namespace {
 
-const std::string kPiece = "7f3a9c21e0b4d655", kPing = "*1\r\n$4\r\nPING\r\n";
+const std::string kPing = "*1\r\n$4\r\nPING\r\n";
 constexpr Limits kLimits{.memory_mb = 32, .sockets = 1024};
 constexpr int kPipelinedRequests = 32;
 constexpr auto kUnreadTime = 4s;
@@ -64,12 +64,6 @@
     Program program;
 };
 
-std::string repeated(const std::string &text, int count) {
-    std::string all;
-    for (int n = 0; n < count; ++n)
-        all += text;
-    return all;
-}
 std::string put_head(std::size_t body) {
     const std::string whole = put(kPiece, std::string(body, 'b'));
     return whole.substr(0, whole.size() - body - 2);
@@ -203,6 +197,24 @@
     assert(kept_kb < start_kb + (peak_kb - start_kb) / 2);
 }
 
+// Guards against accepting all of a crowd at the end of the process at once, however little room there is.
+void a_crowd_that_comes_again_during_a_shutdown() {
+    constexpr int kMoreThanThereIsRoom = 1'500;
+    Fixture fixture;
+    const RunningCrowd crowd(fixture.program.port, {.connections = kMoreThanThereIsRoom,
+                                                    .opening = [] { return put_head(65'536); },
+                                                    .next = [] { return std::string(100, 'b'); },
+                                                    .read_bytes_per_turn = 300,
+                                                    .reconnects = true});
+    std::this_thread::sleep_for(500ms);
+    MemorySampler sampler({fixture.program.pid()});
+    fixture.program.signal(SIGTERM);
+    std::this_thread::sleep_for(kill_after(2500)); // the longest deadline of kSettings
+    const std::size_t peak_kb = sampler.stop();
+    fmt::print(stderr, "peak: {} kB\n", peak_kb);
+    assert(peak_kb > 0 && peak_kb < kLimits.memory_mb * kKilobytesPerMegabyte);
+}
+
 // Two processes during an upgrade have one limit together.
 void invalid_input_during_an_upgrade() {
     const Fixture fixture;
@@ -304,6 +316,7 @@
     {"new_volumes", ever_new_volumes},
     {"new_volumes_crowd", ever_new_volumes_of_a_crowd},
     {"crowd_left", memory_of_a_crowd_that_has_left},
+    {"shutdown", a_crowd_that_comes_again_during_a_shutdown},
     {"upgrade", invalid_input_during_an_upgrade},
     {"nvme_invalid_input", nvme_invalid_input_at_once},
     {"nvme_unread_replies", nvme_replies_not_read},
