Give up large unfinished messages before a handover when memory is short

The old process has half of the budget from then on, but looked at a connection's unfinished message only when bytes of it came; it handed these messages over instead, which takes the same memory once more at the successor.

A session now looks when it is woken for the handover, too.

--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -42,6 +42,9 @@
             continue;
         }
         boost::system::error_code error;
+        abandon_message_without_room();
+        if (reading_finished_)
+            break;
         if (client_.transfer && hand_over())
             break;
         const bool waits_for_turn = client_.has_unread_bytes() && turn_.needs_turn(0);
@@ -228,14 +231,18 @@
     arrivals_.keep(input_.size());
     if (input_.capacity() > kMaxSpareInputBytes + input_.size())
         std::string(input_).swap(input_); // frees the memory that the parsed messages took
-    // Bounds the memory that many connections with a partial message each take together.
-    if (has_partial_message() && !unparsed_input_ && !reading_finished_ && memory_.is_exhausted() &&
-        partial_message_bytes() > kAlwaysKeptBytes)
-        stop_reading(CloseReason::Incomplete, "no room for it");
+    abandon_message_without_room();
     client_.set_partial(has_partial_message() && !reading_finished_);
     update_reservation();
 }
 
+// Bounds the memory that many connections with a partial message each take together.
+void Session::abandon_message_without_room() {
+    const bool may_be_large = has_partial_message() && !unparsed_input_ && !reading_finished_;
+    if (may_be_large && memory_.is_exhausted() && partial_message_bytes() > kAlwaysKeptBytes)
+        stop_reading(CloseReason::Incomplete, "no room for it");
+}
+
 // Sets the timeout for what the client has to do next: complete a message, send its first request, or send
 // another one. Idle connections and partial messages take descriptors and memory from other clients. While
 // the broker holds input back, the client owes nothing, so that no timeout runs.
--- a/src/net/session.hpp
+++ b/src/net/session.hpp
@@ -89,6 +89,7 @@
 private:
     boost::system::error_code read_input();
     void handle_received(bool starts_message);
+    void abandon_message_without_room();
     // Handles the input once it is the connection's turn, unless the client has left meanwhile.
     asio::awaitable<void> handle_in_turn(bool starts_message);
     void watch_for_hang_up();
