Let a connection that has had its answer make room before newcomers do, as before

Cause: had an answer count as pending from when it is queued, so that for 0.1 s the connection which had just had its answer was protected, and the next in the order was the newcomer whose request was on its way.

--- a/src/net/session_output.cpp
+++ b/src/net/session_output.cpp
@@ -53,13 +53,9 @@
 }
 
 void Session::send(std::string_view bytes, std::size_t answers) {
-    const Micros now = deadlines_.clock.now();
-    delivery_.queue(bytes, answers, now);
+    delivery_.queue(bytes, answers, deadlines_.clock.now());
     update_reservation();
-    if (disconnected_)
-        return;
-    client_.set_delivery(delivery_.report(now));
-    if (writing_)
+    if (writing_ || disconnected_)
         return;
     if (delivery_check_at_ == 0)
         arm_delivery_check();
