Keep a test's own connections out of the programs that it starts

Only the standard ones and a listening socket that $BALANCER_PASSED_SOCKET names go to the program now.

--- a/tests/helper.hpp
+++ b/tests/helper.hpp
@@ -413,6 +413,7 @@
         pid_ = ::fork();
         if (pid_ != 0)
             return;
+        close_inherited_sockets();
         if (std::freopen(log.c_str(), "a", stderr) == nullptr)
             ::_exit(127);
         ::setenv("TMPDIR", folder.c_str(), 1);
@@ -447,6 +448,15 @@
     pid_t pid() const { return pid_; }
 
 private:
+    // The program must not hold the test's own connections open; it keeps a listening socket that is passed
+    // to it.
+    static void close_inherited_sockets() {
+        const char *const passed = std::getenv("BALANCER_PASSED_SOCKET");
+        const unsigned kept = passed ? static_cast<unsigned>(std::atoi(passed)) : 2;
+        if (kept > 3)
+            ::close_range(3, kept - 1, 0);
+        ::close_range(kept + 1, ~0U, 0);
+    }
     pid_t pid_ = -1;
 };
 
