--- a/src/core/mailbox.hpp
+++ b/src/core/mailbox.hpp
@@ -7,7 +7,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <deque>
+#include <list>
 #include <functional>
 #include <memory>
 #include <utility>
@@ -52,7 +52,7 @@
     }
 
     boost::asio::any_io_executor executor_;
-    std::deque<T> values_;
+    std::list<T> values_; // takes no memory while it is empty
     std::function<void()> resume_consumer_; // not null while take() waits
 };
 
--- a/src/net/resp/front.cpp
+++ b/src/net/resp/front.cpp
@@ -5,9 +5,9 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/container/deque.hpp>
 #include <charconv>
 #include <cmath>
-#include <deque>
 #include <fmt/format.h>
 
 namespace marblewood::net::resp {
@@ -270,7 +270,7 @@
     Reader reader_;
     int invalid_commands_ = 0;    // since the last valid request
     std::size_t ready_bytes_ = 0; // in answers that wait for earlier ones
-    std::deque<Slot> slots_;
+    boost::container::deque<Slot> slots_; // takes no memory until the first request
     std::uint64_t first_slot_number_ = 0;
     bool streaming_ = false; // the answer of the first slot is being streamed
 };
