Leave room for the second process of an upgrade, and return memory as clients are handed over

While two processes serve, 4 MiB of the budget are left out (half of a small budget), and freed memory goes back every 20 ms and after each 32 clients handed over. MemoryBudget's test has the new limits and one more.

--- a/src/app/process_handover.cpp
+++ b/src/app/process_handover.cpp
@@ -8,7 +8,8 @@
 namespace marblewood::app {
 namespace {
 
-constexpr Micros kReturnInterval = 100'000;
+constexpr Micros kReturnInterval = 20'000;
+constexpr std::size_t kClientsPerReturn = 32;
 
 } // namespace
 
@@ -91,8 +92,11 @@
 }
 
 void ProcessHandover::hand_over_clients() {
-    parts_.clients.resp().hand_over(
-        [this](net::HandedOverClient client) { hot_restart_->send_client(std::move(client)); });
+    parts_.clients.resp().hand_over([this](net::HandedOverClient client) {
+        hot_restart_->send_client(std::move(client));
+        if (++clients_sent_ % kClientsPerReturn == 0)
+            core::return_freed_memory(); // the successor takes as much for them
+    });
 }
 
 /// Serves normally again after the successor has exited.
--- a/src/app/process_handover.hpp
+++ b/src/app/process_handover.hpp
@@ -68,6 +68,7 @@
     OperatorActions actions_;
     std::optional<hot_restart::HotRestart> hot_restart_;
     core::Deadlines::Entry return_timer_;
+    std::size_t clients_sent_ = 0; // to successors
 };
 
 } // namespace marblewood::app
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -59,12 +59,28 @@
     EXPECT_EQ(backoff.jitter(0), 0);
 }
 
-TEST(MemoryBudget, IsExhaustedAtItsLimitOrHalfOfItWhileShared) {
+// Guards against two processes that together pass the limit, as each takes memory by itself as well.
+TEST(MemoryBudget, LeavesRoomForTheSecondProcessWhileShared) {
+    constexpr std::size_t kSecond = core::MemoryBudget::kSecondProcessBytes;
+    core::MemoryBudget large(6 * kSecond);
+    core::MemoryBudget small(kSecond);
+    large.set_shared(true);
+    small.set_shared(true);
+    EXPECT_EQ(2 * large.limit() + kSecond, 6 * kSecond);
+    EXPECT_EQ(4 * small.limit(), kSecond);
+}
+
+TEST(MemoryBudget, IsExhaustedAtItsLimitOrAQuarterOfASmallOneWhileShared) {
     core::MemoryBudget budget(1000);
     core::MemoryBudget::Reservation first(budget, 600);
     EXPECT_FALSE(budget.is_exhausted());
     budget.set_shared(true);
     EXPECT_TRUE(budget.is_exhausted());
+    first.resize(250);
+    EXPECT_TRUE(budget.is_exhausted());
+    first.resize(249);
+    EXPECT_FALSE(budget.is_exhausted());
+    first.resize(600);
     budget.set_shared(false);
     {
         const core::MemoryBudget::Reservation second(budget, 400);
