End operators' callers that send nothing before one that reads its reply

The oldest whose call is not complete goes first. control_test a_slow_caller_outlasts_silent_ones failed on the code before (1 of 1: the reply was cut off by a reset) and passes.

--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -2,6 +2,7 @@
 
 #include "core/log.hpp"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -113,13 +114,20 @@
             co_await wait_after_failed_accept();
             continue;
         }
-        // A call is answered as soon as it is complete, so the oldest connection is one that sends nothing.
         if (callers_.size() >= kMaxCallers)
-            callers_.front().close();
+            make_room();
         asio::co_spawn(io_, serve(callers_.emplace(callers_.end(), std::move(socket))), asio::detached);
     }
 }
 
+void AdminServer::make_room() {
+    const auto waits_for_call = [](const Caller &caller) {
+        return !caller.has_called && caller.socket.is_open();
+    };
+    const auto oldest_waiting = std::ranges::find_if(callers_, waits_for_call);
+    (oldest_waiting != callers_.end() ? *oldest_waiting : callers_.front()).close();
+}
+
 asio::awaitable<void> AdminServer::wait_after_failed_accept() {
     asio::steady_timer timer(io_, kAcceptRetryDelay);
     boost::system::error_code ignored;
@@ -180,6 +188,7 @@
         try {
             if (auto request = net::http::read_request(received)) {
                 caller.timeout.reset();
+                caller.has_called = true;
                 response = co_await execute(std::move(*request));
             } else if (received.size() > kMaxCallBytes)
                 response = respond_error(413, "Content Too Large");
--- a/src/admin/admin_server.hpp
+++ b/src/admin/admin_server.hpp
@@ -49,6 +49,7 @@
         void close();
         tcp::socket socket;
         net::AnswerDelivery delivery;
+        bool has_called = false; ///< its call is complete
         /// When the sending side was shut down, after the reply was written; 0: it is not.
         Micros shut_down_at = 0;
         /// Closes the connection; set while the server waits for the caller.
@@ -57,6 +58,8 @@
     using CallerIterator = std::list<Caller>::iterator;
 
     asio::awaitable<void> accept();
+    /// Closes the oldest connection whose call is not complete, or the oldest of all.
+    void make_room();
     asio::awaitable<void> wait_after_failed_accept();
     asio::awaitable<void> serve(CallerIterator caller);
     void close_after(Caller &caller, Micros timeout);
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -62,6 +62,26 @@
     assert(wanted > kSmallBufferBytes && reply.size() - body - 4 == wanted);
 }
 
+// Guards against ending a caller that reads its reply to make room, while others send nothing.
+void a_slow_caller_outlasts_silent_ones() {
+    constexpr int kSilent = 30; // more than the server keeps
+    const Discovery discovery(member("s-1", free_port(), 0));
+    const Program program(discovery);
+    Socket caller = Socket::to(program.control, kSmallBufferBytes);
+    caller.send("GET /admin/stats HTTP/1.1\r\n\r\n");
+    std::this_thread::sleep_for(100ms);
+    std::list<Socket> silent;
+    for (int n = 0; n < kSilent; ++n)
+        silent.push_back(Socket::to(program.control));
+    std::this_thread::sleep_for(200ms);
+    caller.send("x"); // resets a connection that is closed
+    std::this_thread::sleep_for(100ms);
+    caller.ended();
+    const auto wanted = static_cast<std::size_t>(number_after(caller.in, "Content-Length: ", 0));
+    assert(wanted > kSmallBufferBytes);
+    assert(caller.in.size() - caller.in.find("\r\n\r\n") - 4 == wanted);
+}
+
 // A caller that reads nothing of its reply is let go.
 void a_caller_that_never_reads_is_let_go() {
     const Discovery discovery(member("s-1", free_port(), 0));
@@ -257,6 +277,7 @@
     health_and_unknown_calls();
     silent_callers_keep_nobody_out();
     a_slow_caller_gets_its_whole_reply();
+    a_slow_caller_outlasts_silent_ones();
     a_caller_that_never_reads_is_let_go();
     a_call_may_come_in_pieces();
     figures_are_what_happened();
