--- a/src/net/eviction_order.cpp
+++ b/src/net/eviction_order.cpp
@@ -42,6 +42,9 @@
 void EvictionOrder::Entry::mark_lingering() {
     update([](ConnectionUse &use) { use.lingering = true; });
 }
+void EvictionOrder::Entry::set_needed(bool needed) {
+    update([needed](ConnectionUse &use) { use.needed = needed; });
+}
 void EvictionOrder::Entry::set_delivery(const DeliveryReport &report) {
     update([&report](ConnectionUse &use) { use.delivery = report; });
 }
@@ -54,7 +57,7 @@
 
 std::optional<std::size_t> EvictionOrder::queue_of(const Entry &entry) {
     const ConnectionUse &use = entry.use_;
-    if (use.closed || use.delivery.state == DeliveryState::Pending)
+    if (use.closed || use.needed || use.delivery.state == DeliveryState::Pending)
         return std::nullopt;
     if (use.unread())
         return kRequested;
@@ -90,7 +93,7 @@
 void EvictionOrder::reposition(Entry &entry) {
     const ConnectionUse &use = entry.use_;
     const auto queue = queue_of(entry);
-    const bool requester = use.has_requested && !use.persistent && !use.closing;
+    const bool requester = use.has_requested && !use.persistent && !use.needed && !use.closing;
     const bool idle_requester = requester && queue != kActive && use.idle();
     const bool unchanged = queue == entry.queue_ && idle_requester == entry.queued_idle_;
     const bool in_no_queue = !queue && !idle_requester;
--- a/src/net/eviction_order.hpp
+++ b/src/net/eviction_order.hpp
@@ -27,6 +27,7 @@
     bool persistent = false;    ///< the protocol keeps the connection open while idle
     bool partial = false;       ///< part of a request has been received
     bool closing = false;       ///< is being closed; see net::Closing
+    bool needed = false;        ///< other connections of its client end with it
     bool closed = false;        ///< its socket is closed, so that closing it makes no more room
     bool lingering = false;     ///< all answers sent, sending side shut down; waits for the client to close
     std::size_t open_requests = 0; ///< requests received whose answers are not completely written
@@ -67,6 +68,7 @@
         void mark_closing();
         void mark_closed();
         void mark_lingering();
+        void set_needed(bool needed);
         void set_delivery(const DeliveryReport &report);
         void add_open_request();
         void complete_requests(std::size_t count);
--- a/src/net/nvme/front.cpp
+++ b/src/net/nvme/front.cpp
@@ -67,7 +67,8 @@
         return true;
     }
     void close() { client_.close(CloseReason::ClientDisconnected); } // the controller has ended
-    void on_io_queue_left() {
+    void on_io_queues_changed() {
+        client_.set_needed(controllers_.has_io_queues(controller_));
         if (client_.notify)
             client_.notify();
     }
@@ -513,7 +514,11 @@
 }
 bool Controllers::join(std::uint16_t controller, std::uint16_t queue, FrontSession &session) {
     const auto it = queues_.find(controller);
-    return it != queues_.end() && it->second.emplace(queue, &session).second;
+    if (it == queues_.end() || !it->second.emplace(queue, &session).second)
+        return false;
+    if (const auto admin = it->second.find(0); admin != it->second.end())
+        admin->second->on_io_queues_changed();
+    return true;
 }
 void Controllers::leave(std::uint16_t controller, std::uint16_t queue, const FrontSession &session) {
     const auto it = queues_.find(controller);
@@ -525,7 +530,7 @@
     it->second.erase(at);
     if (queue != 0) {
         if (const auto admin = it->second.find(0); admin != it->second.end())
-            admin->second->on_io_queue_left();
+            admin->second->on_io_queues_changed();
         return;
     }
     const auto others = std::move(it->second); // ending the admin queue ends the controller
--- a/tests/nvme_test.cpp
+++ b/tests/nvme_test.cpp
@@ -675,6 +675,29 @@
     program.await_log("keep-alive timed out");
 }
 
+// Guards against making room by ending an admin queue, and with it the commands of its I/O queues.
+void a_host_with_an_open_command_outlasts_newcomers() {
+    constexpr Limits kFewDescriptors{.memory_mb = 16, .sockets = 64}; // 8 of them for clients
+    constexpr int kNewcomers = 30;
+    const RespNode node([](const auto &, int) {
+        std::this_thread::sleep_for(800ms);
+        return RespNode::served("value");
+    });
+    const Discovery discovery(member("s-1", node.server.port, 0));
+    const int port = free_port();
+    const Program program(discovery, operator_settings(port, false), kSettings, {}, 0, "n0", kFewDescriptors);
+    Host host(port);
+    std::this_thread::sleep_for(200ms); // the queues are not new any more
+    host.io.send(Host::command(op::kRead, 9, 5));
+    std::list<Socket> newcomers;
+    for (int n = 0; n < kNewcomers; ++n) {
+        newcomers.push_back(Socket::to(port));
+        std::this_thread::sleep_for(5ms);
+    }
+    std::string value;
+    assert(host.completion(host.io, &value).status.ok() && value.starts_with("value"));
+}
+
 } // namespace
 
 int main() {
@@ -704,4 +727,5 @@
     writes_get_the_data_that_they_wait_for();
     a_node_has_time_for_each_admin_command();
     a_node_that_misses_a_keep_alive_is_left();
+    a_host_with_an_open_command_outlasts_newcomers();
 }
