--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -14,12 +14,15 @@
 constexpr Micros kMinTimeWithoutArrivals = 450'000;
 constexpr std::chrono::milliseconds kBindTimeout{8'000}, kBindRetryInterval{10}; // while the process starts
 constexpr Micros kQuiesceGrace = 1'000'000; // between the quiesce call and the closing of connections
-constexpr Micros kBacklogTimeout = 100'000; // for accepting the backlog at the end of a drain
+// At the end of a drain the backlog is accepted until it is empty. Where clients fill it again and again,
+// only what is in it after kBacklogTimeout is, for at most kLastBacklogTimeout more.
+constexpr Micros kBacklogTimeout = 100'000;
+constexpr Micros kLastBacklogTimeout = 60'000;
 constexpr Micros kBacklogCheckInterval = 1'000;
 constexpr int kMaxAcceptsPerTurn = 64;
 // Sessions of connections that were ended for others run to their end in the turns after that. So many may
 // be left of them before no more connections are accepted.
-constexpr std::size_t kMaxEndedSessions = 64;
+constexpr std::size_t kMaxEndedSessions = 512;
 constexpr int kMaxAcceptsBeyondRoom = 16; // within the descriptors that are reserved for other purposes
 constexpr Micros kReportInterval = 1'000'000;
 constexpr Micros kSlowClose = 500'000; // a connection that takes longer to close is logged
@@ -409,8 +412,7 @@
         return;
     }
     closing_all_ = true;
-    const bool last = now >= answer_all_at_ + kBacklogTimeout;
-    if (!paused_ && !accept_backlog(last) && !last) { // if paused, a successor process accepts them
+    if (!paused_ && !finish_backlog(now)) { // if paused, a successor process accepts them
         drain_timer_ = deadlines_.in(kBacklogCheckInterval, [this] { advance_drain(); });
         return;
     }
@@ -427,6 +429,16 @@
         client.close_for_shutdown(now, answer_all_at_);
 }
 
+// Accepts connections from the backlog. Returns whether all are accepted that have to be.
+bool Clients::finish_backlog(Micros now) {
+    const Micros last_begins_at = answer_all_at_ + kBacklogTimeout;
+    if (now >= last_begins_at && !accept_at_end_until_)
+        accept_at_end_until_ = accepted_at_end_ + backlog_length(acceptor_.native_handle());
+    const bool last_turn = now >= last_begins_at + kLastBacklogTimeout;
+    const bool emptied = accept_backlog(last_turn);
+    return emptied || last_turn || (accept_at_end_until_ && accepted_at_end_ >= *accept_at_end_until_);
+}
+
 // Accepts connections from the backlog, if possible all in one turn of the event loop, as a client may
 // already have written a request to one of them, and as others may arrive in the meantime. Returns whether
 // the backlog is empty.
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -224,6 +224,7 @@
     void limit_idle_requesters();
     void advance_drain();
     void begin_closing_all();
+    bool finish_backlog(Micros now);
     bool accept_backlog(bool last);
     bool accept_waiting(int most, int beyond_room);
     void stop_listening();
@@ -252,6 +253,7 @@
     Micros close_connections_at_ = 0, answer_all_at_ = 0; // while it drains
     std::size_t ended_sessions_ = 0;                      // of connections that evict() has closed
     std::uint64_t accepted_at_end_ = 0;                   // connections that accept_backlog() has accepted
+    std::optional<std::uint64_t> accept_at_end_until_;    // the value of accepted_at_end_ that is enough
     bool closing_all_ = false;                            // close_connections_at_ has passed
     Micros last_change_at_ = 0;                           // when a connection was last accepted or ended
     core::Deadlines::Entry drain_timer_, quiesce_timer_, report_timer_;
--- a/src/net/sockets.hpp
+++ b/src/net/sockets.hpp
@@ -12,6 +12,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <functional>
 #include <linux/sockios.h>
+#include <netinet/tcp.h>
 #include <string>
 #include <string_view>
 #include <sys/ioctl.h>
@@ -138,6 +139,13 @@
     return ::ioctl(socket.native_handle(), SIOCOUTQNSD, &bytes) == 0 && bytes > 0;
 }
 
+/// The number of connections that wait to be accepted from a listening socket; 0 if that is not known.
+inline std::size_t backlog_length(int listener) {
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    return ::getsockopt(listener, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 ? info.tcpi_unacked : 0;
+}
+
 inline constexpr std::size_t kReadChunkBytes = 64 * 1024;
 
 /// Reads the bytes that have arrived, without waiting. They are valid until the next call: all connections
--- a/tests/crowd_soak.cpp
+++ b/tests/crowd_soak.cpp
@@ -75,6 +75,7 @@
 
 bool run_crowds(unsigned seed) {
     Draw draw(seed);
+    const TcpCounters tcp_before = TcpCounters::now();
     const int longest = draw.of({300, 600, 1500});
     const Limits limits{.memory_mb = 32, .sockets = draw.of({256, 512, 1024, 1024})};
     const RecordingNodes nodes(kNodes, milliseconds(draw.between(0, 25)),
@@ -116,9 +117,12 @@
         static_cast<double>(peak) < kMemoryShare * limits.memory_mb * kKilobytesPerMegabyte;
     const bool good =
         tally.lost == 0 && tally.late == 0 && within_memory && (!by_itself || code == 0) && tally.served > 0;
-    fmt::print("seed {} {}: {}sockets {} longest {}{} peak {} kB {}; ended {}\n", seed, good ? "good" : "BAD",
-               names, limits.sockets, longest, successor ? " upgrade" : "", peak, tally.summary(),
-               by_itself ? "by itself" : "by force");
+    const TcpCounters tcp = TcpCounters::now();
+    fmt::print(
+        "seed {} {}: {}sockets {} longest {}{} peak {} kB {}; ended {}; TCP: pressure {} ms, timeouts {}\n",
+        seed, good ? "good" : "BAD", names, limits.sockets, longest, successor ? " upgrade" : "", peak,
+        tally.summary(), by_itself ? "by itself" : "by force", tcp.pressure_ms - tcp_before.pressure_ms,
+        tcp.timeouts - tcp_before.timeouts);
     if (!good)
         fmt::print("{}\n", program.log());
     std::fflush(stdout);
--- a/tests/faults/soak_parts.hpp
+++ b/tests/faults/soak_parts.hpp
@@ -88,6 +88,31 @@
     std::thread thread_;
 };
 
+/// What the system counts of TCP for all of its connections. Under memory pressure it drops packets, which
+/// are sent again 200 ms later.
+struct TcpCounters {
+    long pressure_ms = 0;
+    long timeouts = 0;
+
+    static TcpCounters now() {
+        std::ifstream file("/proc/net/netstat");
+        std::string names;
+        std::string values;
+        std::getline(file, names);
+        std::getline(file, values);
+        std::istringstream name_words(names);
+        std::istringstream value_words(values);
+        TcpCounters counters;
+        for (std::string name, value; name_words >> name && value_words >> value;) {
+            if (name == "TCPMemoryPressuresChrono")
+                counters.pressure_ms = std::stol(value);
+            if (name == "TCPTimeouts")
+                counters.timeouts = std::stol(value);
+        }
+        return counters;
+    }
+};
+
 /// Resident memory of a process; 0 if it has ended.
 inline std::size_t resident_kb(pid_t process) {
     std::ifstream status(fmt::format("/proc/{}/status", process));
