--- a/src/app/process_handover.cpp
+++ b/src/app/process_handover.cpp
@@ -8,8 +8,8 @@
 namespace marblewood::app {
 namespace {
 
-constexpr Micros kReturnInterval = 20'000;
-constexpr std::size_t kClientsPerReturn = 32;
+constexpr Micros kTrimInterval = 20'000;
+constexpr std::size_t kClientsPerTrim = 32;
 
 } // namespace
 
@@ -94,8 +94,8 @@
 void ProcessHandover::hand_over_clients() {
     parts_.clients.resp().hand_over([this](net::HandedOverClient client) {
         hot_restart_->send_client(std::move(client));
-        if (++clients_sent_ % kClientsPerReturn == 0)
-            core::return_freed_memory(); // the successor takes as much for them
+        if (++clients_sent_ % kClientsPerTrim == 0)
+            core::trim_heap(); // the successor takes as much for them
     });
 }
 
@@ -123,15 +123,15 @@
 void ProcessHandover::share_limits(bool shared, int clients_elsewhere) {
     parts_.sockets.share(shared, clients_elsewhere);
     parts_.memory.set_shared(shared);
-    return_timer_.reset();
+    trim_timer_.reset();
     if (shared)
-        return_freed_memory();
+        trim_heap();
 }
 
 /// Gives freed memory back again and again while both processes serve: each has only half of the limit.
-void ProcessHandover::return_freed_memory() {
-    core::return_freed_memory();
-    return_timer_ = parts_.deadlines.in(kReturnInterval, [this] { return_freed_memory(); });
+void ProcessHandover::trim_heap() {
+    core::trim_heap();
+    trim_timer_ = parts_.deadlines.in(kTrimInterval, [this] { trim_heap(); });
 }
 
 } // namespace marblewood::app
--- a/src/app/process_handover.hpp
+++ b/src/app/process_handover.hpp
@@ -62,12 +62,12 @@
     void resume();
     void share_limits(bool shared, int clients_elsewhere);
     void share_request_ids(bool shared);
-    void return_freed_memory();
+    void trim_heap();
 
     Parts parts_;
     OperatorActions actions_;
     std::optional<hot_restart::HotRestart> hot_restart_;
-    core::Deadlines::Entry return_timer_;
+    core::Deadlines::Entry trim_timer_;
     std::size_t clients_sent_ = 0; // to successors
 };
 
--- a/src/app/process_monitor.cpp
+++ b/src/app/process_monitor.cpp
@@ -30,7 +30,7 @@
     const Micros late = deadlines_.clock.now() - due_;
     const core::MemoryUsage memory = core::read_memory_usage().value_or(core::MemoryUsage{});
     const ProcessState state = read_();
-    return_freed_memory(memory, state.memory_limit_bytes);
+    trim_heap(memory, state.memory_limit_bytes);
     const bool exhausted = state.reserved_bytes >= state.reserved_limit_bytes;
     const bool changed = std::exchange(exhausted_, exhausted) != exhausted;
     const bool grown = memory.resident_kb >= logged_resident_kb_ + kLoggedGrowthKb;
@@ -46,15 +46,15 @@
               state.busiest_received);
 }
 
-void ProcessMonitor::return_freed_memory(const core::MemoryUsage &memory, std::size_t limit_bytes) {
-    if (memory.resident_kb * kBytesPerKilobyte < limit_bytes / kReturnAboveDivisor)
+void ProcessMonitor::trim_heap(const core::MemoryUsage &memory, std::size_t limit_bytes) {
+    if (memory.resident_kb * kBytesPerKilobyte < limit_bytes / kTrimAboveDivisor)
         return;
     const Micros started_at = deadlines_.clock.now();
-    core::return_freed_memory();
+    core::trim_heap();
     const Micros took = deadlines_.clock.now() - started_at;
     const core::MemoryUsage after = core::read_memory_usage().value_or(memory);
     if (after.resident_kb + kLoggedGrowthKb <= memory.resident_kb)
-        core::log("freed_memory_returned resident_kb={} before_kb={} took_us={}", after.resident_kb,
+        core::log("heap_trimmed resident_kb={} before_kb={} took_us={}", after.resident_kb,
                   memory.resident_kb, took);
 }
 
--- a/src/app/process_monitor.hpp
+++ b/src/app/process_monitor.hpp
@@ -37,14 +37,14 @@
     static constexpr Micros kLoggedLateness = 20'000;
 
     /// Freed memory is given back while resident memory is above this part of the limit.
-    static constexpr std::size_t kReturnAboveDivisor = 3;
+    static constexpr std::size_t kTrimAboveDivisor = 3;
 
     ProcessMonitor(core::Deadlines &deadlines, std::function<ProcessState()> read);
 
 private:
     void schedule();
     void sample();
-    void return_freed_memory(const core::MemoryUsage &memory, std::size_t limit_bytes);
+    void trim_heap(const core::MemoryUsage &memory, std::size_t limit_bytes);
 
     core::Deadlines &deadlines_;
     std::function<ProcessState()> read_;
--- a/src/core/mailbox.hpp
+++ b/src/core/mailbox.hpp
@@ -7,8 +7,8 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <list>
 #include <functional>
+#include <list>
 #include <memory>
 #include <utility>
 
@@ -52,7 +52,7 @@
     }
 
     boost::asio::any_io_executor executor_;
-    std::list<T> values_; // takes no memory while it is empty
+    std::list<T> values_;                   // takes no memory while it is empty
     std::function<void()> resume_consumer_; // not null while take() waits
 };
 
--- a/src/core/memory_usage.cpp
+++ b/src/core/memory_usage.cpp
@@ -18,7 +18,7 @@
     return std::nullopt;
 }
 
-void return_freed_memory() {
+void trim_heap() {
     ::malloc_trim(0);
 }
 
--- a/src/core/memory_usage.hpp
+++ b/src/core/memory_usage.hpp
@@ -16,6 +16,6 @@
 std::optional<MemoryUsage> read_memory_usage();
 
 /// Gives the pages of freed memory back to the system, which the C library keeps otherwise. Takes some ms.
-void return_freed_memory();
+void trim_heap();
 
 } // namespace marblewood::core
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -9,23 +9,13 @@
 namespace marblewood::net {
 namespace {
 
-constexpr Micros kAcceptRetryDelay = 10'000; // also the interval of advance_drain()
-// After this time without connections a drain stops listening: new connections keep arriving for 0.4 s.
-constexpr Micros kMinTimeWithoutArrivals = 450'000;
+constexpr Micros kAcceptRetryDelay = 10'000;
 constexpr std::chrono::milliseconds kBindTimeout{8'000}, kBindRetryInterval{10}; // while the process starts
 constexpr Micros kQuiesceGrace = 1'000'000; // between the quiesce call and the closing of connections
-// At the end of a drain the backlog is accepted until it is empty. Where clients fill it again and again,
-// only what is in it after kBacklogTimeout is, for at most kLastBacklogTimeout more.
-constexpr Micros kBacklogTimeout = 100'000;
-constexpr Micros kLastBacklogTimeout = 60'000;
-constexpr Micros kBacklogCheckInterval = 1'000;
 constexpr int kMaxAcceptsPerTurn = 64;
 // Sessions of connections that were ended for others run to their end in the turns after that. So many may
 // be left of them before no more connections are accepted.
 constexpr std::size_t kMaxEndedSessions = 512;
-constexpr int kMaxAcceptsBeyondRoom = 16; // within the descriptors that are reserved for other purposes
-constexpr Micros kReportInterval = 1'000'000;
-constexpr Micros kSlowClose = 500'000; // a connection that takes longer to close is logged
 
 tcp protocol_of(int socket) {
     sockaddr at{};
@@ -209,7 +199,7 @@
 }
 
 void Clients::evict(Client &client) {
-    log_chosen(client, "descriptors");
+    log_evicted(client, "descriptors");
     if (client.use().may_not_read())
         client.reset(CloseReason::NotReading);
     else
@@ -233,7 +223,7 @@
     if (!entry)
         return;
     Client &client = static_cast<Client &>(*entry);
-    log_chosen(client, "idle_limit");
+    log_evicted(client, "idle_limit");
     client.begin_closing(CloseReason::TooManyIdle, now);
 }
 
@@ -263,19 +253,6 @@
         std::exchange(on_drained_, nullptr)();
 }
 
-void Clients::drain(Micros close_connections_at, Micros answer_all_at, std::function<void()> on_drained) {
-    on_drained_ = std::move(on_drained);
-    close_connections_at_ = close_connections_at;
-    answer_all_at_ = answer_all_at;
-    last_change_at_ = deadlines_.clock.now();
-    for (Client &client : clients_) {
-        client.exempt_from_idle_timeout = true;
-        if (client.notify)
-            client.notify();
-    }
-    advance_drain();
-}
-
 void Clients::quiesce(std::optional<Micros> since) {
     if (since.has_value() == quiesced_since_.has_value())
         return;
@@ -306,89 +283,6 @@
     return busiest;
 }
 
-// Logs the end of a connection if the broker had discarded unparsed input of it before shutting it down, or
-// closed it before the client's side had acknowledged all that was written. Otherwise logs it only if the
-// broker was closing the connection, and either is quiesced or shutting down, or took at least kSlowClose to
-// close it. In all cases the number of lines is rate limited.
-void Clients::log_ended(const Client &client) {
-    const Micros now = deadlines_.clock.now();
-    const Micros took = now - client.closing.started_at;
-    const bool reportable =
-        client.closing.started_at != 0 && (took >= kSlowClose || quiesced_since_ || on_drained_);
-    if (!reportable && client.dropped_before_shutdown == 0 && client.undelivered_at_close == 0)
-        return;
-    if (!ended_line_limiter_.allow(now))
-        return;
-    core::log("client {} ended after {} ms, {} ms after closing began ({}); requests received then: {}, "
-              "has sent a request: {}; bytes discarded before shutdown: {}, after: {}; "
-              "bytes not acknowledged by the client: {}; suppressed lines: {}",
-              client.id, (now - client.use().accepted) / 1000,
-              client.closing.started_at == 0 ? 0 : took / 1000, name(*client.close_reason),
-              client.requests_while_closing, client.use().has_requested, client.dropped_before_shutdown,
-              client.dropped_after_shutdown, client.undelivered_at_close,
-              ended_line_limiter_.take_suppressed());
-}
-
-// Logs that requests of a connection got no whole answer because the broker closed it.
-void Clients::log_unanswered(const Client &client) {
-    if (!unanswered_line_limiter_.allow(deadlines_.clock.now()))
-        return;
-    core::log("client_closed_unanswered client={} reason={} open_requests={} age_ms={} "
-              "unacknowledged_bytes={} suppressed_lines={}",
-              client.id, name(*client.close_reason), client.unanswered_at_close,
-              (deadlines_.clock.now() - client.use().accepted) / 1000, client.undelivered_at_close,
-              unanswered_line_limiter_.take_suppressed());
-}
-
-// Logs which connection is ended for others, and what the choice was made by.
-void Clients::log_chosen(Client &client, std::string_view cause) {
-    const Micros now = deadlines_.clock.now();
-    if (!chosen_line_limiter_.allow(now))
-        return;
-    const ConnectionUse &use = client.use();
-    core::log("client_chosen_to_end client={} cause={} open_requests={} delivery={} "
-              "unacknowledged_bytes={} last_used_ms={} age_ms={} clients={} idle={} "
-              "suppressed_lines={}",
-              client.id, cause, use.open_requests, name(use.delivery.state),
-              unacknowledged_bytes(client.socket), (now - use.last_used) / 1000, (now - use.accepted) / 1000,
-              clients_.size(), order_.idle_requesters(now), chosen_line_limiter_.take_suppressed());
-}
-
-// Logs that the broker no longer waits for the rest of a client's message. Bytes that are unparsed or unread
-// then are input that the client has sent and the broker has not handled.
-void Clients::log_abandoned_message(const Client &client, const AbandonedMessage &message) {
-    if (!abandoned_line_limiter_.allow(deadlines_.clock.now()))
-        return;
-    core::log(
-        "client_message_abandoned client={} reason=\"{}\" waited_ms={} open_requests={} unparsed_bytes={} "
-        "unread_bytes={} suppressed_lines={}",
-        client.id, message.reason, message.waited / 1000, message.open_requests, message.unparsed_bytes,
-        message.unread_bytes, abandoned_line_limiter_.take_suppressed());
-}
-
-void Clients::report_closing(std::string_view cause) {
-    const auto open_requests = [](const Client &client) { return client.use().open_requests > 0; };
-    const auto partial = [](const Client &client) { return client.use().partial; };
-    core::log(
-        "{}: {} client connections open, {} of them closing, {} with open requests, {} with part of one",
-        cause, clients_.size(), closing(), std::ranges::count_if(clients_, open_requests),
-        std::ranges::count_if(clients_, partial));
-    const Client *longest = nullptr;
-    for (const Client &client : clients_)
-        if (client.use().closing && (!longest || client.closing.started_at < longest->closing.started_at))
-            longest = &client;
-    if (longest)
-        core::log("{}: client {} has been closing for {} ms ({}): open requests {}, received meanwhile {}, "
-                  "partial request {}, unwritten answers {}",
-                  cause, longest->id, (deadlines_.clock.now() - longest->closing.started_at) / 1000,
-                  name(*longest->close_reason), longest->use().open_requests, longest->requests_while_closing,
-                  longest->use().partial, longest->writing);
-    report_timer_ = deadlines_.in(kReportInterval, [this, cause] {
-        if (!clients_.empty())
-            report_closing(cause);
-    });
-}
-
 bool Clients::closing_for_quiesce() const {
     return quiesced_since_ && !on_drained_ && deadlines_.clock.now() >= *quiesced_since_ + kQuiesceGrace;
 }
@@ -400,55 +294,6 @@
         client.close_for_quiesce(now);
 }
 
-// Performs the next step of a drain. Clients use their open connections for as long as these stay open, and
-// cannot know that a broker is about to exit, so the broker has to close the connections itself.
-void Clients::advance_drain() {
-    const Micros now = deadlines_.clock.now();
-    if (now >= close_connections_at_ && !closing_all_)
-        begin_closing_all();
-    const bool no_arrivals = clients_.empty() && now - last_change_at_ >= kMinTimeWithoutArrivals;
-    if (now < answer_all_at_ && !no_arrivals) {
-        drain_timer_ = deadlines_.in(kAcceptRetryDelay, [this] { advance_drain(); });
-        return;
-    }
-    closing_all_ = true;
-    if (!paused_ && !finish_backlog(now)) { // if paused, a successor process accepts them
-        drain_timer_ = deadlines_.in(kBacklogCheckInterval, [this] { advance_drain(); });
-        return;
-    }
-    stop_listening();
-    if (clients_.empty() && on_drained_)
-        std::exchange(on_drained_, nullptr)();
-}
-
-void Clients::begin_closing_all() {
-    closing_all_ = true;
-    report_closing("shutdown");
-    const Micros now = deadlines_.clock.now();
-    for (Client &client : clients_)
-        client.close_for_shutdown(now, answer_all_at_);
-}
-
-// Accepts connections from the backlog. Returns whether all are accepted that have to be.
-bool Clients::finish_backlog(Micros now) {
-    const Micros last_begins_at = answer_all_at_ + kBacklogTimeout;
-    if (now >= last_begins_at && !accept_at_end_until_)
-        accept_at_end_until_ = accepted_at_end_ + backlog_length(acceptor_.native_handle());
-    const bool last_turn = now >= last_begins_at + kLastBacklogTimeout;
-    const bool emptied = accept_backlog(last_turn);
-    return emptied || last_turn || (accept_at_end_until_ && accepted_at_end_ >= *accept_at_end_until_);
-}
-
-// Accepts connections from the backlog, if possible all in one turn of the event loop, as a client may
-// already have written a request to one of them, and as others may arrive in the meantime. Returns whether
-// the backlog is empty.
-bool Clients::accept_backlog(bool last) {
-    const std::uint64_t before = figures_.accepted;
-    const bool emptied = accept_waiting(std::numeric_limits<int>::max(), last ? kMaxAcceptsBeyondRoom : 0);
-    accepted_at_end_ += figures_.accepted - before;
-    return emptied;
-}
-
 // Accepts up to `most` connections that wait in the backlog, up to `beyond_room` of them although there is no
 // room. Stops when there is none otherwise, or when too many sessions have to run to their end first. Returns
 // whether the backlog is empty.
@@ -472,11 +317,4 @@
     return false;
 }
 
-void Clients::stop_listening() {
-    boost::system::error_code ignored;
-    acceptor_.close(ignored);
-    core::log("shutdown: stopped listening; {} connections were accepted from the backlog at the end",
-              accepted_at_end_);
-}
-
 } // namespace marblewood::net
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -232,7 +232,7 @@
     bool closing_for_quiesce() const; // the broker is quiesced and kQuiesceGrace is over
     void log_ended(const Client &client);
     void log_unanswered(const Client &client);
-    void log_chosen(Client &client, std::string_view cause);
+    void log_evicted(Client &client, std::string_view cause);
     void log_abandoned_message(const Client &client, const AbandonedMessage &message);
     // Logs every kReportInterval, while any connection is open, what keeps the closing ones open.
     void report_closing(std::string_view cause);
@@ -261,8 +261,8 @@
     core::LogRateLimiter ended_line_limiter_{kMaxEndedLinesPerSecond};
     static constexpr int kMaxUnansweredLinesPerSecond = 20;
     core::LogRateLimiter unanswered_line_limiter_{kMaxUnansweredLinesPerSecond};
-    static constexpr int kMaxChosenLinesPerSecond = 10;
-    core::LogRateLimiter chosen_line_limiter_{kMaxChosenLinesPerSecond};
+    static constexpr int kMaxEvictedLinesPerSecond = 10;
+    core::LogRateLimiter evicted_line_limiter_{kMaxEvictedLinesPerSecond};
     static constexpr int kMaxAbandonedLinesPerSecond = 10;
     core::LogRateLimiter abandoned_line_limiter_{kMaxAbandonedLinesPerSecond};
 };
--- a/src/net/resp/front.cpp
+++ b/src/net/resp/front.cpp
@@ -268,8 +268,8 @@
     core::FrontEndServices services_;
     RequestIds &ids_;
     Reader reader_;
-    int invalid_commands_ = 0;    // since the last valid request
-    std::size_t ready_bytes_ = 0; // in answers that wait for earlier ones
+    int invalid_commands_ = 0;            // since the last valid request
+    std::size_t ready_bytes_ = 0;         // in answers that wait for earlier ones
     boost::container::deque<Slot> slots_; // takes no memory until the first request
     std::uint64_t first_slot_number_ = 0;
     bool streaming_ = false; // the answer of the first slot is being streamed
--- a/tests/crowd_soak.cpp
+++ b/tests/crowd_soak.cpp
@@ -102,26 +102,20 @@
         successor.emplace(program);
         processes.push_back(successor->pid());
     }
-    std::size_t peak = before.stop();
-    MemorySampler sampler(processes);
-    end_with_signals(draw, program, longest);
-    peak = std::max(peak, sampler.stop());
-    const bool by_itself = !program.running();
-    if (!by_itself)
-        program.signal(SIGKILL);
-    const int code = program.exit_code();
-    std::this_thread::sleep_for(50ms); // time for the clients to see their connections closed
+    const std::size_t peak_before = before.stop();
+    const ProcessEnd end = run_to_the_kill(draw, program, processes, longest);
+    const std::size_t peak = std::max(peak_before, end.peak_kb);
     crowds.clear();
     clients.clear();
     const bool within_memory =
         static_cast<double>(peak) < kMemoryShare * limits.memory_mb * kKilobytesPerMegabyte;
     const bool good =
-        tally.lost == 0 && tally.late == 0 && within_memory && (!by_itself || code == 0) && tally.served > 0;
+        tally.lost == 0 && tally.late == 0 && within_memory && end.in_order() && tally.served > 0;
     const TcpCounters tcp = TcpCounters::now();
     fmt::print(
         "seed {} {}: {}sockets {} longest {}{} peak {} kB {}; ended {}; TCP: pressure {} ms, timeouts {}\n",
         seed, good ? "good" : "BAD", names, limits.sockets, longest, successor ? " upgrade" : "", peak,
-        tally.summary(), by_itself ? "by itself" : "by force", tcp.pressure_ms - tcp_before.pressure_ms,
+        tally.summary(), end.manner(), tcp.pressure_ms - tcp_before.pressure_ms,
         tcp.timeouts - tcp_before.timeouts);
     if (!good)
         fmt::print("{}\n", program.log());
--- a/tests/crowd_test.cpp
+++ b/tests/crowd_test.cpp
@@ -1,4 +1,4 @@
-// Clients that ask in the usual way beside crowds that misbehave: each of their requests has its answer, on
+// Clients that ask as they should beside crowds that misbehave: each of their requests has its answer, on
 // the connection on which it was sent, and the process stays within its limits.
 // Usage: crowd_test SCENARIO
 #include "faults/soak_parts.hpp"
@@ -16,18 +16,18 @@
 #else
 constexpr bool kMeasuresMemory = true;
 #endif
-constexpr int kUsualClients = 10;
+constexpr int kWellBehavedClients = 10;
 constexpr int kOneTimeClients = 1; // connect anew for each request
 constexpr int kWaitMs = 1500;
 constexpr auto kNodeTime = 25ms; // so that a request is open for longer than a crossing takes
 constexpr int kNodes = 9;
-constexpr auto kPause = 30ms; // of a usual client, less than its system delays an acknowledgement
+constexpr auto kPause = 30ms; // of a well-behaved client, less than its system delays an acknowledgement
 constexpr std::size_t kHead = 500, kHalf = 40'000; // bytes of a write
 constexpr int kFields = 20'000;
 constexpr auto kCrowdTime = 5s;
 
-// Runs the crowds beside usual clients, one thread each, and checks what these and the process have seen.
-// Returns the program's figures.
+// Runs the crowds beside well-behaved clients, one thread each, and checks what these and the process have
+// seen. Returns the program's figures.
 std::map<std::string, long> expect_service_beside(const std::vector<CrowdBehavior> &behaviors,
                                                   std::size_t value_bytes = 0,
                                                   const Limits &limits = kLimits) {
@@ -37,7 +37,7 @@
     RequestTally tally;
     tally.taken_by_node = [&nodes](const std::string &id) { return nodes.has_taken(id); };
     std::list<LoopClient> clients;
-    for (int n = 0; n < kUsualClients; ++n)
+    for (int n = 0; n < kWellBehavedClients; ++n)
         clients.emplace_back(program.port,
                              LoopOptions{.wait_ms = kWaitMs, .pause = kPause, .reconnects = true}, tally);
     for (int n = 0; n < kOneTimeClients; ++n)
@@ -81,13 +81,12 @@
             .group = group};
 }
 
-// Guards against ending a connection with an open request to make room, because its client's system
-// acknowledges the answer before that some ms late.
-void usual_clients_beside_slow_readers() {
+// Guards against making room by ending a connection with an open request, as an acknowledgement is late.
+void well_behaved_clients_beside_slow_readers() {
     expect_service_beside({slow_readers(600, 60, 400ms)}, 3'000'000);
 }
-// The same beside clients that come again as soon as their connection has ended.
-void usual_clients_beside_slow_readers_that_return() {
+// Guards against the same beside clients that come again as soon as their connection has ended.
+void well_behaved_clients_beside_slow_readers_that_return() {
     CrowdBehavior behavior = slow_readers(500, 1, 5ms);
     behavior.reconnects = true;
     expect_service_beside({behavior}, 400'000);
@@ -101,35 +100,37 @@
     assert(figures.at("clients_closed_not_reading") == 0);
     assert(figures.at("clients_closed_unanswered") == 0);
 }
-// The longest values, read slowly by clients that come at once.
-void usual_clients_beside_slow_readers_of_the_longest_values() {
+// Guards against the memory of the longest values, read slowly by clients that come at once.
+void well_behaved_clients_beside_slow_readers_of_the_longest_values() {
     constexpr int kReaders = 700;
     CrowdBehavior behavior = slow_readers(kReaders, kReaders, 0ms);
     behavior.receive_buffer_bytes = 4'096;
     expect_service_beside({behavior}, 4 * kKilobytesPerMegabyte * 1'024);
 }
 // Guards against newcomers that find no room among clients that read slowly.
-void usual_clients_where_slow_readers_fill_the_descriptors() {
+void well_behaved_clients_where_slow_readers_fill_the_descriptors() {
     constexpr Limits kFewDescriptors{.memory_mb = 32, .sockets = 256};
     CrowdBehavior behavior = slow_readers(300, 1, 2ms);
     behavior.reconnects = true;
     expect_service_beside({behavior}, 3'000'000, kFewDescriptors);
 }
-// The same where a crowd fills the descriptors with requests that do not come whole.
-void usual_clients_beside_half_requests() {
+// Guards against making room by ending open requests where half requests fill the descriptors.
+void well_behaved_clients_beside_half_requests() {
     expect_service_beside({{.connections = 1000,
                             .opening = [] { return begin_of_write(kHalf); },
                             .read_bytes_per_turn = 4096,
                             .reconnects = true}});
 }
-void usual_clients_beside_slow_requests() {
+// Guards against the same where slowly written requests do.
+void well_behaved_clients_beside_slow_requests() {
     expect_service_beside({{.connections = 1000,
                             .opening = [] { return begin_of_write(kHead); },
                             .next = [] { return std::string(300, 'b'); },
                             .read_bytes_per_turn = 4096,
                             .reconnects = true}});
 }
-void usual_clients_beside_all_of_these() {
+// Guards against any of these where the crowds come together.
+void well_behaved_clients_beside_all_of_these() {
     expect_service_beside({slow_readers(200, 1, 5ms),
                            {.connections = 150,
                             .opening = [] { return begin_of_write(kHalf); },
@@ -148,7 +149,7 @@
 }
 
 // Guards against long values that are passed on to many clients at once and hold memory while it is short.
-void usual_clients_beside_slow_readers_and_half_requests_at_once() {
+void well_behaved_clients_beside_slow_readers_and_half_requests_at_once() {
     constexpr int kEach = 350;
     CrowdBehavior readers = slow_readers(kEach, kEach, 0ms);
     readers.receive_buffer_bytes = 4'096;
@@ -157,15 +158,15 @@
 }
 
 constexpr Scenario kScenarios[] = {
-    {"slow_readers", usual_clients_beside_slow_readers},
-    {"slow_readers_return", usual_clients_beside_slow_readers_that_return},
+    {"slow_readers", well_behaved_clients_beside_slow_readers},
+    {"slow_readers_return", well_behaved_clients_beside_slow_readers_that_return},
     {"room", slow_readers_while_there_is_room},
-    {"longest", usual_clients_beside_slow_readers_of_the_longest_values},
-    {"full", usual_clients_where_slow_readers_fill_the_descriptors},
-    {"half_requests", usual_clients_beside_half_requests},
-    {"slow_requests", usual_clients_beside_slow_requests},
-    {"at_once", usual_clients_beside_slow_readers_and_half_requests_at_once},
-    {"all", usual_clients_beside_all_of_these},
+    {"longest", well_behaved_clients_beside_slow_readers_of_the_longest_values},
+    {"full", well_behaved_clients_where_slow_readers_fill_the_descriptors},
+    {"half_requests", well_behaved_clients_beside_half_requests},
+    {"slow_requests", well_behaved_clients_beside_slow_requests},
+    {"at_once", well_behaved_clients_beside_slow_readers_and_half_requests_at_once},
+    {"all", well_behaved_clients_beside_all_of_these},
 };
 
 } // namespace
--- a/tests/faults/soak_parts.hpp
+++ b/tests/faults/soak_parts.hpp
@@ -168,4 +168,28 @@
     std::this_thread::sleep_until(kill);
 }
 
+/// How a process has ended, by itself or by SIGKILL.
+struct ProcessEnd {
+    std::size_t peak_kb = 0; ///< resident memory of all processes together
+    bool by_itself = false;
+    int code = 0;
+    /// Whether the process did not end by itself with an error.
+    bool in_order() const { return !by_itself || code == 0; }
+    const char *manner() const { return by_itself ? "by itself" : "by force"; }
+};
+
+/// Has `program` end by a series of signals, and kills it as early as the platform may. Samples the memory of
+/// `processes`, of which it is one.
+inline ProcessEnd run_to_the_kill(Draw &draw, Program &program, std::vector<pid_t> processes,
+                                  int longest_ms) {
+    MemorySampler sampler(std::move(processes));
+    end_with_signals(draw, program, longest_ms);
+    ProcessEnd end{.peak_kb = sampler.stop(), .by_itself = !program.running()};
+    if (!end.by_itself)
+        program.signal(SIGKILL);
+    end.code = program.exit_code();
+    std::this_thread::sleep_for(50ms); // time for the clients to see their connections closed
+    return end;
+}
+
 } // namespace test
--- a/tests/flood_soak.cpp
+++ b/tests/flood_soak.cpp
@@ -104,25 +104,19 @@
     std::optional<Program> successor;
     if (draw.one_in(4))
         successor.emplace(program);
-    std::size_t peak = program.peak_memory_kb();
+    const std::size_t peak_before = program.peak_memory_kb();
     std::vector<pid_t> processes{program.pid()};
     if (successor)
         processes.push_back(successor->pid());
-    MemorySampler sampler(processes);
-    end_with_signals(draw, program, longest);
-    peak = std::max(peak, sampler.stop());
-    const bool by_itself = !program.running();
-    if (!by_itself)
-        program.signal(SIGKILL);
-    const int code = program.exit_code();
-    std::this_thread::sleep_for(50ms); // time for the clients to see their connections closed
+    const ProcessEnd end = run_to_the_kill(draw, program, processes, longest);
+    const std::size_t peak = std::max(peak_before, end.peak_kb);
     crowd.reset();
     clients.clear();
-    const bool good = tally.lost == 0 && tally.late == 0 && peak < kLimitKb && (!by_itself || code == 0) &&
-                      tally.served > 0;
+    const bool good =
+        tally.lost == 0 && tally.late == 0 && peak < kLimitKb && end.in_order() && tally.served > 0;
     fmt::print("seed {} {}: {} x {} longest {}{} peak {} kB {}; ended {}\n", seed, good ? "good" : "BAD",
                flood.behavior.connections, flood.name, longest, successor ? " upgrade" : "", peak,
-               tally.summary(), by_itself ? "by itself" : "by force");
+               tally.summary(), end.manner());
     if (!good)
         fmt::print("{}\n", program.log());
     std::fflush(stdout);
