Keep the channel to the parent open in hot_restart_format_test

Cause: the test closes its channel to the first program, which then listens for a successor again and takes the path over from the restored program; until the restored program inherited that channel, so that it stayed open. The test asked the wrong program.

The channel is a member now; no check changed.

--- a/tests/hot_restart_format_test.cpp
+++ b/tests/hot_restart_format_test.cpp
@@ -245,10 +245,10 @@
         Socket client = parent_.client();
         client.send(kUnfinishedCommand);
         wait_for_received_bytes(client);
-        const auto parent_channel = connect_as_successor(parent_);
-        parent_channel->send("T");
-        const ReceivedState received = receive_state(*parent_channel);
-        client_packet_ = parent_channel->receive();
+        parent_channel_ = connect_as_successor(parent_);
+        parent_channel_->send("T");
+        const ReceivedState received = receive_state(*parent_channel_);
+        client_packet_ = parent_channel_->receive();
         const RendezvousListener listener(folder());
         std::thread parent_role([&] {
             channel_ = listener.accept();
@@ -285,6 +285,7 @@
 
     const Discovery discovery_;
     Program parent_;
+    std::unique_ptr<PacketSocket> parent_channel_; // without it the parent listens for a successor again
     std::optional<Program> program_;
     std::unique_ptr<PacketSocket> channel_;
     Packet client_packet_;
