Read a small request in one turn while memory is short

Evidence: a log of turns showed a client's 4 kB read as 2 KiB and 2 KiB, each of which waited some 0.2 s for a turn behind the crowd. While memory is short a connection now reads what is kept of a message in any case (8 KiB less what it has) at once, so that the bound on what it holds stays 10 KiB.

--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -1,5 +1,6 @@
 #include "net/session.hpp"
 
+#include <algorithm>
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <poll.h>
 
@@ -156,11 +157,19 @@
     return true;
 }
 
+// What is kept of a message even when memory is short may be read at once, so that a small request takes one
+// turn.
+std::size_t Session::max_read_bytes() const {
+    if (!memory_.is_short())
+        return kReadBytes;
+    const std::size_t kept = std::min(partial_message_bytes(), kAlwaysKeptBytes);
+    return std::max(kReadBytesWhenShort, kAlwaysKeptBytes - kept);
+}
+
 // Appends the bytes that have arrived to `input_`.
 boost::system::error_code Session::read_input() {
     const std::size_t before = input_.size();
-    const boost::system::error_code error =
-        read_available(client_.socket, input_, memory_.is_short() ? kReadBytesWhenShort : kReadBytes);
+    const boost::system::error_code error = read_available(client_.socket, input_, max_read_bytes());
     last_read_at_ = deadlines_.clock.now();
     client_.bytes_received += input_.size() - before;
     arrivals_.add(input_.size() - before, reading_suspended_at_.value_or(last_read_at_));
--- a/src/net/session.hpp
+++ b/src/net/session.hpp
@@ -87,6 +87,7 @@
     bool pause_reading_ = false; // the client sent an invalid command: reading pauses for kInvalidInputPause
 
 private:
+    std::size_t max_read_bytes() const;
     boost::system::error_code read_input();
     void handle_received(bool starts_message);
     void abandon_message_without_room();
