--- a/src/core/stream.hpp
+++ b/src/core/stream.hpp
@@ -16,7 +16,7 @@
 class Stream {
 public:
     static constexpr std::size_t kBufferBytes = std::size_t{16} * 1024;
-    static constexpr std::size_t kBufferBytesWhenShort = std::size_t{2} * 1024; ///< while memory is short
+    static constexpr std::size_t kBufferBytesWhenShort = std::size_t{8} * 1024; ///< while memory is short
 
     /// \param total_bytes length of the complete value.
     Stream(const boost::asio::any_io_executor &executor, MemoryBudget &memory, std::size_t total_bytes)
--- a/tests/crowd_test.cpp
+++ b/tests/crowd_test.cpp
@@ -129,6 +129,13 @@
                             .read_bytes_per_turn = 4096,
                             .reconnects = true}});
 }
+// Guards against the same where heads of very many short fields do.
+void well_behaved_clients_beside_short_fields() {
+    expect_service_beside({{.connections = 700,
+                            .next = [] { return read_with_short_fields(kFields, kWaitMs); },
+                            .read_bytes_per_turn = 4096,
+                            .reconnects = true}});
+}
 // Guards against any of these where the crowds come together.
 void well_behaved_clients_beside_all_of_these() {
     expect_service_beside({slow_readers(200, 1, 5ms),
@@ -165,6 +172,7 @@
     {"full", well_behaved_clients_where_slow_readers_fill_the_descriptors},
     {"half_requests", well_behaved_clients_beside_half_requests},
     {"slow_requests", well_behaved_clients_beside_slow_requests},
+    {"short_fields", well_behaved_clients_beside_short_fields},
     {"at_once", well_behaved_clients_beside_slow_readers_and_half_requests_at_once},
     {"all", well_behaved_clients_beside_all_of_these},
 };
