Give several short turns between two passes of the event loop

Cause: a turn took two passes of the loop, one to be granted and one more, and a pass accepts 64 connections there, so that some 250 turns a second were given, whatever they cost.

Turns are granted in rounds now. A round grows while its turns take under 0.5 ms together, to 16 turns, and shrinks over 1 ms; one pass goes by between two. The order of turns and what is put back are as they were.

The new unit test counted 127 passes for 64 turns before (16 allowed); the other one, that long turns stay apart, passed before as well.

--- a/src/net/input_turns.hpp
+++ b/src/net/input_turns.hpp
@@ -15,11 +15,11 @@
 
 namespace asio = boost::asio;
 
-/// A connection takes a turn before its input is handled, unless it sends little. Turns are given one at a
-/// time, and the loop serves everything else that is ready between two of them, so that the wait of a client
-/// that sends little does not depend on how many others flood the broker. Connections come in the order of
-/// their arrival, each put back by up to kMaxSetback for what its input has taken of late and is likely to
-/// take now. Used only on the event loop's thread.
+/// A connection takes a turn before its input is handled, unless it sends little. Turns are given in rounds,
+/// of one turn or of several short ones, and the loop serves everything else that is ready between two
+/// rounds, so that the wait of a client that sends little does not depend on how many others flood the
+/// broker. Connections come in the order of their arrival, each put back by up to kMaxSetback for what its
+/// input has taken of late and is likely to take now. Used only on the event loop's thread.
 class InputTurns {
 public:
     static constexpr Micros kMaxSetback = 400'000;
@@ -65,11 +65,16 @@
 private:
     using Key = std::pair<Micros, std::uint64_t>; // rank, then the order of arrival
 
+    // Begins the next round, which is larger if the last one took little time, and smaller if it took much.
+    void begin_round();
+
     asio::any_io_executor executor_;
     const core::Clock &clock_;
     std::map<Key, Account *> waiting_;
     std::uint64_t last_place_ = 0;
-    bool taken_ = false; // a connection has its turn
+    std::size_t open_turns_ = 0; // of the present round
+    std::size_t round_size_ = 1;
+    Micros round_time_ = 0; // that the input of the present round has taken
 };
 
 } // namespace marblewood::net
--- a/tests/input_turns_test.cpp
+++ b/tests/input_turns_test.cpp
@@ -4,7 +4,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <gtest/gtest.h>
+#include <list>
 #include <vector>
 
 namespace marblewood::net {
@@ -17,12 +19,14 @@
     std::vector<int> order;
 
     // Takes a turn, and ends it at once unless it is held.
-    void take(InputTurns::Account &account, int name, bool hold = false, std::size_t input_bytes = 0) {
+    void take(InputTurns::Account &account, int name, bool hold = false, std::size_t input_bytes = 0,
+              Micros duration = 0) {
         asio::co_spawn(
             io,
-            [this, &account, name, hold, input_bytes]() -> asio::awaitable<void> {
+            [this, &account, name, hold, input_bytes, duration]() -> asio::awaitable<void> {
                 co_await account.take_turn(input_bytes);
                 order.push_back(name);
+                account.charge(clock.now() - duration);
                 if (!hold)
                     account.end_turn();
             },
@@ -30,6 +34,24 @@
         io.poll();
         io.restart();
     }
+
+    // How often the loop gets round to other work while `waiting` connections have turns of `duration`.
+    int passes_for(int waiting, Micros duration) {
+        std::list<InputTurns::Account> accounts;
+        take(accounts.emplace_back(turns), 0, true);
+        for (int n = 1; n <= waiting; ++n)
+            take(accounts.emplace_back(turns), n, false, 0, duration);
+        int passes = 0;
+        std::function<void()> count = [&] {
+            ++passes;
+            if (turns.waiting() > 0)
+                asio::post(io, count);
+        };
+        asio::post(io, count);
+        accounts.front().end_turn();
+        io.poll();
+        return passes;
+    }
 };
 
 TEST_F(InputTurnsTest, LittleInputNeedsNoTurnUntilItHasTakenMuchTime) {
@@ -53,6 +75,14 @@
     EXPECT_EQ(order, (std::vector<int>{1, 3, 2}));
 }
 
+TEST_F(InputTurnsTest, ManyShortTurnsDoNotWaitForAPassOfTheLoopEach) {
+    EXPECT_LE(passes_for(64, 0), 16);
+}
+
+TEST_F(InputTurnsTest, OtherWorkGoesBetweenLongTurns) {
+    EXPECT_GE(passes_for(64, 5'000), 62);
+}
+
 TEST_F(InputTurnsTest, OfTheSameUseTheLeastInputFirst) {
     InputTurns::Account first(turns), large(turns), small(turns);
     take(first, 1, true);
