Log which list of nodes a process applies, and how its calls to discovery go

broker_started has the process id and the Unix time from which other lines' times count on. endpoint_list_applied names each list or change with its revision and its draining and gone entries; handover_state_released and handover_state_restored the revision that goes over in a hot restart; discovery_answered, discovery_call_failed and discovery_call_scheduled the first answer of an address, failures with how long there was no answer, and when the next call follows.

--- a/src/admin/statistics.cpp
+++ b/src/admin/statistics.cpp
@@ -84,6 +84,7 @@
     write_clients(out, status);
     out.gauge("current", status.open_requests);
     out.gauge("cluster_size", status.nodes);
+    out.gauge("list_revision", static_cast<std::uint64_t>(std::max<std::int64_t>(status.list_revision, 0)));
     out.gauge("cluster_unhealthy", status.avoided_nodes);
     write_memory(out, status);
     return out.take();
--- a/src/admin/statistics.hpp
+++ b/src/admin/statistics.hpp
@@ -16,6 +16,7 @@
 struct BrokerStatus {
     std::size_t open_requests = 0;
     std::size_t nodes = 0;
+    std::int64_t list_revision = 0; ///< of the endpoint list in use
     std::size_t avoided_nodes = 0;
     net::Costs costs;
     net::ClientFigures clients;
--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -12,6 +12,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <sys/resource.h>
+#include <unistd.h>
 
 namespace marblewood::app {
 
@@ -31,6 +32,7 @@
 /// descriptors, and during a hot restart two processes queue requests.
 constexpr std::size_t kSocketsPerQueuedRequest = 8;
 constexpr std::size_t kMinQueuedRequests = 4;
+constexpr Micros kMicrosPerMilli = 1'000;
 /// For each megabyte of the configured memory, and of each kind; entries of all kinds take some 0.5 kB.
 constexpr std::size_t kEntriesByNamePerMegabyte = 128;
 /// The difference between the seeds of two dispatchers: 2^64 divided by the golden ratio, which spreads them.
@@ -93,7 +95,8 @@
     start_process_handover();
     if (cell_router_)
         cell_router_->start();
-    core::log("broker_started name={} listen={}", config_.name, config_.listen);
+    core::log("broker_started name={} listen={} pid={} unix_ms={}", config_.name, config_.listen, ::getpid(),
+              clock_.now() / kMicrosPerMilli);
 }
 
 void Broker::run(core::BlockedSignal &blocked_hangup) {
@@ -185,9 +188,10 @@
 }
 
 void Broker::start_discovery(const discovery::SourceAddress &source, std::int64_t known_revision) {
-    discovery_.emplace(io_, deadlines_, discovery::watch_options(config_.settings), source, known_revision,
-                       discovery::node_list(node_names_, zone_names_),
-                       [this](const discovery::ListResponse &response) { on_endpoints(response); });
+    discovery_.emplace(
+        io_, deadlines_, discovery::watch_options(config_.settings), source, known_revision,
+        discovery::node_list(node_names_, zone_names_),
+        [this](const discovery::ListResponse &response) { on_endpoints(response, ListOrigin::Discovery); });
 }
 
 /// If distributors are configured, the endpoint list is read from them instead of from discovery.
@@ -211,7 +215,9 @@
         core::log("discovery_not_configured endpoints_from=known");
 }
 
-void Broker::on_endpoints(const discovery::ListResponse &response) {
+void Broker::on_endpoints(const discovery::ListResponse &response, ListOrigin origin) {
+    if (response.revision != endpoints_.revision() || !response.update.entries.empty())
+        log_applied_list(response, origin);
     endpoints_.apply(response);
     report_ready_nodes();
 }
@@ -267,7 +273,7 @@
     if (!config_.known.isNull())
         known = discovery::decode_node_list(config_.known, node_names_, zone_names_);
     known.update.kind = ListUpdate::Kind::Saved;
-    on_endpoints(known);
+    on_endpoints(known, ListOrigin::Configuration);
 }
 
 /// Opens the NVMe/TCP listener first: it may have to wait until its address is free, and no connected client
--- a/src/app/broker.hpp
+++ b/src/app/broker.hpp
@@ -5,6 +5,7 @@
 #include "admin/admin_server.hpp"
 #include "app/broker_stats.hpp"
 #include "app/client_servers.hpp"
+#include "app/list_log.hpp"
 #include "app/predecessor.hpp"
 #include "app/process_handover.hpp"
 #include "config/config.hpp"
@@ -58,7 +59,7 @@
     core::RequestDispatcher &dispatcher_of(const core::Request &request);
     core::RequestHandler &handler_of(const core::Request &request);
 
-    void on_endpoints(const discovery::ListResponse &response);
+    void on_endpoints(const discovery::ListResponse &response, ListOrigin origin);
     void report_ready_nodes();
     void send_to_peers(std::optional<int> peer, const std::string &data);
     void on_peer_message(const PeerMessage &message);
--- a/src/app/broker_stats.cpp
+++ b/src/app/broker_stats.cpp
@@ -63,6 +63,7 @@
     admin::BrokerStatus status;
     status.open_requests = sources_.endpoints.open_requests();
     status.nodes = sources_.endpoints.size();
+    status.list_revision = sources_.endpoints.revision();
     status.avoided_nodes = sources_.endpoints.avoided_nodes();
     status.costs = costs();
     status.clients = sources_.clients.metrics();
--- a/src/app/predecessor.cpp
+++ b/src/app/predecessor.cpp
@@ -38,6 +38,7 @@
     try {
         const Json::Value &state = takeover_->parent.state;
         endpoints.restore(config::need(state, "fleet"));
+        core::log("handover_state_restored list_revision={}", endpoints.revision());
         quiesce.active = config::flag_or(state, "quiesced", false);
         quiesce.since = clock.now() - config::integer_or(state, "quiesced_us", 0);
     } catch (const config::Error &error) {
--- a/src/app/process_handover.cpp
+++ b/src/app/process_handover.cpp
@@ -71,6 +71,8 @@
     if (parts_.peers)
         add_socket("peers", parts_.peers->descriptor());
     parts_.endpoints.drain_for_successor(true);
+    core::log("handover_state_released list_revision={} open_requests={}", parts_.endpoints.revision(),
+              parts_.endpoints.open_requests());
     share_limits(true, 0);
     share_request_ids(true);
     return released;
--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -121,7 +121,10 @@
     while (!watch->stopped()) {
         if (selector_)
             select_distributor(*watch);
-        const bool complete = deadlines_.clock.now() >= watch->request_complete_list_at;
+        const Micros now = deadlines_.clock.now();
+        if (watch->answered || watch->calling_since == 0)
+            watch->calling_since = now;
+        const bool complete = now >= watch->request_complete_list_at;
         const CallResult result = co_await poll(*watch, complete);
         if (watch->stopped())
             break;
@@ -169,6 +172,7 @@
     watch->stale_revision.reset();
     watch->backoff.reset();
     watch->state = WatchState::Watching;
+    log_first_answer(*watch, response.revision);
     if (selector_)
         selector_->record_success();
     if (watch == next_) {
@@ -178,11 +182,27 @@
     on_update_(response);
 }
 
+/// Logs the first usable response of a watch, also after failed calls.
+void DiscoveryClient::log_first_answer(Watch &watch, std::int64_t revision) const {
+    if (!watch.answered)
+        core::log("discovery_answered address={} revision={} after_ms={}", watch.address.host, revision,
+                  (deadlines_.clock.now() - watch.calling_since) / kMicrosPerMilli);
+    watch.answered = true;
+}
+
+void DiscoveryClient::log_failed_call(const Watch &watch, const std::string &reason) const {
+    if (!watch.stopped())
+        core::log("discovery_call_failed reason=\"{}\" address={} known_revision={} unanswered_ms={}", reason,
+                  watch.address.host, revision_,
+                  (deadlines_.clock.now() - watch.calling_since) / kMicrosPerMilli);
+}
+
 asio::awaitable<void> DiscoveryClient::recover(Watch &watch, CallStatus status, bool complete) {
     if (complete && watch.revisions_incomparable && status == CallStatus::Overloaded)
         watch.request_complete_list_at =
             deadlines_.clock.now() + kCompleteListRetry / 2 + watch.backoff.jitter(kCompleteListRetry);
     close(watch);
+    watch.answered = false;
     if (selector_)
         selector_->record_failure(deadlines_.clock.now());
     co_await pause(watch, status);
@@ -193,6 +213,7 @@
     const bool shared = options_.source == SourceKind::SharedService;
     if (status == CallStatus::Overloaded && shared && !selector_)
         length = std::max(length, kMinOverloadBackoff + watch.backoff.jitter(kOverloadBackoffJitter));
+    core::log("discovery_call_scheduled address={} in_ms={}", watch.address.host, length / kMicrosPerMilli);
     bool elapsed = false;
     const auto timer = deadlines_.in(length, [&] {
         elapsed = true;
@@ -217,8 +238,7 @@
     const std::string request = fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n",
                                             target, watch.address.host);
     if (const auto error = co_await ensure_connected(watch)) {
-        if (!watch.stopped())
-            core::log("discovery_call_failed reason=\"{}\"", error.message());
+        log_failed_call(watch, error.message());
         co_return CallResult{};
     }
     metrics_.sent_bytes += request.size();
@@ -230,9 +250,7 @@
             co_return decode(watch, *response);
     }
     ++metrics_.failed;
-    if (!watch.stopped())
-        core::log("discovery_call_failed reason=\"{}\"",
-                  response ? fmt::format("status {}", response->status) : "no response");
+    log_failed_call(watch, response ? fmt::format("status {}", response->status) : "no response");
     const bool overloaded = response && response->status == kStatusServiceUnavailable;
     co_return CallResult{overloaded ? CallStatus::Overloaded : CallStatus::Failed, {}};
 }
@@ -251,8 +269,7 @@
         return {CallStatus::Answered, resource_.decode(config::parse(response.body))};
     } catch (const std::exception &error) { // no content of a list may end the watch
         ++metrics_.malformed;
-        if (!watch.stopped())
-            core::log("discovery_call_failed reason=\"malformed response: {}\"", error.what());
+        log_failed_call(watch, fmt::format("malformed response: {}", error.what()));
         return {};
     }
 }
--- a/src/discovery/discovery_client.hpp
+++ b/src/discovery/discovery_client.hpp
@@ -91,6 +91,8 @@
     void use_distributors(distribution::DistributorSelector selector) { selector_ = std::move(selector); }
 
     const DiscoveryMetrics &metrics() const { return metrics_; }
+    /// The revision of the known list; kNoRevision if there is none.
+    std::int64_t revision() const { return revision_; }
 
 private:
     enum class WatchState {
@@ -109,6 +111,8 @@
         core::Mailbox<bool> wake_up; ///< ends a pause early
         core::Backoff backoff;
         WatchState state = WatchState::Watching;
+        bool answered = false;               ///< its last call had a usable response
+        Micros calling_since = 0;            ///< when its first call after the last usable response began
         bool revisions_incomparable = false; ///< the address may have an unrelated sequence of revisions
         Micros request_complete_list_at = INT64_MAX; ///< from this time on, calls request the complete list
         std::optional<std::int64_t> stale_revision;  ///< the revision of the last response, if it was stale
@@ -133,6 +137,8 @@
     asio::awaitable<CallResult> poll(Watch &watch, bool complete);
     bool accepts(Watch &watch, const ListResponse &response, bool complete);
     void apply(const std::shared_ptr<Watch> &watch, const ListResponse &response, bool complete);
+    void log_first_answer(Watch &watch, std::int64_t revision) const;
+    void log_failed_call(const Watch &watch, const std::string &reason) const;
     asio::awaitable<void> recover(Watch &watch, CallStatus status, bool complete);
     asio::awaitable<void> pause(Watch &watch, CallStatus status);
 
--- a/src/net/endpoint_registry.hpp
+++ b/src/net/endpoint_registry.hpp
@@ -48,6 +48,7 @@
     /// accepted. With `draining` false the successor has exited, and this process serves requests again.
     void drain_for_successor(bool draining);
 
+    std::int64_t revision() const { return revision_; } ///< of the list in use
     std::size_t size() const { return endpoints_.entries().size(); }
     std::size_t ready_nodes() const;   ///< nodes that dispatchers know and may send to
     std::size_t avoided_nodes() const; ///< listed nodes that are cordoned or that a dispatcher avoids
