Pass what discovery tells one process of a hot restart on to the other

Cause: the state, and with it the list, goes to the successor once, when it takes over. What discovery writes to the predecessor's watch after that reached the predecessor alone, and what it writes to the successor's watch the successor alone; for discovery both are one broker. Where discovery answers the successor's first call late, the successor sends to the node until then.

Change: a response that changes the known list goes to the other process over the channel of the hot restart, with its source and the revision that its changes apply to, before client connections that are queued there; a process in the middle of three passes it on. It is applied if it is newer and continues the known list, or is the complete list of a new address that has not answered yet. A poll that such a list overtakes is repeated, and does not count as a decrease of the revision.

--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -370,12 +370,16 @@
                                .endpoints = endpoints_,
                                .clients = *clients_,
                                .peers = peers_,
+                               .discovery = discovery_,
                                .quiesce = quiesce_},
         ProcessHandover::OperatorActions{
             .cordon = [this](const std::string &node, bool cordoned) { set_cordoned(node, cordoned); },
             .quiesce = [this](bool active) { set_quiesced(active); }});
     if (predecessor_.is_present())
         process_handover_->take_over(predecessor_);
+    if (discovery_)
+        discovery_->set_relay(
+            [this](const discovery::RelayedList &list) { process_handover_->relay_list(list); });
 }
 
 void Broker::await_reload_signal() {
--- a/src/app/process_handover.cpp
+++ b/src/app/process_handover.cpp
@@ -33,6 +33,10 @@
     };
     hooks.set_cordoned = actions_.cordon;
     hooks.set_quiesced = actions_.quiesce;
+    hooks.apply_list = [this](const std::string &text) {
+        if (parts_.discovery)
+            parts_.discovery->apply_relayed(text);
+    };
     hooks.keep_request_id = [this](const std::string &id) { parts_.clients.request_ids().keep(id); };
     return hooks;
 }
@@ -54,6 +58,11 @@
         hot_restart_->forward_quiesce(active);
 }
 
+void ProcessHandover::relay_list(const discovery::RelayedList &list) {
+    if (hot_restart_ && hot_restart_->has_other_process())
+        hot_restart_->send_list(discovery::encode(list));
+}
+
 /// Stops accepting connections and receiving from peers, and returns the state and sockets for the successor.
 /// From then on only requests already accepted are sent to nodes.
 hot_restart::ParentState ProcessHandover::release_state() {
--- a/src/app/process_handover.hpp
+++ b/src/app/process_handover.hpp
@@ -6,6 +6,7 @@
 #include "app/client_servers.hpp"
 #include "app/predecessor.hpp"
 #include "core/memory_budget.hpp"
+#include "discovery/discovery_client.hpp"
 #include "gossip/gossip_transport.hpp"
 #include "hot_restart/hot_restart.hpp"
 #include "net/endpoint_registry.hpp"
@@ -31,6 +32,7 @@
         net::EndpointRegistry &endpoints;
         ClientServers &clients;
         std::optional<gossip::GossipTransport> &peers;
+        std::optional<discovery::DiscoveryClient> &discovery;
         const QuiesceState &quiesce;
     };
     /// Executes the operator commands that the successor has received and forwards; they also apply to this
@@ -49,6 +51,9 @@
     void forward_cordon_to_predecessor(const std::string &node, bool cordoned);
     void forward_quiesce_to_predecessor(bool active);
 
+    /// Passes a list that discovery has told this process of on to the others that serve the same broker.
+    void relay_list(const discovery::RelayedList &list);
+
     /// Whether a successor has taken over.
     bool has_successor() const { return hot_restart_ && hot_restart_->handed_over(); }
     /// Whether nothing is queued for sending to a successor.
--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -33,6 +33,8 @@
 
 constexpr Micros kNever = INT64_MAX;
 constexpr Micros kMicrosPerMilli = 1000;
+/// The source of all distributors' lists: they serve the same sequence of revisions.
+constexpr const char *kDistributorsSource = "distributors";
 constexpr int kStatusOk = 200;
 constexpr int kStatusServiceUnavailable = 503;
 
@@ -62,7 +64,7 @@
                                  const WatchOptions &options, SourceAddress address, std::int64_t revision,
                                  WatchedResource resource, UpdateHandler on_update)
     : io_(io), deadlines_(deadlines), options_(options), resource_(std::move(resource)),
-      on_update_(std::move(on_update)), revision_(revision),
+      on_update_(std::move(on_update)), revision_(revision), list_source_(address.host),
       current_(start_watch(std::move(address), false)) {}
 
 void DiscoveryClient::move_to(SourceAddress address) {
@@ -71,6 +73,15 @@
     next_ = start_watch(std::move(address), true);
 }
 
+void DiscoveryClient::use_distributors(distribution::DistributorSelector selector) {
+    selector_ = std::move(selector);
+    list_source_ = kDistributorsSource;
+}
+
+std::string DiscoveryClient::source_of(const Watch &watch) const {
+    return selector_ ? kDistributorsSource : watch.address.host;
+}
+
 std::shared_ptr<DiscoveryClient::Watch> DiscoveryClient::start_watch(SourceAddress address,
                                                                      bool revisions_incomparable) {
     auto watch = std::make_shared<Watch>(io_, std::move(address), next_backoff());
@@ -124,72 +135,129 @@
         const Micros now = deadlines_.clock.now();
         if (watch->answered || watch->calling_since == 0)
             watch->calling_since = now;
-        const bool complete = now >= watch->request_complete_list_at;
-        const CallResult result = co_await poll(*watch, complete);
+        const Poll poll{revision_, now >= watch->request_complete_list_at};
+        const CallResult result = co_await call_for(*watch, poll);
         if (watch->stopped())
             break;
-        if (result.status == CallStatus::Answered && accepts(*watch, result.response, complete))
-            apply(watch, result.response, complete);
+        const bool answered = result.status == CallStatus::Answered;
+        if (answered && is_overtaken(result.response, poll))
+            record_answer(*watch, result.response.revision);
+        else if (answered && accepts(*watch, result.response, poll))
+            apply(watch, result.response, poll);
         else
-            co_await recover(*watch, result.status, complete);
+            co_await recover(*watch, result.status, poll.complete);
     }
 }
 
-asio::awaitable<DiscoveryClient::CallResult> DiscoveryClient::poll(Watch &watch, bool complete) {
-    const bool answered_at_once = complete || watch.state == WatchState::Unverified;
+asio::awaitable<DiscoveryClient::CallResult> DiscoveryClient::call_for(Watch &watch, Poll poll) {
+    const bool answered_at_once = poll.complete || watch.state == WatchState::Unverified;
     const Micros timeout = answered_at_once ? 0 : kMaxPollTime - watch.backoff.jitter(kPollTimeJitter);
-    const std::string target = request_target(complete ? std::nullopt : std::optional(revision_), timeout);
+    const std::string target =
+        request_target(poll.complete ? std::nullopt : std::optional(poll.known_revision), timeout);
     co_return co_await call(watch, target, timeout);
 }
 
+// While the call was under way, another process of this broker was told of a newer list.
+bool DiscoveryClient::is_overtaken(const ListResponse &response, Poll poll) const {
+    return revision_ != poll.known_revision && response.revision < revision_;
+}
+
 // A stale response was overtaken by a newer one, or discovery has restarted its revisions. In the latter
 // case, its complete list, requested on a new connection, has the lower revision as well.
-bool DiscoveryClient::accepts(Watch &watch, const ListResponse &response, bool complete) {
-    if (complete && response.update.kind != ListUpdate::Kind::Full) {
+bool DiscoveryClient::accepts(Watch &watch, const ListResponse &response, Poll poll) {
+    if (poll.complete && response.update.kind != ListUpdate::Kind::Full) {
         ++metrics_.incomplete;
         core::log("discovery_response_rejected reason=incomplete_list revision={}", response.revision);
         return false;
     }
-    if (response.revision >= revision_ || (complete && watch.revisions_incomparable))
+    if (response.revision >= revision_ || (poll.complete && watch.revisions_incomparable))
         return true;
     ++metrics_.stale;
     if (selector_)
         return false; // this distributor is behind; another one will be called
-    const bool confirmed = complete && watch.stale_revision && response.revision >= *watch.stale_revision;
+    const bool confirmed =
+        poll.complete && watch.stale_revision && response.revision >= *watch.stale_revision;
     core::log("discovery_revision_decreased revision={} known_revision={}", response.revision, revision_);
     watch.stale_revision = response.revision;
     watch.request_complete_list_at = 0;
     return confirmed;
 }
 
-void DiscoveryClient::apply(const std::shared_ptr<Watch> &watch, const ListResponse &response,
-                            bool complete) {
+void DiscoveryClient::apply(const std::shared_ptr<Watch> &watch, const ListResponse &response, Poll poll) {
+    const std::string source = source_of(*watch);
+    const bool is_news = response.revision != revision_ || source != list_source_;
     revision_ = response.revision;
-    if (complete) {
+    list_source_ = source;
+    if (poll.complete) {
         watch->revisions_incomparable = false;
         watch->request_complete_list_at = kNever;
     }
     watch->stale_revision.reset();
-    watch->backoff.reset();
-    watch->state = WatchState::Watching;
-    log_first_answer(*watch, response.revision);
-    if (selector_)
-        selector_->record_success();
-    if (watch == next_) {
-        stop(*current_);
-        current_ = std::exchange(next_, nullptr);
-    }
+    record_answer(*watch, response.revision);
+    if (watch == next_)
+        replace_current_watch();
     on_update_(response);
+    if (is_news && relay_)
+        relay_({source, poll.known_revision, response});
+}
+
+void DiscoveryClient::replace_current_watch() {
+    stop(*current_);
+    current_ = std::exchange(next_, nullptr);
 }
 
-/// Logs the first usable response of a watch, also after failed calls.
-void DiscoveryClient::log_first_answer(Watch &watch, std::int64_t revision) const {
+/// Notes a usable response. Logs the first one of a watch, also after failed calls.
+void DiscoveryClient::record_answer(Watch &watch, std::int64_t revision) {
+    watch.backoff.reset();
+    watch.state = WatchState::Watching;
+    if (selector_)
+        selector_->record_success();
     if (!watch.answered)
         core::log("discovery_answered address={} revision={} after_ms={}", watch.address.host, revision,
                   (deadlines_.clock.now() - watch.calling_since) / kMicrosPerMilli);
     watch.answered = true;
 }
 
+void DiscoveryClient::apply_relayed(const std::string &text) {
+    try {
+        const RelayedList list = decode_relayed_list(text, resource_.decode);
+        const bool applicable = is_applicable(list);
+        core::log("relayed_list_{} revision={} source={} known_revision={}",
+                  applicable ? "applied" : "ignored", list.response.revision, list.source, revision_);
+        if (!applicable)
+            return;
+        revision_ = list.response.revision;
+        if (list.source != list_source_) {
+            // The other process's complete list answers what the new watch has been asking for.
+            list_source_ = list.source;
+            const auto watch = watch_of_source(list.source);
+            watch->revisions_incomparable = false;
+            watch->request_complete_list_at = kNever;
+            if (watch == next_)
+                replace_current_watch();
+        }
+        on_update_(list.response);
+    } catch (const std::exception &error) { // no content of a list may end the process
+        core::log("relayed_list_rejected reason=\"{}\"", error.what());
+    }
+}
+
+/// Whether a relayed list continues the known one, or is the complete list of a source that is watched but
+/// has not answered yet.
+bool DiscoveryClient::is_applicable(const RelayedList &list) const {
+    const bool complete = list.response.update.kind == ListUpdate::Kind::Full;
+    if (list.source != list_source_)
+        return complete && watch_of_source(list.source);
+    return list.response.revision > revision_ && (complete || list.since <= revision_);
+}
+
+std::shared_ptr<DiscoveryClient::Watch> DiscoveryClient::watch_of_source(const std::string &source) const {
+    for (const auto &watch : {next_, current_})
+        if (watch && source_of(*watch) == source)
+            return watch;
+    return nullptr;
+}
+
 void DiscoveryClient::log_failed_call(const Watch &watch, const std::string &reason) const {
     if (!watch.stopped())
         core::log("discovery_call_failed reason=\"{}\" address={} known_revision={} unanswered_ms={}", reason,
--- a/src/discovery/discovery_client.hpp
+++ b/src/discovery/discovery_client.hpp
@@ -15,7 +15,7 @@
 
 #include "core/backoff.hpp"
 #include "core/mailbox.hpp"
-#include "discovery/list_response.hpp"
+#include "discovery/list_relay.hpp"
 #include "distribution/distributor_selector.hpp"
 #include "net/http.hpp"
 
@@ -39,9 +39,6 @@
     std::uint64_t incomplete = 0; ///< responses with changes although the complete list was requested
 };
 
-/// The revision of a client that has no list; its first call requests the complete one.
-constexpr std::int64_t kNoRevision = -1;
-
 /// A list that a DiscoveryClient can watch.
 struct WatchedResource {
     std::string path;
@@ -74,6 +71,8 @@
 public:
     /// Called with each accepted response, in the order of acceptance.
     using UpdateHandler = std::function<void(const ListResponse &)>;
+    /// Called with each response that has changed the known list.
+    using RelayHandler = std::function<void(const RelayedList &)>;
 
     /// Starts to watch. `revision` is that of the list that is already known, or kNoRevision.
     DiscoveryClient(asio::io_context &io, core::Deadlines &deadlines, const WatchOptions &options,
@@ -88,7 +87,14 @@
     /// Calls distributors from now on. They all serve the list of the same discovery service: when one fails,
     /// the changes since the known revision are requested from the next. A lower revision is never accepted
     /// from them.
-    void use_distributors(distribution::DistributorSelector selector) { selector_ = std::move(selector); }
+    void use_distributors(distribution::DistributorSelector selector);
+
+    /// Has `relay` called with what this client is told, for another process that serves the same broker.
+    void set_relay(RelayHandler relay) { relay_ = std::move(relay); }
+    /// Applies what another process of this broker has been told, as encoded by discovery::encode(). Nothing
+    /// changes if it is malformed, not newer than the known list, or of a sequence of revisions that this
+    /// client does not watch.
+    void apply_relayed(const std::string &text);
 
     const DiscoveryMetrics &metrics() const { return metrics_; }
     /// The revision of the known list; kNoRevision if there is none.
@@ -126,6 +132,11 @@
         CallStatus status = CallStatus::Failed;
         ListResponse response; ///< if Answered
     };
+    /// What a call asks for.
+    struct Poll {
+        std::int64_t known_revision = kNoRevision; ///< when the call began
+        bool complete = false;                     ///< requests the complete list, not changes
+    };
 
     std::shared_ptr<Watch> start_watch(SourceAddress address, bool revisions_incomparable);
     core::Backoff next_backoff();
@@ -134,10 +145,15 @@
     void select_distributor(Watch &watch);
 
     asio::awaitable<void> run(std::shared_ptr<Watch> watch);
-    asio::awaitable<CallResult> poll(Watch &watch, bool complete);
-    bool accepts(Watch &watch, const ListResponse &response, bool complete);
-    void apply(const std::shared_ptr<Watch> &watch, const ListResponse &response, bool complete);
-    void log_first_answer(Watch &watch, std::int64_t revision) const;
+    asio::awaitable<CallResult> call_for(Watch &watch, Poll poll);
+    bool is_overtaken(const ListResponse &response, Poll poll) const;
+    bool accepts(Watch &watch, const ListResponse &response, Poll poll);
+    void apply(const std::shared_ptr<Watch> &watch, const ListResponse &response, Poll poll);
+    void record_answer(Watch &watch, std::int64_t revision);
+    void replace_current_watch();
+    std::string source_of(const Watch &watch) const;
+    std::shared_ptr<Watch> watch_of_source(const std::string &source) const;
+    bool is_applicable(const RelayedList &list) const;
     void log_failed_call(const Watch &watch, const std::string &reason) const;
     asio::awaitable<void> recover(Watch &watch, CallStatus status, bool complete);
     asio::awaitable<void> pause(Watch &watch, CallStatus status);
@@ -152,7 +168,9 @@
     const WatchOptions options_;
     const WatchedResource resource_;
     const UpdateHandler on_update_;
-    std::int64_t revision_; ///< of the known list
+    RelayHandler relay_;
+    std::int64_t revision_;   ///< of the known list
+    std::string list_source_; ///< whose sequence of revisions that is
     std::uint64_t watches_started_ = 0;
     DiscoveryMetrics metrics_;
     std::optional<distribution::DistributorSelector> selector_;
--- a/src/discovery/list_response.hpp
+++ b/src/discovery/list_response.hpp
@@ -10,6 +10,9 @@
 
 namespace marblewood::discovery {
 
+/// The revision of a caller that has no list; its first call requests the complete one.
+constexpr std::int64_t kNoRevision = -1;
+
 /// The address of one node as its entry has it: "host:port", not resolved.
 struct NodeAddress {
     NodeId node{};
--- a/src/hot_restart/hot_restart.cpp
+++ b/src/hot_restart/hot_restart.cpp
@@ -2,6 +2,7 @@
 
 #include "core/log.hpp"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <sys/socket.h>
@@ -13,6 +14,8 @@
 /// Time limit for a connected process to send its request for the state.
 constexpr Micros kRequestTimeout = 500'000;
 constexpr std::size_t kMaxQueuedRequestIds = 256;
+/// A process that takes no packets for so long that this many wait is told of no further lists.
+constexpr std::ptrdiff_t kMaxQueuedControlPackets = 64;
 /// Time limit for each packet of the state. A parent that is short of CPU time answers late, and a successor
 /// that stopped waiting would have to exit, because the parent still holds the listening addresses. Waiting
 /// does no harm, as the parent serves meanwhile.
@@ -104,6 +107,7 @@
 void HotRestart::hand_over(const std::shared_ptr<PacketChannel> &successor) {
     state_ = State::HandedOver;
     successor_ = successor;
+    list_of_successor_ = TextDecoder(MessageType::ListPart, MessageType::List);
     listener_.reset(); // the successor listens at this path from now on
     for (Packet &packet : encode_state(hooks_.release_state()))
         successor->send(std::move(packet));
@@ -134,6 +138,9 @@
         return hooks_.set_quiesced(false);
     case MessageType::RequestId:
         return hooks_.keep_request_id(id);
+    case MessageType::ListPart:
+    case MessageType::List:
+        return receive_list(list_of_successor_, command, parent_);
     default:
         return; // unknown message types are ignored
     }
@@ -155,6 +162,38 @@
             process->send(encode(MessageType::RequestId, id));
 }
 
+void HotRestart::send_list(const std::string &text) {
+    for (const auto &process : {successor_, parent_})
+        if (process)
+            send_list_to(*process, text);
+}
+
+void HotRestart::send_list_to(PacketChannel &process, const std::string &text) {
+    if (std::ranges::count(process.unsent(), Priority::Control, &Packet::priority) >
+        kMaxQueuedControlPackets) {
+        core::log("hot_restart_list_dropped reason=queue_full");
+        return;
+    }
+    for (Packet &packet : encode_list(text))
+        process.send(std::move(packet));
+}
+
+/// Adds a packet of a list. A complete list is applied and passed on to `next`, if there is one: with three
+/// processes the middle one stands between the others.
+void HotRestart::receive_list(TextDecoder &decoder, const Packet &packet,
+                              const std::shared_ptr<PacketChannel> &next) {
+    try {
+        const auto text = decoder.add(packet);
+        if (!text)
+            return;
+        hooks_.apply_list(*text);
+        if (next)
+            send_list_to(*next, *text);
+    } catch (const MessageError &error) {
+        core::log("hot_restart_list_rejected reason=\"{}\"", error.what());
+    }
+}
+
 void HotRestart::send_client(net::HandedOverClient client) {
     if (successor_)
         successor_->send(encode_client(std::move(client)));
@@ -167,8 +206,11 @@
 
 asio::awaitable<void> HotRestart::receive_clients(std::shared_ptr<PacketChannel> parent) {
     while (auto packet = co_await parent->receive()) {
-        if (packet->bytes.starts_with(static_cast<char>(MessageType::RequestId)))
+        const MessageType type = type_of(*packet);
+        if (type == MessageType::RequestId)
             hooks_.keep_request_id(packet->bytes.substr(1));
+        else if (type == MessageType::ListPart || type == MessageType::List)
+            receive_list(list_of_parent_, *packet, successor_);
         else if (auto client = decode_client(*packet))
             hooks_.adopt_client(std::move(*client));
     }
--- a/src/hot_restart/hot_restart.hpp
+++ b/src/hot_restart/hot_restart.hpp
@@ -37,6 +37,7 @@
     std::function<void(const std::string &id, bool cordoned)> set_cordoned;
     std::function<void(bool quiesced)> set_quiesced;
     std::function<void(const std::string &id)> keep_request_id; ///< of a request that the other process has
+    std::function<void(const std::string &text)> apply_list;    ///< that the other process has been told of
 };
 
 /// Both sides of a hot restart: hands over to a successor, and takes over the clients of a parent process.
@@ -56,6 +57,11 @@
     /// is left out while kMaxQueuedRequestIds packets wait, as in a flood of requests.
     void send_request_id(const std::string &id);
 
+    /// Tells the other processes, successor and parent, of a list that discovery has told this one of.
+    void send_list(const std::string &text);
+
+    /// Whether another process serves the same broker.
+    bool has_other_process() const { return successor_ || parent_; }
     bool handed_over() const { return state_ == State::HandedOver; }
     /// Whether nothing is queued for sending to the successor.
     bool all_sent() const { return !successor_ || successor_->unsent().empty(); }
@@ -76,6 +82,8 @@
     void hand_over(const std::shared_ptr<PacketChannel> &successor);
     void resume_after_successor(PacketChannel &successor);
     void execute_command(const Packet &command);
+    void receive_list(TextDecoder &decoder, const Packet &packet, const std::shared_ptr<PacketChannel> &next);
+    static void send_list_to(PacketChannel &process, const std::string &text);
     asio::awaitable<void> receive_clients(std::shared_ptr<PacketChannel> parent);
 
     asio::io_context &io_;
@@ -86,6 +94,8 @@
     std::optional<asio::posix::stream_descriptor> listener_;
     std::shared_ptr<PacketChannel> successor_;
     std::shared_ptr<PacketChannel> parent_;
+    TextDecoder list_of_successor_{MessageType::ListPart, MessageType::List};
+    TextDecoder list_of_parent_{MessageType::ListPart, MessageType::List};
 };
 
 } // namespace marblewood::hot_restart
--- a/src/hot_restart/messages.cpp
+++ b/src/hot_restart/messages.cpp
@@ -3,11 +3,12 @@
 #include "config/decode.hpp"
 
 #include <cstdio>
+#include <utility>
 
 namespace marblewood::hot_restart {
 namespace {
 
-constexpr std::size_t kMaxStateBytes = std::size_t{16} << 20;
+constexpr std::size_t kMaxTextBytes = std::size_t{16} << 20;
 
 std::string to_compact_json(const Json::Value &value) {
     Json::StreamWriterBuilder writer;
@@ -15,10 +16,21 @@
     return Json::writeString(writer, value);
 }
 
+/// Divides a text into packets: all of type `part` but the last, which is of type `last`.
+std::vector<Packet> encode_text(MessageType part, MessageType last, const std::string &text) {
+    std::vector<Packet> packets;
+    std::size_t offset = 0;
+    for (; text.size() - offset >= kMaxPacketBytes; offset += kMaxPacketBytes - 1)
+        packets.push_back(encode(part, text.substr(offset, kMaxPacketBytes - 1)));
+    packets.push_back(encode(last, text.substr(offset)));
+    return packets;
+}
+
 } // namespace
 
 Packet encode(MessageType type, const std::string &text) {
-    return {static_cast<char>(type) + text, {}};
+    const bool is_bulk = type == MessageType::Client || type == MessageType::RequestId;
+    return {static_cast<char>(type) + text, {}, is_bulk ? Priority::Bulk : Priority::Control};
 }
 
 Packet encode_client(net::HandedOverClient client) {
@@ -57,27 +69,36 @@
         state.state["sockets"].append(name);
         descriptors.push_back(std::move(socket));
     }
-    const std::string text = to_compact_json(state.state);
-    std::vector<Packet> packets;
-    std::size_t offset = 0;
-    for (; text.size() - offset >= kMaxPacketBytes; offset += kMaxPacketBytes - 1)
-        packets.push_back(encode(MessageType::StatePart, text.substr(offset, kMaxPacketBytes - 1)));
-    packets.push_back(encode(MessageType::State, text.substr(offset)));
+    std::vector<Packet> packets =
+        encode_text(MessageType::StatePart, MessageType::State, to_compact_json(state.state));
     packets.back().descriptors = std::move(descriptors);
     return packets;
 }
 
-std::optional<ParentState> StateDecoder::add(Packet packet) {
+std::vector<Packet> encode_list(const std::string &text) {
+    return encode_text(MessageType::ListPart, MessageType::List, text);
+}
+
+std::optional<std::string> TextDecoder::add(const Packet &packet) {
     const MessageType type = type_of(packet);
-    if (type != MessageType::StatePart && type != MessageType::State)
+    if (type != part_ && type != last_)
         throw MessageError("unexpected message");
     text_.append(packet.bytes, 1);
-    if (text_.size() > kMaxStateBytes)
-        throw MessageError("state too large");
-    if (type == MessageType::StatePart)
+    if (text_.size() > kMaxTextBytes) {
+        text_.clear();
+        throw MessageError("text too large");
+    }
+    if (type == part_)
+        return std::nullopt;
+    return std::exchange(text_, {});
+}
+
+std::optional<ParentState> StateDecoder::add(Packet packet) {
+    const auto text = text_.add(packet);
+    if (!text)
         return std::nullopt;
     ParentState decoded;
-    decoded.state = config::parse(text_);
+    decoded.state = config::parse(*text);
     const Json::Value &names = config::need(decoded.state, "sockets");
     if (!names.isArray() || names.size() != packet.descriptors.size())
         throw MessageError("sockets do not match their names");
--- a/src/hot_restart/messages.hpp
+++ b/src/hot_restart/messages.hpp
@@ -22,7 +22,9 @@
     Uncordon = 'U',  ///< from the successor: an operator has uncordoned a node
     Quiesce = 'Q',   ///< from the successor: an operator has quiesced the broker
     Resume = 'R',    ///< from the successor: an operator has ended the quiesce
-    RequestId = 'I'  ///< from either: the id of a request that it has taken
+    RequestId = 'I', ///< from either: the id of a request that it has taken
+    ListPart = 'M',  ///< from either: a part of a list, but not the last one
+    List = 'L'       ///< from either: the last part of a list that discovery has told it of
 };
 
 /// Thrown for a malformed message; the text describes the error.
@@ -48,6 +50,24 @@
 /// Encodes a state as a sequence of packets.
 std::vector<Packet> encode_state(ParentState state);
 
+/// Encodes a list as a sequence of packets. `text` is what the discovery client relays.
+std::vector<Packet> encode_list(const std::string &text);
+
+/// Joins a text from its sequence of packets.
+class TextDecoder {
+public:
+    /// Decodes packets of type `part`, and `last` for the last of a text.
+    TextDecoder(MessageType part, MessageType last) : part_(part), last_(last) {}
+    /// Adds a packet. Returns the text after the last packet, nothing before. Throws MessageError for an
+    /// invalid packet, after which the next one begins a new text.
+    std::optional<std::string> add(const Packet &packet);
+
+private:
+    MessageType part_;
+    MessageType last_;
+    std::string text_;
+};
+
 /// Decodes a state from its sequence of packets.
 class StateDecoder {
 public:
@@ -56,7 +76,7 @@
     std::optional<ParentState> add(Packet packet);
 
 private:
-    std::string text_;
+    TextDecoder text_{MessageType::StatePart, MessageType::State};
 };
 
 } // namespace marblewood::hot_restart
--- a/src/hot_restart/packet_channel.cpp
+++ b/src/hot_restart/packet_channel.cpp
@@ -1,5 +1,6 @@
 #include "hot_restart/packet_channel.hpp"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <cstring>
@@ -132,7 +133,10 @@
 }
 
 void PacketChannel::send(Packet packet) {
-    queue_.push_back(std::move(packet));
+    const bool is_control = packet.priority == Priority::Control;
+    const auto position =
+        is_control ? std::ranges::find(queue_, Priority::Bulk, &Packet::priority) : queue_.end();
+    queue_.insert(position, std::move(packet));
     if (queue_.size() == 1)
         asio::co_spawn(socket_.get_executor(), write_queue(shared_from_this()), asio::detached);
 }
--- a/src/hot_restart/packet_channel.hpp
+++ b/src/hot_restart/packet_channel.hpp
@@ -20,10 +20,17 @@
 inline constexpr std::size_t kMaxPacketBytes = 60UL * 1024;
 inline constexpr std::size_t kMaxDescriptors = 4;
 
+/// Which of the queued packets are sent first.
+enum class Priority {
+    Control, ///< before all bulk packets
+    Bulk     ///< sent in numbers, such as client connections
+};
+
 /// One message with the descriptors it carries. A received packet is never empty.
 struct Packet {
     std::string bytes;
     std::vector<net::Descriptor> descriptors;
+    Priority priority = Priority::Control; ///< for the sender
 };
 
 /// Listens at `path`, accessible only to this user. Removes a stale socket file there. Returns an empty
@@ -46,7 +53,8 @@
 public:
     PacketChannel(const asio::any_io_executor &executor, net::Descriptor socket);
 
-    /// Queues a packet, which is sent as soon as the socket accepts it.
+    /// Queues a packet, which is sent as soon as the socket accepts it. Packets of the same priority are sent
+    /// in the order of the calls.
     void send(Packet packet);
     /// Waits for a packet. Returns nothing once the peer has closed the connection, or after an error.
     asio::awaitable<std::optional<Packet>> receive();
