Have a successor's watch continue from the list that it was handed

What could go wrong: after a hot restart the list in use is the predecessor's, but the watch asked for changes since the revision of the configured list. Where the configuration has a newer list than the predecessor, a drain between the two is in neither the list in use nor any answer: the node gets requests until its entry changes again. Where discovery's address has changed, changes of one sequence of revisions were asked for with a revision of the other.

Change: the watch continues from the handed revision. The state that is handed over names the source of the list (versions before ignore and lack the field); if that is not what the successor watches, it requests the complete list. hot_restart_format_test holds the new field as it does request_ids.

--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -89,7 +89,7 @@
     confine_to_cell();
     open_peer_socket();
     load_known_endpoints();
-    predecessor_.restore(endpoints_, quiesce_, clock_);
+    restore_predecessor_state();
     start_client_servers();
     start_admin();
     start_process_handover();
@@ -276,6 +276,13 @@
     on_endpoints(known, ListOrigin::Configuration);
 }
 
+/// The watch continues from the list that the predecessor had, which is in use from here on.
+void Broker::restore_predecessor_state() {
+    predecessor_.restore(endpoints_, quiesce_, clock_);
+    if (discovery_ && predecessor_.is_present())
+        discovery_->continue_from(endpoints_.revision(), predecessor_.list_source());
+}
+
 /// Opens the NVMe/TCP listener first: it may have to wait until its address is free, and no connected client
 /// should wait for that. Signal handlers are installed before clients can connect, so that clients get their
 /// answers in a shutdown.
--- a/src/app/broker.hpp
+++ b/src/app/broker.hpp
@@ -51,6 +51,7 @@
     void confine_to_cell();
     void open_peer_socket();
     void load_known_endpoints();
+    void restore_predecessor_state();
     void start_client_servers();
     void start_admin();
     void start_process_handover();
--- a/src/app/predecessor.cpp
+++ b/src/app/predecessor.cpp
@@ -55,6 +55,10 @@
             ids.keep(id.asString());
 }
 
+std::string Predecessor::list_source() const {
+    return config::text_or(takeover_->parent.state, "list_source", "");
+}
+
 int Predecessor::client_count() const {
     return static_cast<int>(config::integer_or(takeover_->parent.state, "clients", 0));
 }
--- a/src/app/predecessor.hpp
+++ b/src/app/predecessor.hpp
@@ -36,6 +36,8 @@
     void restore(net::EndpointRegistry &endpoints, QuiesceState &quiesce, const core::Clock &clock);
     /// Keeps the ids of the predecessor's requests.
     void restore(net::resp::RequestIds &ids) const;
+    /// Whose sequence of revisions the predecessor's list belongs to; empty if it did not say.
+    std::string list_source() const;
     /// The number of the predecessor's client connections.
     int client_count() const;
     /// Takes the channel over which the predecessor sends its client connections.
--- a/src/app/process_handover.cpp
+++ b/src/app/process_handover.cpp
@@ -96,6 +96,7 @@
     state["quiesced_us"] = static_cast<Json::Int64>(quiesced_since ? now - *quiesced_since : 0);
     state["clients"] = parts_.sockets.clients();
     state["fleet"] = parts_.endpoints.handover_state();
+    state["list_source"] = parts_.discovery ? parts_.discovery->list_source() : "";
     state["request_ids"] = Json::arrayValue;
     for (const std::string &id : parts_.clients.request_ids().all())
         state["request_ids"].append(id);
--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -78,6 +78,15 @@
     list_source_ = kDistributorsSource;
 }
 
+void DiscoveryClient::continue_from(std::int64_t revision, const std::string &source) {
+    revision_ = revision;
+    if (source.empty() || source == list_source_)
+        return;
+    list_source_ = source;
+    current_->revisions_incomparable = true;
+    current_->request_complete_list_at = 0;
+}
+
 std::string DiscoveryClient::source_of(const Watch &watch) const {
     return selector_ ? kDistributorsSource : watch.address.host;
 }
--- a/src/discovery/discovery_client.hpp
+++ b/src/discovery/discovery_client.hpp
@@ -89,6 +89,12 @@
     /// from them.
     void use_distributors(distribution::DistributorSelector selector);
 
+    /// Continues from a list that another process was told of, of the sequence of revisions `source` (empty:
+    /// the one that this client watches). If it is another sequence, the complete list is requested. To be
+    /// called before the event loop runs.
+    void continue_from(std::int64_t revision, const std::string &source);
+    /// Whose sequence of revisions the known list belongs to.
+    const std::string &list_source() const { return list_source_; }
     /// Has `relay` called with what this client is told, for another process that serves the same broker.
     void set_relay(RelayHandler relay) { relay_ = std::move(relay); }
     /// Applies what another process of this broker has been told, as encoded by discovery::encode(). Nothing
--- a/tests/faults/traced_discovery.hpp
+++ b/tests/faults/traced_discovery.hpp
@@ -46,6 +46,12 @@
     /// The list at revision 1.
     std::string known() const { return known_; }
 
+    /// The complete list as it is now.
+    std::string current() const {
+        const std::lock_guard lock(mutex_);
+        return answer(kNoList);
+    }
+
     /// Publishes a node's new phase: "up", "draining" or "removed". Returns the new revision.
     int set_phase(const std::string &id, const std::string &phase) {
         std::unique_lock lock(mutex_);
@@ -120,6 +126,7 @@
 
 private:
     static constexpr int kNoConnection = 1 << 30;
+    static constexpr int kNoList = -1;
 
     static std::string encode(int revision, const std::vector<ListedNode> &nodes, bool complete) {
         std::string entries;
--- a/tests/hot_restart_format_test.cpp
+++ b/tests/hot_restart_format_test.cpp
@@ -206,10 +206,13 @@
 void the_state_has_the_fields_of_the_fixture() {
     const Json::Value fixture = parse(read_file(kFixtures / "state.json"));
     Json::Value state = parse(state_of_a_running_program());
-    // Added after the version that wrote the fixture, which ignores it.
+    // Added after the version that wrote the fixture, which ignores them.
     const Json::Value request_ids = state["request_ids"];
     state.removeMember("request_ids");
     assert(request_ids.isArray());
+    const Json::Value list_source = state["list_source"];
+    state.removeMember("list_source");
+    assert(list_source.isString());
     assert(fields(state) == fields(fixture));
     assert(fields(state["fleet"]) == fields(fixture["fleet"]));
     for (const char *const list : {"cordons", "fleet_cordons", "limits", "nodes"})
--- a/tests/list_handover_test.cpp
+++ b/tests/list_handover_test.cpp
@@ -151,6 +151,22 @@
     assert(fleet.discovery.await_call(connections + 1).since == revision);
 }
 
+// Guards against a change that only the configured list has: the older list that is handed over replaces it,
+// and it has to be asked for again.
+void drain_known_to_the_configuration_alone() {
+    Fleet fleet;
+    Program predecessor(fleet.discovery, "", fleet.settings);
+    const auto first = fleet.discovery.await_call(1);
+    fleet.discovery.answer_connections_after(first.connection);
+    const int revision = fleet.discovery.set_phase("s-1", "draining");
+    predecessor.configure(fleet.discovery.port(), fleet.discovery.current(), fleet.settings);
+    Program successor(predecessor);
+    assert(fleet.discovery.await_call(first.connection + 1).since < revision);
+    successor.await_log(
+        fmt::format("discovery_answered address=127.0.0.1:{} revision={}", fleet.discovery.port(), revision));
+    fleet.assert_avoided_by(successor);
+}
+
 // Guards against changes that are lost between a process and the next but one.
 void drain_told_to_the_first_of_three() {
     Fleet fleet;
@@ -195,6 +211,7 @@
         {"watch_outlives_predecessor", watch_outlives_predecessor},
         {"drain_told_to_successor", drain_told_to_successor},
         {"successor_asks_from_the_handed_revision", successor_asks_from_the_handed_revision},
+        {"drain_known_to_the_configuration_alone", drain_known_to_the_configuration_alone},
         {"drain_told_to_the_first_of_three", drain_told_to_the_first_of_three},
         {"long_change_told_to_predecessor", long_change_told_to_predecessor},
     };
