Hand a call to discovery that is not answered yet to the successor

What callers could see: the predecessor's watch ended with its process.

Cause: the connection of the watch, the response to it and what has been received of it belonged to the process alone.

Change: once its clients have ended, the predecessor stops its watches and sends the connection of each call without a complete response to the successor, with what it asked for, until when, and the bytes received so far. The successor waits for the response there, and asks further on that connection until its own watch has had an answer. The read of a response waits until the socket is readable and takes its bytes in the coroutine, so none are lost in between. http::exchange is split into its two halves for that.

--- a/src/app/graceful_shutdown.cpp
+++ b/src/app/graceful_shutdown.cpp
@@ -27,8 +27,10 @@
               (schedule.answer_all_at - now) / kMillisecond, (schedule.exit_at - now) / kMillisecond);
     for (const auto &dispatcher : parts_.dispatchers)
         dispatcher->cap_deadlines(schedule.exit_at);
-    parts_.clients.drain(schedule.close_connections_at, schedule.answer_all_at,
-                         [this] { stop_once_handed_over(); });
+    parts_.clients.drain(schedule.close_connections_at, schedule.answer_all_at, [this] {
+        parts_.process_handover.hand_over_discovery_calls();
+        stop_once_handed_over();
+    });
 }
 
 void GracefulShutdown::log_further_signals() {
--- a/src/app/graceful_shutdown.hpp
+++ b/src/app/graceful_shutdown.hpp
@@ -21,7 +21,7 @@
         const Settings &settings;
         net::EndpointRegistry::Dispatchers &dispatchers;
         ClientServers &clients;
-        const ProcessHandover &process_handover;
+        ProcessHandover &process_handover;
     };
 
     GracefulShutdown(boost::asio::signal_set &signals, Parts parts) : signals_(signals), parts_(parts) {}
--- a/src/app/process_handover.cpp
+++ b/src/app/process_handover.cpp
@@ -37,6 +37,9 @@
         if (parts_.discovery)
             parts_.discovery->apply_relayed(text);
     };
+    hooks.adopt_discovery_call = [this](const std::string &text, net::Descriptor connection) {
+        adopt_discovery_call(text, std::move(connection));
+    };
     hooks.keep_request_id = [this](const std::string &id) { parts_.clients.request_ids().keep(id); };
     return hooks;
 }
@@ -63,6 +66,25 @@
         hot_restart_->send_list(discovery::encode(list));
 }
 
+void ProcessHandover::hand_over_discovery_calls() {
+    if (!has_successor() || !parts_.discovery)
+        return;
+    for (discovery::HandedOverCall &call : parts_.discovery->release_calls()) {
+        core::log("discovery_call_handed_over address={} since={}", call.host, call.known_revision);
+        hot_restart_->send_discovery_call(discovery::encode(call), std::move(call.connection));
+    }
+}
+
+void ProcessHandover::adopt_discovery_call(const std::string &text, net::Descriptor connection) {
+    if (!parts_.discovery)
+        return;
+    try {
+        parts_.discovery->adopt_call(discovery::decode_handed_over_call(text, std::move(connection)));
+    } catch (const config::Error &error) {
+        core::log("discovery_call_rejected reason=\"{}\"", error.what());
+    }
+}
+
 /// Stops accepting connections and receiving from peers, and returns the state and sockets for the successor.
 /// From then on only requests already accepted are sent to nodes.
 hot_restart::ParentState ProcessHandover::release_state() {
--- a/src/app/process_handover.hpp
+++ b/src/app/process_handover.hpp
@@ -54,6 +54,10 @@
     /// Passes a list that discovery has told this process of on to the others that serve the same broker.
     void relay_list(const discovery::RelayedList &list);
 
+    /// Hands the calls to discovery that are not answered yet to the successor, if there is one. From then on
+    /// this process is told of no more changes by discovery.
+    void hand_over_discovery_calls();
+
     /// Whether a successor has taken over.
     bool has_successor() const { return hot_restart_ && hot_restart_->handed_over(); }
     /// Whether nothing is queued for sending to a successor.
@@ -67,6 +71,7 @@
     void resume();
     void share_limits(bool shared, int clients_elsewhere);
     void share_request_ids(bool shared);
+    void adopt_discovery_call(const std::string &text, net::Descriptor connection);
     void trim_heap();
 
     Parts parts_;
--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -163,7 +163,21 @@
     const Micros timeout = answered_at_once ? 0 : kMaxPollTime - watch.backoff.jitter(kPollTimeJitter);
     const std::string target =
         request_target(poll.complete ? std::nullopt : std::optional(poll.known_revision), timeout);
-    co_return co_await call(watch, target, timeout);
+    const std::string request = fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n",
+                                            target, watch.address.host);
+    ++metrics_.calls;
+    if (const auto error = co_await ensure_connected(watch)) {
+        log_failed_call(watch, error.message());
+        co_return CallResult{};
+    }
+    const Micros deadline = deadlines_.clock.now() + timeout + kResponseTimeout;
+    const SentCall sent{poll, deadline, {}};
+    const bool is_sent = co_await send(watch, request, sent);
+    if (is_sent)
+        co_return co_await receive(watch);
+    ++metrics_.failed;
+    log_failed_call(watch, "request not sent");
+    co_return CallResult{};
 }
 
 // While the call was under way, another process of this broker was told of a newer list.
@@ -309,18 +323,25 @@
     return query.empty() ? resource_.path : resource_.path + "?" + query;
 }
 
-asio::awaitable<DiscoveryClient::CallResult> DiscoveryClient::call(Watch &watch, const std::string &target,
-                                                                   Micros timeout) {
-    ++metrics_.calls;
-    const std::string request = fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n",
-                                            target, watch.address.host);
-    if (const auto error = co_await ensure_connected(watch)) {
-        log_failed_call(watch, error.message());
-        co_return CallResult{};
+/// Writes a request. Does not yield after its last byte, so that no written call goes unrecorded.
+asio::awaitable<bool> DiscoveryClient::send(Watch &watch, const std::string &request, const SentCall &call) {
+    boost::system::error_code error;
+    const auto timer = deadlines_.at(call.deadline, [&watch] { close(watch); });
+    metrics_.sent_bytes += co_await net::write_without_yield(watch.socket, request, error);
+    if (error) {
+        close(watch);
+        co_return false;
     }
-    metrics_.sent_bytes += request.size();
-    const Micros deadline = deadlines_.clock.now() + timeout + kResponseTimeout;
-    const auto response = co_await net::http::exchange(watch.socket, request, deadline, deadlines_);
+    watch.sent_call = call;
+    co_return true;
+}
+
+/// Waits for the response to the watch's call.
+asio::awaitable<DiscoveryClient::CallResult> DiscoveryClient::receive(Watch &watch) {
+    SentCall &call = *watch.sent_call;
+    const auto response =
+        co_await net::http::receive_response(watch.socket, call.received, call.deadline, deadlines_);
+    watch.sent_call.reset();
     if (response) {
         metrics_.received_bytes += response->wire_bytes;
         if (response->status == kStatusOk)
@@ -332,6 +353,71 @@
     co_return CallResult{overloaded ? CallStatus::Overloaded : CallStatus::Failed, {}};
 }
 
+std::vector<HandedOverCall> DiscoveryClient::release_calls() {
+    std::vector<std::shared_ptr<Watch>> watches{current_, next_};
+    watches.insert(watches.end(), adopted_.begin(), adopted_.end());
+    std::vector<HandedOverCall> calls;
+    for (const auto &watch : watches) {
+        if (!watch)
+            continue;
+        if (auto call = release_call(*watch))
+            calls.push_back(std::move(*call));
+        stop(*watch);
+    }
+    return calls;
+}
+
+std::optional<HandedOverCall> DiscoveryClient::release_call(Watch &watch) {
+    if (!watch.sent_call || !watch.socket.is_open())
+        return std::nullopt;
+    const SentCall &sent = *watch.sent_call;
+    HandedOverCall call{watch.address.host, sent.poll.known_revision, sent.poll.complete, sent.deadline,
+                        sent.received,      net::Descriptor()};
+    watch.state = WatchState::Stopped; // before the pending read is cancelled
+    boost::system::error_code error;
+    call.connection = net::Descriptor(watch.socket.release(error));
+    return error ? std::nullopt : std::optional(std::move(call));
+}
+
+void DiscoveryClient::adopt_call(HandedOverCall call) {
+    const auto endpoint = net::endpoint<tcp::endpoint>(call.host).value_or(current_->address.endpoint);
+    const auto watch = std::make_shared<Watch>(io_, SourceAddress{endpoint, call.host}, next_backoff());
+    boost::system::error_code error;
+    watch->socket.assign(endpoint.protocol(), call.connection.release(), error);
+    core::log("discovery_call_adopted address={} since={} complete={} known_revision={}", call.host,
+              call.known_revision, call.complete, revision_);
+    if (error)
+        return;
+    watch->calling_since = deadlines_.clock.now();
+    watch->sent_call = {{call.known_revision, call.complete}, call.deadline, std::move(call.received)};
+    adopted_.push_back(watch);
+    asio::co_spawn(io_, run_adopted(watch), [this, watch](const std::exception_ptr &) {
+        stop(*watch);
+        adopted_.remove(watch);
+    });
+}
+
+asio::awaitable<void> DiscoveryClient::run_adopted(std::shared_ptr<Watch> watch) {
+    Poll poll = watch->sent_call->poll;
+    CallResult result = co_await receive(*watch);
+    while (!watch->stopped() && result.status == CallStatus::Answered &&
+           continues_known_list(*watch, result.response, poll)) {
+        apply(watch, result.response, poll);
+        if (current_->answered || !watch->socket.is_open())
+            break;
+        poll = {revision_, false};
+        result = co_await call_for(*watch, poll);
+    }
+}
+
+/// Whether the response to an adopted call can be applied to the known list.
+bool DiscoveryClient::continues_known_list(const Watch &watch, const ListResponse &response,
+                                           Poll poll) const {
+    const bool complete = response.update.kind == ListUpdate::Kind::Full;
+    return source_of(watch) == list_source_ && response.revision >= revision_ &&
+           (complete || (!poll.complete && poll.known_revision <= revision_));
+}
+
 asio::awaitable<boost::system::error_code> DiscoveryClient::ensure_connected(Watch &watch) {
     if (watch.socket.is_open() && !net::is_open_and_silent(watch.socket))
         close(watch); // the peer closed it, or sent data after its response
--- a/src/discovery/discovery_client.hpp
+++ b/src/discovery/discovery_client.hpp
@@ -15,13 +15,16 @@
 
 #include "core/backoff.hpp"
 #include "core/mailbox.hpp"
+#include "discovery/handed_over_call.hpp"
 #include "discovery/list_relay.hpp"
 #include "distribution/distributor_selector.hpp"
 #include "net/http.hpp"
 
 #include <functional>
+#include <list>
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace marblewood::discovery {
 
@@ -101,12 +104,29 @@
     /// changes if it is malformed, not newer than the known list, or of a sequence of revisions that this
     /// client does not watch.
     void apply_relayed(const std::string &text);
+    /// Stops all watches and returns their calls that are not answered yet, for another process of this
+    /// broker.
+    std::vector<HandedOverCall> release_calls();
+    /// Waits for the response to a call of another process. Where this client's own watch has had no response
+    /// by then, further calls follow on that connection until it has.
+    void adopt_call(HandedOverCall call);
 
     const DiscoveryMetrics &metrics() const { return metrics_; }
     /// The revision of the known list; kNoRevision if there is none.
     std::int64_t revision() const { return revision_; }
 
 private:
+    /// What a call asks for.
+    struct Poll {
+        std::int64_t known_revision = kNoRevision; ///< when the call began
+        bool complete = false;                     ///< requests the complete list, not changes
+    };
+    /// A call whose request has been written.
+    struct SentCall {
+        Poll poll;
+        Micros deadline = 0;  ///< Unix time until which the response is awaited
+        std::string received; ///< of the response
+    };
     enum class WatchState {
         Watching,   ///< its calls are long polls
         Unverified, ///< has not answered yet: its first call requests an immediate response
@@ -128,6 +148,7 @@
         bool revisions_incomparable = false; ///< the address may have an unrelated sequence of revisions
         Micros request_complete_list_at = INT64_MAX; ///< from this time on, calls request the complete list
         std::optional<std::int64_t> stale_revision;  ///< the revision of the last response, if it was stale
+        std::optional<SentCall> sent_call;           ///< whose response is not complete yet
     };
     enum class CallStatus {
         Answered,
@@ -138,11 +159,6 @@
         CallStatus status = CallStatus::Failed;
         ListResponse response; ///< if Answered
     };
-    /// What a call asks for.
-    struct Poll {
-        std::int64_t known_revision = kNoRevision; ///< when the call began
-        bool complete = false;                     ///< requests the complete list, not changes
-    };
 
     std::shared_ptr<Watch> start_watch(SourceAddress address, bool revisions_incomparable);
     core::Backoff next_backoff();
@@ -151,6 +167,9 @@
     void select_distributor(Watch &watch);
 
     asio::awaitable<void> run(std::shared_ptr<Watch> watch);
+    asio::awaitable<void> run_adopted(std::shared_ptr<Watch> watch);
+    bool continues_known_list(const Watch &watch, const ListResponse &response, Poll poll) const;
+    static std::optional<HandedOverCall> release_call(Watch &watch);
     asio::awaitable<CallResult> call_for(Watch &watch, Poll poll);
     bool is_overtaken(const ListResponse &response, Poll poll) const;
     bool accepts(Watch &watch, const ListResponse &response, Poll poll);
@@ -165,7 +184,8 @@
     asio::awaitable<void> pause(Watch &watch, CallStatus status);
 
     std::string request_target(std::optional<std::int64_t> since, Micros timeout) const;
-    asio::awaitable<CallResult> call(Watch &watch, const std::string &target, Micros timeout);
+    asio::awaitable<CallResult> receive(Watch &watch);
+    asio::awaitable<bool> send(Watch &watch, const std::string &request, const SentCall &call);
     asio::awaitable<boost::system::error_code> ensure_connected(Watch &watch);
     CallResult decode(const Watch &watch, const net::http::Response &response);
 
@@ -180,8 +200,9 @@
     std::uint64_t watches_started_ = 0;
     DiscoveryMetrics metrics_;
     std::optional<distribution::DistributorSelector> selector_;
-    std::shared_ptr<Watch> current_; ///< the watch whose responses made up the known list
-    std::shared_ptr<Watch> next_;    ///< after move_to(), until the new address has answered
+    std::shared_ptr<Watch> current_;            ///< the watch whose responses made up the known list
+    std::shared_ptr<Watch> next_;               ///< after move_to(), until the new address has answered
+    std::list<std::shared_ptr<Watch>> adopted_; ///< those of another process, with a call to be answered
 };
 
 } // namespace marblewood::discovery
--- a/src/hot_restart/hot_restart.cpp
+++ b/src/hot_restart/hot_restart.cpp
@@ -194,6 +194,18 @@
     }
 }
 
+void HotRestart::send_discovery_call(const std::string &text, net::Descriptor connection) {
+    if (!successor_)
+        return;
+    Packet packet = encode(MessageType::DiscoveryCall, text);
+    if (packet.bytes.size() > kMaxPacketBytes) {
+        core::log("hot_restart_discovery_call_dropped reason=too_long bytes={}", packet.bytes.size());
+        return;
+    }
+    packet.descriptors.push_back(std::move(connection));
+    successor_->send(std::move(packet));
+}
+
 void HotRestart::send_client(net::HandedOverClient client) {
     if (successor_)
         successor_->send(encode_client(std::move(client)));
@@ -211,6 +223,8 @@
             hooks_.keep_request_id(packet->bytes.substr(1));
         else if (type == MessageType::ListPart || type == MessageType::List)
             receive_list(list_of_parent_, *packet, successor_);
+        else if (type == MessageType::DiscoveryCall && packet->descriptors.size() == 1)
+            hooks_.adopt_discovery_call(packet->bytes.substr(1), std::move(packet->descriptors.front()));
         else if (auto client = decode_client(*packet))
             hooks_.adopt_client(std::move(*client));
     }
--- a/src/hot_restart/hot_restart.hpp
+++ b/src/hot_restart/hot_restart.hpp
@@ -38,6 +38,8 @@
     std::function<void(bool quiesced)> set_quiesced;
     std::function<void(const std::string &id)> keep_request_id; ///< of a request that the other process has
     std::function<void(const std::string &text)> apply_list;    ///< that the other process has been told of
+    /// Continues a call to discovery that the parent had begun.
+    std::function<void(const std::string &text, net::Descriptor connection)> adopt_discovery_call;
 };
 
 /// Both sides of a hot restart: hands over to a successor, and takes over the clients of a parent process.
@@ -60,6 +62,9 @@
     /// Tells the other processes, successor and parent, of a list that discovery has told this one of.
     void send_list(const std::string &text);
 
+    /// Sends a call to discovery that is not answered yet to the successor.
+    void send_discovery_call(const std::string &text, net::Descriptor connection);
+
     /// Whether another process serves the same broker.
     bool has_other_process() const { return successor_ || parent_; }
     bool handed_over() const { return state_ == State::HandedOver; }
--- a/src/hot_restart/messages.hpp
+++ b/src/hot_restart/messages.hpp
@@ -24,7 +24,9 @@
     Resume = 'R',    ///< from the successor: an operator has ended the quiesce
     RequestId = 'I', ///< from either: the id of a request that it has taken
     ListPart = 'M',  ///< from either: a part of a list, but not the last one
-    List = 'L'       ///< from either: the last part of a list that discovery has told it of
+    DiscoveryCall =
+        'W',   ///< from the parent: a call to discovery that is not answered yet, with its connection
+    List = 'L' ///< from either: the last part of a list that discovery has told it of
 };
 
 /// Thrown for a malformed message; the text describes the error.
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -167,8 +167,8 @@
     return response;
 }
 
-asio::awaitable<std::optional<Response>> exchange(tcp::socket &socket, std::string request, Micros until,
-                                                  core::Deadlines &deadlines) {
+asio::awaitable<std::optional<Response>> receive_response(tcp::socket &socket, std::string &in, Micros until,
+                                                          core::Deadlines &deadlines) {
     std::optional<Response> response;
     boost::system::error_code error;
     {
@@ -176,17 +176,14 @@
             boost::system::error_code ignored;
             socket.close(ignored);
         });
-        co_await write_all(socket, request, error);
-        std::string in;
-        while (!error && !response) {
-            error = co_await read_more(socket, in);
-            if (in.size() > kMaxMessageBytes)
-                break;
-            try {
+        try {
+            response = take(in, false);
+            while (!error && !response && in.size() <= kMaxMessageBytes) {
+                error = co_await read_more(socket, in);
                 response = take(in, error == asio::error::eof);
-            } catch (const std::runtime_error &) {
-                break;
             }
+        } catch (const std::runtime_error &) {
+            response.reset();
         }
         if (response && !in.empty())
             response->keep = false; // bytes after the response belong to no request
@@ -196,4 +193,21 @@
     co_return response;
 }
 
+asio::awaitable<std::optional<Response>> exchange(tcp::socket &socket, std::string request, Micros until,
+                                                  core::Deadlines &deadlines) {
+    boost::system::error_code error;
+    {
+        const auto timer = deadlines.at(until, [&socket] {
+            boost::system::error_code ignored;
+            socket.close(ignored);
+        });
+        co_await write_all(socket, request, error);
+    }
+    std::string in;
+    if (!error)
+        co_return co_await receive_response(socket, in, until, deadlines);
+    socket.close(error);
+    co_return std::nullopt;
+}
+
 } // namespace marblewood::net::http
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -30,6 +30,10 @@
 /// std::runtime_error if it is malformed or too large. `ended`: the peer has closed the connection.
 std::optional<Response> take(std::string &in, bool ended);
 
+/// Waits for the response until `until` (Unix time). `in` holds what has been received of it, before and
+/// after the call. Empty on any failure, after which the connection is closed.
+asio::awaitable<std::optional<Response>> receive_response(tcp::socket &socket, std::string &in, Micros until,
+                                                          core::Deadlines &deadlines);
 /// Sends a request and waits for the response until `until` (Unix time). Empty on any failure, after which
 /// the connection is closed.
 asio::awaitable<std::optional<Response>> exchange(tcp::socket &socket, std::string request, Micros until,
