End no client where accept fails for lack of descriptors and no connection waits

What callers saw: a client's connection closed right after it was accepted, with its request on the way.

Cause: the system looks for a descriptor before it looks for a connection, so accept() fails with ENFILE or EMFILE also where none waits. The call that finds out whether more connections wait then ended the newest client, for nobody.

Evidence: syscall's scenario accept, ENFILE at 70 % of accept(): client_evicted client=13 cause=descriptors last_used_ms=0 clients=1, always of the twelfth connection.

Change: room is made only if a connection waits (the length of the backlog, which TCP_INFO tells of a listening socket).

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -120,8 +120,7 @@
             if (error == asio::error::operation_aborted)
                 continue;                             // paused, and possibly resumed since
             core::log("accept: {}", error.message()); // transient, such as a lack of descriptors
-            if (error.value() == EMFILE || error.value() == ENFILE)
-                evict_one();
+            make_room_after(error);
             retry_timer.expires_after(std::chrono::microseconds(kAcceptRetryDelay));
             co_await retry_timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
             continue;
@@ -188,6 +187,14 @@
     admit(std::move(socket), std::move(inherited));
 }
 
+// Closes one connection where accept() has failed for lack of a descriptor. The system looks for a descriptor
+// before it looks for a connection, so the call also fails that way when no connection waits.
+void Clients::make_room_after(const boost::system::error_code &accept_error) {
+    const bool lacks_descriptor = accept_error.value() == EMFILE || accept_error.value() == ENFILE;
+    if (lacks_descriptor && backlog_length(acceptor_.native_handle()) > 0)
+        evict_one();
+}
+
 bool Clients::evict_one() {
     EvictionOrder::Entry *const entry = order_.next(deadlines_.clock.now(), [](EvictionOrder::Entry &e) {
         return static_cast<Client &>(e).has_unhandled_input();
@@ -308,8 +315,7 @@
         acceptor_.accept(socket, error);
         if (error == asio::error::would_block)
             return true;
-        if (error.value() == EMFILE || error.value() == ENFILE)
-            evict_one();
+        make_room_after(error);
         if (error)
             return false; // the connection was aborted, or the error is transient
         admit(std::move(socket), HandedOverClient());
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -218,6 +218,7 @@
     asio::awaitable<void> accept();
     void admit(tcp::socket socket, HandedOverClient inherited);
     asio::awaitable<void> serve(std::list<Client>::iterator client);
+    void make_room_after(const boost::system::error_code &accept_error);
     bool evict_one(); // closes one to make room; false: all are in use
     void evict(Client &client);
     // Closes the longest idle connection if too many clients stay connected after a request.
