Have both processes of a hot restart reload the configuration when one is told to

What callers could see: SIGHUP to one of two processes moves that one's watch to the new discovery, while the other goes on with the old one, which closes its connections 1.5 s later. A successor that only its predecessor was told for never watches the new discovery.

Change: a reload goes to the other processes over the channel of the hot restart, and from the middle one of three on to the third; only the process that has had the signal counts it (conf_loaded). The handed state names the configured discovery; a successor that has read another one reads the file again.

--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -281,6 +281,10 @@
     predecessor_.restore(endpoints_, quiesce_, clock_);
     if (discovery_ && predecessor_.is_present())
         discovery_->continue_from(endpoints_.revision(), predecessor_.list_source());
+    // The predecessor may have reloaded the file after this process read it.
+    const std::string discovery = predecessor_.is_present() ? predecessor_.configured_discovery() : "";
+    if (!discovery.empty() && discovery != config_.discovery)
+        reload();
 }
 
 /// Opens the NVMe/TCP listener first: it may have to wait until its address is free, and no connected client
@@ -378,10 +382,12 @@
                                .clients = *clients_,
                                .peers = peers_,
                                .discovery = discovery_,
-                               .quiesce = quiesce_},
+                               .quiesce = quiesce_,
+                               .config = config_},
         ProcessHandover::OperatorActions{
             .cordon = [this](const std::string &node, bool cordoned) { set_cordoned(node, cordoned); },
-            .quiesce = [this](bool active) { set_quiesced(active); }});
+            .quiesce = [this](bool active) { set_quiesced(active); },
+            .reload = [this] { reload(); }});
     if (predecessor_.is_present())
         process_handover_->take_over(predecessor_);
     if (discovery_)
@@ -393,14 +399,20 @@
     reload_signals_.async_wait([this](const boost::system::error_code &error, int) {
         if (error)
             return;
-        reload_config(config_path_, config_, metrics_,
-                      [this](const tcp::endpoint &address, const std::string &configured_text) {
-                          set_discovery_address(address, configured_text);
-                      });
+        const bool taken = reload();
+        ++(taken ? metrics_.reloads : metrics_.reloads_failed);
+        process_handover_->forward_reload();
         await_reload_signal();
     });
 }
 
+bool Broker::reload() {
+    return reload_config(config_path_, config_,
+                         [this](const tcp::endpoint &address, const std::string &configured_text) {
+                             set_discovery_address(address, configured_text);
+                         });
+}
+
 void Broker::set_discovery_address(const tcp::endpoint &address, const std::string &configured_text) {
     if (!operator_config_.distribution.isNull()) {
         core::log("discovery_change_ignored reason=distributors_configured");
--- a/src/app/broker.hpp
+++ b/src/app/broker.hpp
@@ -71,6 +71,7 @@
     void set_quiesced(bool active);
 
     void await_reload_signal();
+    bool reload();
     void set_discovery_address(const boost::asio::ip::tcp::endpoint &address,
                                const std::string &configured_text);
 
--- a/src/app/config_reload.cpp
+++ b/src/app/config_reload.cpp
@@ -34,7 +34,7 @@
 
 } // namespace
 
-void reload_config(const std::string &path, config::Config &config, core::Metrics &metrics,
+bool reload_config(const std::string &path, config::Config &config,
                    const DiscoveryChanged &on_discovery_changed) {
     try {
         const config::Config reloaded = config::load(path);
@@ -46,10 +46,10 @@
         if (reloaded.discovery != config.discovery)
             on_discovery_changed(discovery, reloaded.discovery);
         config.discovery = reloaded.discovery;
-        ++metrics.reloads;
+        return true;
     } catch (const std::exception &error) {
-        ++metrics.reloads_failed;
         core::log("config_reload_failed error=\"{}\"", error.what());
+        return false;
     }
 }
 
--- a/src/app/config_reload.hpp
+++ b/src/app/config_reload.hpp
@@ -3,7 +3,6 @@
 #pragma once
 
 #include "config/config.hpp"
-#include "core/metrics.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
@@ -17,8 +16,8 @@
 
 /// Reads the file at `path` again. An error in any part of it is logged, and nothing changes. Only a change
 /// of `discovery` takes effect at once, through `on_discovery_changed`. Changes of other fields, except
-/// `known` and `seed`, are logged; they take effect at the next start.
-void reload_config(const std::string &path, config::Config &config, core::Metrics &metrics,
+/// `known` and `seed`, are logged; they take effect at the next start. Returns whether the file was taken.
+bool reload_config(const std::string &path, config::Config &config,
                    const DiscoveryChanged &on_discovery_changed);
 
 } // namespace marblewood::app
--- a/src/app/predecessor.cpp
+++ b/src/app/predecessor.cpp
@@ -59,6 +59,10 @@
     return config::text_or(takeover_->parent.state, "list_source", "");
 }
 
+std::string Predecessor::configured_discovery() const {
+    return config::text_or(takeover_->parent.state, "discovery", "");
+}
+
 int Predecessor::client_count() const {
     return static_cast<int>(config::integer_or(takeover_->parent.state, "clients", 0));
 }
--- a/src/app/predecessor.hpp
+++ b/src/app/predecessor.hpp
@@ -38,6 +38,8 @@
     void restore(net::resp::RequestIds &ids) const;
     /// Whose sequence of revisions the predecessor's list belongs to; empty if it did not say.
     std::string list_source() const;
+    /// The address of discovery in the predecessor's configuration; empty if it did not say.
+    std::string configured_discovery() const;
     /// The number of the predecessor's client connections.
     int client_count() const;
     /// Takes the channel over which the predecessor sends its client connections.
--- a/src/app/process_handover.cpp
+++ b/src/app/process_handover.cpp
@@ -33,6 +33,7 @@
     };
     hooks.set_cordoned = actions_.cordon;
     hooks.set_quiesced = actions_.quiesce;
+    hooks.reload = actions_.reload;
     hooks.apply_list = [this](const std::string &text) {
         if (parts_.discovery)
             parts_.discovery->apply_relayed(text);
@@ -61,6 +62,11 @@
         hot_restart_->forward_quiesce(active);
 }
 
+void ProcessHandover::forward_reload() {
+    if (hot_restart_)
+        hot_restart_->forward_reload();
+}
+
 void ProcessHandover::relay_list(const discovery::RelayedList &list) {
     if (hot_restart_ && hot_restart_->has_other_process())
         hot_restart_->send_list(discovery::encode(list));
@@ -118,6 +124,7 @@
     state["quiesced_us"] = static_cast<Json::Int64>(quiesced_since ? now - *quiesced_since : 0);
     state["clients"] = parts_.sockets.clients();
     state["fleet"] = parts_.endpoints.handover_state();
+    state["discovery"] = parts_.config.discovery;
     state["list_source"] = parts_.discovery ? parts_.discovery->list_source() : "";
     state["request_ids"] = Json::arrayValue;
     for (const std::string &id : parts_.clients.request_ids().all())
--- a/src/app/process_handover.hpp
+++ b/src/app/process_handover.hpp
@@ -5,6 +5,7 @@
 
 #include "app/client_servers.hpp"
 #include "app/predecessor.hpp"
+#include "config/config.hpp"
 #include "core/memory_budget.hpp"
 #include "discovery/discovery_client.hpp"
 #include "gossip/gossip_transport.hpp"
@@ -34,12 +35,14 @@
         std::optional<gossip::GossipTransport> &peers;
         std::optional<discovery::DiscoveryClient> &discovery;
         const QuiesceState &quiesce;
+        const config::Config &config;
     };
     /// Executes the operator commands that the successor has received and forwards; they also apply to this
-    /// process while it still has requests.
+    /// process while it still has requests. A reload also comes from the predecessor.
     struct OperatorActions {
         std::function<void(const std::string &node, bool cordoned)> cordon;
         std::function<void(bool active)> quiesce;
+        std::function<void()> reload;
     };
 
     /// An empty `path` disables hot restart: all functions then have no effect.
@@ -50,6 +53,8 @@
     /// Forwards an operator command to the predecessor, if one is still running.
     void forward_cordon_to_predecessor(const std::string &node, bool cordoned);
     void forward_quiesce_to_predecessor(bool active);
+    /// Has the other processes that serve the same broker reload their configuration.
+    void forward_reload();
 
     /// Passes a list that discovery has told this process of on to the others that serve the same broker.
     void relay_list(const discovery::RelayedList &list);
--- a/src/hot_restart/hot_restart.cpp
+++ b/src/hot_restart/hot_restart.cpp
@@ -138,6 +138,8 @@
         return hooks_.set_quiesced(false);
     case MessageType::RequestId:
         return hooks_.keep_request_id(id);
+    case MessageType::Reload:
+        return receive_reload(parent_);
     case MessageType::ListPart:
     case MessageType::List:
         return receive_list(list_of_successor_, command, parent_);
@@ -156,6 +158,19 @@
         parent_->send(encode(quiesced ? MessageType::Quiesce : MessageType::Resume));
 }
 
+void HotRestart::forward_reload() {
+    for (const auto &process : {successor_, parent_})
+        if (process)
+            process->send(encode(MessageType::Reload));
+}
+
+/// Reloads, and passes the message on to `next`, if there is one.
+void HotRestart::receive_reload(const std::shared_ptr<PacketChannel> &next) {
+    hooks_.reload();
+    if (next)
+        next->send(encode(MessageType::Reload));
+}
+
 void HotRestart::send_request_id(const std::string &id) {
     for (const auto &process : {successor_, parent_})
         if (process && process->unsent().size() < kMaxQueuedRequestIds)
@@ -223,6 +238,8 @@
             hooks_.keep_request_id(packet->bytes.substr(1));
         else if (type == MessageType::ListPart || type == MessageType::List)
             receive_list(list_of_parent_, *packet, successor_);
+        else if (type == MessageType::Reload)
+            receive_reload(successor_);
         else if (type == MessageType::DiscoveryCall && packet->descriptors.size() == 1)
             hooks_.adopt_discovery_call(packet->bytes.substr(1), std::move(packet->descriptors.front()));
         else if (auto client = decode_client(*packet))
--- a/src/hot_restart/hot_restart.hpp
+++ b/src/hot_restart/hot_restart.hpp
@@ -36,6 +36,7 @@
     /// Operator commands that the successor has received and forwarded.
     std::function<void(const std::string &id, bool cordoned)> set_cordoned;
     std::function<void(bool quiesced)> set_quiesced;
+    std::function<void()> reload; ///< the configuration, as the other process has been told to
     std::function<void(const std::string &id)> keep_request_id; ///< of a request that the other process has
     std::function<void(const std::string &text)> apply_list;    ///< that the other process has been told of
     /// Continues a call to discovery that the parent had begun.
@@ -55,6 +56,8 @@
     /// Forwards an operator command to the parent process, if it is still running.
     void forward_cordon(const std::string &id, bool cordoned);
     void forward_quiesce(bool quiesced);
+    /// Has the other processes, successor and parent, reload their configuration.
+    void forward_reload();
     /// Tells the other processes, successor and parent, the id of a request that this one has taken. An id
     /// is left out while kMaxQueuedRequestIds packets wait, as in a flood of requests.
     void send_request_id(const std::string &id);
@@ -87,6 +90,7 @@
     void hand_over(const std::shared_ptr<PacketChannel> &successor);
     void resume_after_successor(PacketChannel &successor);
     void execute_command(const Packet &command);
+    void receive_reload(const std::shared_ptr<PacketChannel> &next);
     void receive_list(TextDecoder &decoder, const Packet &packet, const std::shared_ptr<PacketChannel> &next);
     static void send_list_to(PacketChannel &process, const std::string &text);
     asio::awaitable<void> receive_clients(std::shared_ptr<PacketChannel> parent);
--- a/src/hot_restart/messages.hpp
+++ b/src/hot_restart/messages.hpp
@@ -23,6 +23,7 @@
     Quiesce = 'Q',   ///< from the successor: an operator has quiesced the broker
     Resume = 'R',    ///< from the successor: an operator has ended the quiesce
     RequestId = 'I', ///< from either: the id of a request that it has taken
+    Reload = 'H',    ///< from either: the configuration file has to be read again
     ListPart = 'M',  ///< from either: a part of a list, but not the last one
     DiscoveryCall =
         'W',   ///< from the parent: a call to discovery that is not answered yet, with its connection
--- a/tests/faults/traced_discovery.hpp
+++ b/tests/faults/traced_discovery.hpp
@@ -90,6 +90,17 @@
     }
 
     int connections() const { return server_.accepted; }
+    /// Waits until calls have arrived on `number` connections.
+    void await_connections(int number) const {
+        std::unique_lock lock(mutex_);
+        const auto have_called = [&] {
+            std::set<int> callers;
+            for (const Call &call : calls_)
+                callers.insert(call.connection);
+            return static_cast<int>(callers.size()) >= number;
+        };
+        assert(changed_.wait_for(lock, 15s, have_called));
+    }
     std::vector<Write> writes() const {
         const std::lock_guard lock(mutex_);
         return writes_;
--- a/tests/hot_restart_format_test.cpp
+++ b/tests/hot_restart_format_test.cpp
@@ -210,9 +210,11 @@
     const Json::Value request_ids = state["request_ids"];
     state.removeMember("request_ids");
     assert(request_ids.isArray());
-    const Json::Value list_source = state["list_source"];
-    state.removeMember("list_source");
-    assert(list_source.isString());
+    for (const char *const field : {"list_source", "discovery"}) {
+        const Json::Value source = state[field];
+        state.removeMember(field);
+        assert(source.isString());
+    }
     assert(fields(state) == fields(fixture));
     assert(fields(state["fleet"]) == fields(fixture["fleet"]));
     for (const char *const list : {"cordons", "fleet_cordons", "limits", "nodes"})
--- a/tests/list_handover_test.cpp
+++ b/tests/list_handover_test.cpp
@@ -202,6 +202,63 @@
     assert(successor.figures().at("cluster_size") == kAdded + 2);
 }
 
+/// A discovery service that the configuration names, and one that it names after a reload.
+struct MovingDiscovery {
+    RespNode node{serve_at_once()};
+    TracedDiscovery before{{{"s-1", node.server.port}}};
+    TracedDiscovery after{{{"s-1", node.server.port}}};
+    const std::string settings = with_deadlines(kReadMs, kReadMs);
+
+    void change_configuration(const Program &program) const { program.configure(after, settings); }
+};
+
+/// Has one process of a hot restart reload its configuration, and asserts that both move to the new
+/// discovery.
+void assert_both_move(bool signal_to_predecessor) {
+    MovingDiscovery discovery;
+    Program predecessor(discovery.before, "", discovery.settings);
+    Program successor(predecessor);
+    discovery.change_configuration(predecessor);
+    (signal_to_predecessor ? predecessor : successor).signal(SIGHUP);
+    predecessor.await_log("config_reloaded");
+    successor.await_log("config_reloaded");
+    discovery.after.await_connections(2);
+    assert(predecessor.figures().at("conf_loaded") == (signal_to_predecessor ? 1 : 0));
+    assert(successor.figures().at("conf_loaded") == (signal_to_predecessor ? 0 : 1));
+}
+
+// Guards against a successor that goes on watching a discovery which only its predecessor was told has moved.
+void reload_of_predecessor() {
+    assert_both_move(true);
+}
+// Guards against a predecessor that goes on watching a discovery which only its successor was told has moved.
+void reload_of_successor() {
+    assert_both_move(false);
+}
+
+// Guards against a successor that has read the configuration before a reload, and takes over after it.
+void reload_while_successor_starts() {
+    MovingDiscovery discovery;
+    Program predecessor(discovery.before, "", discovery.settings);
+    discovery.before.await_call(1);
+    predecessor.signal(SIGSTOP);
+    std::thread reload([&] {
+        std::this_thread::sleep_for(500ms); // the successor waits for the state
+        discovery.change_configuration(predecessor);
+        predecessor.signal(SIGHUP);
+        predecessor.signal(SIGCONT);
+    });
+    Program successor(predecessor);
+    reload.join();
+    end(predecessor);
+    const int connections = discovery.after.connections();
+    discovery.after.await_connections(std::max(connections, 1));
+    const int revision = discovery.after.set_phase("s-1", "draining");
+    successor.await_log(fmt::format("revision={}", revision));
+    assert(successor.log().find(fmt::format("address=127.0.0.1:{}", discovery.after.port())) !=
+           std::string::npos);
+}
+
 } // namespace
 
 int main(int argc, char **argv) {
@@ -213,6 +270,9 @@
         {"successor_asks_from_the_handed_revision", successor_asks_from_the_handed_revision},
         {"drain_known_to_the_configuration_alone", drain_known_to_the_configuration_alone},
         {"drain_told_to_the_first_of_three", drain_told_to_the_first_of_three},
+        {"reload_of_predecessor", reload_of_predecessor},
+        {"reload_of_successor", reload_of_successor},
+        {"reload_while_successor_starts", reload_while_successor_starts},
         {"long_change_told_to_predecessor", long_change_told_to_predecessor},
     };
     return run_scenario(kScenarios, argc, argv);
