--- a/tests/faults/traced_discovery.hpp
+++ b/tests/faults/traced_discovery.hpp
@@ -89,6 +89,12 @@
         failures_ = calls;
     }
 
+    /// Closes all connections, and each new one at its first call.
+    void close() {
+        closed_ = true;
+        changed_.notify_all();
+    }
+
     int connections() const { return server_.accepted; }
     /// Waits until calls have arrived on `number` connections.
     void await_connections(int number) const {
@@ -181,7 +187,7 @@
             }
             std::unique_lock lock(mutex_);
             const auto can_answer = [&] {
-                return stopping_ ||
+                return stopping_ || closed_ ||
                        (is_answered(connection) && (revision() > since || Clock::now() >= deadline));
             };
             while (!can_answer())
@@ -189,7 +195,7 @@
             lock.unlock();
             std::this_thread::sleep_for(delay_ms_.load() * 1ms);
             lock.lock();
-            if (stopping_)
+            if (stopping_ || closed_)
                 return;
             write(s, connection, answer(since));
         }
@@ -221,6 +227,7 @@
     std::atomic<int> failures_ = 0;
     std::atomic<bool> fails_with_status_ = true;
     std::atomic<int> last_connection_ = 0;
+    std::atomic<bool> closed_ = false;
     std::atomic<bool> stopping_ = false;
     Server server_;
 };
