--- a/src/discovery/discovery_client.hpp
+++ b/src/discovery/discovery_client.hpp
@@ -112,10 +112,10 @@
     void adopt_call(HandedOverCall call);
 
     const DiscoveryMetrics &metrics() const { return metrics_; }
-    /// The revision of the known list; kNoRevision if there is none.
-    std::int64_t revision() const { return revision_; }
 
 private:
+    static constexpr Micros kNever = INT64_MAX;
+
     /// What a call asks for.
     struct Poll {
         std::int64_t known_revision = kNoRevision; ///< when the call began
@@ -146,9 +146,9 @@
         bool answered = false;               ///< its last call had a usable response
         Micros calling_since = 0;            ///< when its first call after the last usable response began
         bool revisions_incomparable = false; ///< the address may have an unrelated sequence of revisions
-        Micros request_complete_list_at = INT64_MAX; ///< from this time on, calls request the complete list
-        std::optional<std::int64_t> stale_revision;  ///< the revision of the last response, if it was stale
-        std::optional<SentCall> sent_call;           ///< whose response is not complete yet
+        Micros request_complete_list_at = kNever;   ///< from this time on, calls request the complete list
+        std::optional<std::int64_t> stale_revision; ///< the revision of the last response, if it was stale
+        std::optional<SentCall> sent_call;          ///< whose response is not complete yet
     };
     enum class CallStatus {
         Answered,
--- a/tests/drain_soak.cpp
+++ b/tests/drain_soak.cpp
@@ -116,21 +116,26 @@
                 at = takeover.serves + kBindsAfterYes;
         return at;
     }
-    /// Describes the requests that nodes got after the grace.
-    std::string violations(const std::vector<Takeover> &takeovers) const {
-        std::string found;
+    /// What nodes got while they were unavailable.
+    struct Findings {
+        std::string violations;      ///< describes the requests after the grace
+        milliseconds last_request{}; ///< the longest time from when a node counts as told to a request
+    };
+    Findings findings(const std::vector<Takeover> &takeovers) const {
+        Findings found;
         for (const Unavailability &what : unavailabilities_) {
             const auto told_at = told(what, takeovers);
             if (!told_at)
                 continue;
             const auto until = what.until.value_or(Clock::time_point::max());
-            const auto late =
-                nodes_[static_cast<std::size_t>(what.node)]->arrivals(*told_at + kDrainGrace, until);
-            if (!late.empty())
-                found +=
-                    fmt::format(" {} requests at {} (revision {}) from {} ms after it counts as told;",
-                                late.size(), node_id(what.node), what.revision,
-                                std::chrono::duration_cast<milliseconds>(late.front() - *told_at).count());
+            const auto &node = *nodes_[static_cast<std::size_t>(what.node)];
+            for (const auto arrival : node.arrivals(*told_at, until))
+                found.last_request = std::max(found.last_request,
+                                              std::chrono::duration_cast<milliseconds>(arrival - *told_at));
+            const std::size_t late = node.arrivals(*told_at + kDrainGrace, until).size();
+            if (late > 0)
+                found.violations += fmt::format(" {} late requests at {} (revision {});", late,
+                                                node_id(what.node), what.revision);
         }
         return found;
     }
@@ -321,16 +326,17 @@
     for (int n = draw.of({1, 1, 2}); n > 0; --n)
         broker.replace();
     std::this_thread::sleep_for(kBindsAfterYes + 500ms);
-    const std::string violations = fleet.violations(broker.takeovers());
+    const Fleet::Findings findings = fleet.findings(broker.takeovers());
     const ProcessEnd end = run_to_the_kill(draw, broker.newest(), {broker.newest().pid()}, longest);
     crowd.reset();
     clients.clear();
-    const bool good = violations.empty() && tally.lost == 0 && tally.late == 0 && tally.served > 0 &&
+    const bool good = findings.violations.empty() && tally.lost == 0 && tally.late == 0 && tally.served > 0 &&
                       end.in_order() && broker.ended_by_themselves();
-    fmt::print("seed {} {}: longest {} takeovers {} unavailable {}{}{}; {}; ended {};{}\n", seed,
-               good ? "good" : "BAD", longest, broker.takeovers().size(), fleet.changes(),
+    fmt::print("seed {} {}: longest {} takeovers {} unavailable {}{}{}; {}; ended {}; last request {} ms "
+               "after told;{}\n",
+               seed, good ? "good" : "BAD", longest, broker.takeovers().size(), fleet.changes(),
                broker.has_moved() ? " moved" : "", crowd ? " crowd" : "", tally.summary(), end.manner(),
-               violations);
+               findings.last_request.count(), findings.violations);
     if (!good)
         fmt::print("{}\n", broker.logs());
     std::fflush(stdout);
